scheduler: a start without an answer may reach the worker's next life

A worker reborn under its id has no lease yet; when it then fell silent, starts sent to its former life were given up at once, though a late one still reaches it (lapse). And a successor that learned of the new life from discovery did not wait for it as it waits for other workers in use. Ruled out: the deadline of the start (the next life's clock begins anew). Change: such starts are kept for the longest delay of an order (12 s) and a lease; the next life of a worker in use is read before inherited tasks start.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -113,7 +113,10 @@
 	stopAcked       bool
 	stopWhy         string
 	// listed says that a look has shown the run.
-	listed  bool
+	listed bool
+	// carried says that the start was sent to a former life of the worker and
+	// may reach this one.
+	carried bool
 	percent float64
 	// progressAt is when percent last rose.
 	progressAt time.Duration
@@ -123,6 +126,10 @@
 	pacedAt    time.Duration
 }
 
+// mayCome reports whether the start may still reach a life of the worker that
+// was never asked about it.
+func (r *run) mayCome() bool { return r.carried && !r.listed }
+
 func (t *task) id() workload.TaskID {
 	return workload.TaskID{Job: t.step.job.ID, Occurrence: t.step.occ.number, Step: t.step.index, Index: t.index}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -53,6 +53,9 @@
 	// clockDrift is the share by which a worker's clock may be slow; the
 	// platform's bound is 2 %.
 	clockDrift = 0.03
+	// lateOrder is the longest time after which an order without an answer is
+	// carried out, as the platform's list of disruptions has it.
+	lateOrder = 12 * time.Second
 	// lapseSlack is added to a lease before its runs are given up.
 	lapseSlack = 200 * time.Millisecond
 	// runsPerEpoch spaces the run numbers of successive owners, so that an
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -289,3 +289,83 @@
 		t.Errorf("state is %q, want completed", got)
 	}
 }
+
+// TestStartMayReachTheNextLifeOfASilentWorker plays a start without an answer
+// to a worker that is reborn under its id and falls silent: the start is carried
+// out by the next life, whose lease nobody has extended. Its task starts
+// elsewhere only when that cannot happen any more.
+func TestStartMayReachTheNextLifeOfASilentWorker(t *testing.T) {
+	w := newWorld(t)
+	f := w.addWorker("w1", "p", 8)
+	f.duration = func(workload.TaskID) (time.Duration, platform.RunEnd) { return time.Hour, platform.EndDone }
+	m := w.own()
+	w.run(400*time.Millisecond, m)
+	w.lose = func(o Order) fate {
+		if _, ok := o.(*StartOrder); ok {
+			return fate{lost: true, applied: true, delay: 1200 * time.Millisecond}
+		}
+		return fate{lost: true}
+	}
+	job := jobOf(1, 1, 2)
+	w.submit(m, job)
+	w.run(100*time.Millisecond, m)
+	f.crash()
+	f.reborn(w.now)
+	m.discover()
+	w.addWorker("w2", "p", 8)
+	m.discover()
+	lost := w.lose
+	w.lose = func(o Order) fate {
+		if l, ok := o.(*LookOrder); ok && l.Worker.ID == "w2" {
+			return fate{}
+		}
+		if s, ok := o.(*StartOrder); ok && s.Worker.ID == "w2" {
+			return fate{}
+		}
+		return lost(o)
+	}
+	w.run(25*time.Second, m)
+	w.check()
+	if got := w.state(job.ID); got != workload.Completed {
+		t.Errorf("state is %q, want completed", got)
+	}
+}
+
+// TestSuccessorReadsTheNextLifeOfAWorker plays a start without an answer, a
+// worker that is reborn under its id and a change of owner: the start is
+// carried out by the next life just before the successor's first look. The
+// successor must not start the task elsewhere before it has read that life.
+func TestSuccessorReadsTheNextLifeOfAWorker(t *testing.T) {
+	w := newWorld(t)
+	f := w.addWorker("w1", "p", 8)
+	long := func(workload.TaskID) (time.Duration, platform.RunEnd) { return time.Second, platform.EndDone }
+	f.duration = long
+	former := w.own()
+	w.run(400*time.Millisecond, former)
+	w.lose = func(o Order) fate {
+		if _, ok := o.(*StartOrder); ok {
+			return fate{lost: true, applied: true, delay: 700 * time.Millisecond}
+		}
+		return fate{}
+	}
+	job := jobOf(1, 1, 2)
+	w.submit(former, job)
+	w.run(50*time.Millisecond, former)
+	former.frozen = true
+	w.lose = func(o Order) fate {
+		// The first look at the next life gets no answer.
+		l, ok := o.(*LookOrder)
+		return fate{lost: ok && l.Worker.ID == "w1" && w.now < 1200*time.Millisecond}
+	}
+	w.run(500*time.Millisecond, former)
+	f.crash()
+	w.addWorker("w2", "p", 8).duration = long
+	next := w.ownAfter(8 * time.Second)
+	f.reborn(w.now)
+	next.discover()
+	w.run(5*time.Second, next)
+	w.check()
+	if got := w.state(job.ID); got != workload.Completed {
+		t.Errorf("state is %q, want completed", got)
+	}
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -158,8 +158,9 @@
 	entry.BornMS = bornMS
 	next := e.addWorker(entry, now)
 	next.listed, next.recorded = w.listed, w.recorded
+	next.inherited = w.inherited // starts of a former owner may come late, until this life has seen a higher token
 	for _, r := range open {
-		r.worker = next
+		r.worker, r.carried = next, true
 		r.deadlineMS = math.MaxInt64 // the deadline was on the former life's clock
 		r.sentAt = now
 		r.stopAcked = false
@@ -182,12 +183,12 @@
 // lapse gives up what runs on workers whose lease has run out without contact.
 func (e *Engine) lapse(now time.Duration) {
 	for _, w := range e.workers {
-		if len(w.runs) > 0 && w.failedLooks > 0 && now > w.leaseEnd() {
+		if w.failedLooks > 0 && now > w.leaseEnd() {
 			for _, r := range w.runs {
-				e.lose(r, now)
+				if !r.mayCome() || now > r.sentAt+lateOrder+e.opts.MaxLease {
+					e.lose(r, now)
+				}
 			}
-		}
-		if w.failedLooks > 0 && now > w.leaseEnd() {
 			w.dropStrays(nil, now)
 		}
 		if !w.listed && len(w.runs) == 0 && len(w.pending) == 0 && !w.inherited {
