fleetplan: pools of late work give hosts to the pool whose turn it is

Ruled out: lack of hosts (the fleet has 350), the store, the owner's processor (0.38 of 0.8 cores). Change: a pool's need leaves out tasks of late jobs; it keeps their hosts only while no other pool lacks some. As many hosts are emptied as the others lack after all spare ones are given out, those with the least work in time first. Late work goes on where hosts stay. TestLateWorkGivesWayToTheNextSurge fails before.

--- a/internal/fleetplan/demand.go
+++ b/internal/fleetplan/demand.go
@@ -112,3 +112,12 @@
 	}
 	return sum
 }
+
+// late is how many cores tasks of late jobs hold.
+func (pool *Pool) late() float64 {
+	sum := 0.0
+	for _, w := range pool.Workers {
+		sum += w.Late
+	}
+	return sum
+}
--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -19,8 +19,9 @@
 // Worker is a worker as the plan sees it.
 type Worker struct {
 	ID string
-	// Cores is its capacity, Used what its tasks hold.
-	Cores, Used float64
+	// Cores is its capacity, Used what its tasks hold, and Late the part of
+	// that which tasks of jobs hold that cannot be in time any more.
+	Cores, Used, Late float64
 	// Idle workers run nothing and every end on them is acknowledged.
 	Idle bool
 	// Lasting counts long-running tasks.
@@ -91,8 +92,12 @@
 // Sizing is the size that a pool needs and what it follows from.
 type Sizing struct {
 	Size, Have int
-	// Rate is the work that arrives, in cores; the others are as in Pool.
-	Rate, Waiting, Steady, Used float64
+	// Keep is the size that the pool keeps while no other one lacks hosts: late
+	// work goes on then.
+	Keep int
+	// Rate is the work that arrives, in cores; the others are as in Pool and
+	// Worker.
+	Rate, Waiting, Steady, Used, Late float64
 	// Expected is the size for a surge that may be about to begin, 0 for none.
 	Expected int
 }
@@ -119,8 +124,10 @@
 	// draining are the hosts that get no new tasks since their pool is too
 	// large.
 	draining map[string]bool
-	// lacking says that a pool lacked hosts at the last plan.
+	// lacking says that a pool lacked hosts at the last plan, and short how many
+	// it lacked after all spare ones were given out.
 	lacking   bool
+	short     int
 	completed map[int64]bool
 	waveSeen  map[int64]time.Duration
 }
--- a/internal/fleetplan/fleetplan_test.go
+++ b/internal/fleetplan/fleetplan_test.go
@@ -44,9 +44,9 @@
 	life       int
 	reserved   bool
 	lasting    int
-	// used are cores that its tasks hold until a time.
-	used float64
-	busy time.Duration
+	// used are cores that its tasks hold until a time, late those of late work.
+	used, late float64
+	busy       time.Duration
 }
 
 type fakePool struct {
@@ -54,7 +54,9 @@
 	// demand is the work that arrives, in cores.
 	demand           func(now time.Duration) float64
 	waiting, arrived float64
-	jobs             int
+	// backlog is late work that takes what other work leaves.
+	backlog float64
+	jobs    int
 }
 
 func newFleet(sizes map[string]int) *fleet {
@@ -79,7 +81,7 @@
 			h.life++
 		}
 		if f.now >= h.busy {
-			h.used = 0
+			h.used, h.late = 0, 0
 		}
 	}
 	for name, p := range f.pools {
@@ -98,6 +100,12 @@
 				p.waiting -= take
 				h.busy = f.now + time.Second
 			}
+			if take := min(p.backlog, testCores-h.used); take > 0 {
+				h.used += take
+				h.late += take
+				p.backlog -= take
+				h.busy = f.now + time.Second
+			}
 		}
 	}
 	f.plan()
@@ -115,7 +123,7 @@
 			listed.WorkerID = h.worker()
 			byWorker[h.worker()] = h
 			members[h.pool] = append(members[h.pool], Worker{
-				ID: h.worker(), Cores: testCores, Used: h.used, Lasting: h.lasting,
+				ID: h.worker(), Cores: testCores, Used: h.used, Late: h.late, Lasting: h.lasting,
 				Idle: h.used == 0 && h.lasting == 0, Open: !h.reserved,
 			})
 		}
@@ -239,6 +247,35 @@
 	}
 }
 
+// TestLateWorkGivesWayToTheNextSurge plays a pool with a backlog of late work
+// from its own surge when another pool's surge begins: callers of the second
+// one can still be served in time, those of the first one cannot.
+func TestLateWorkGivesWayToTheNextSurge(t *testing.T) {
+	f := newFleet(map[string]int{"a": 24, "b": 4, "c": 4, "spare": 2})
+	f.pools["a"].backlog = 400 * testCores
+	f.pools["a"].demand = func(time.Duration) float64 { return testCores / 2 }
+	f.run(2 * time.Second)
+	if got := f.size("a"); got < 24 {
+		t.Fatalf("the pool keeps %d hosts for its late work while nobody else needs them, want 24", got)
+	}
+	f.pools["b"].demand = surge(16*testCores, 2*time.Second, 9*time.Second)
+	f.run(4500 * time.Millisecond)
+	if got := f.size("b"); got < 16 {
+		t.Errorf("the pool has %d hosts 4.5 s into a surge that needs 16", got)
+	}
+	if waiting := f.pools["b"].waiting; waiting > 50*testCores {
+		t.Errorf("%.0f core-seconds wait", waiting)
+	}
+	before := f.pools["a"].backlog
+	f.run(10 * time.Second)
+	if after := f.pools["a"].backlog; after >= before {
+		t.Errorf("%.0f core-seconds of late work wait, %.0f waited 10 s before: it stands still", after, before)
+	}
+	if f.fault != "" {
+		t.Error(f.fault)
+	}
+}
+
 // TestNextTurnFindsItsHosts plays queues that surge in turn: from the second
 // round on the pool has most of its hosts when its turn begins.
 func TestNextTurnFindsItsHosts(t *testing.T) {
--- a/internal/fleetplan/move.go
+++ b/internal/fleetplan/move.go
@@ -33,8 +33,9 @@
 // want is what a pool needs.
 type want struct {
 	pool *Pool
-	// size is the number of workers that it should have.
-	size int
+	// size is the number of workers that it should have, keep the number that
+	// it may keep while no other pool lacks hosts.
+	size, keep int
 	// have counts the workers that it has or will have.
 	have int
 }
@@ -47,15 +48,22 @@
 		v.reopen(&wants[i])
 	}
 	spare := v.spareHosts(wants)
+	v.short = 0
 	for _, w := range wants {
-		spare = v.give(w.pool, w.size-w.have, spare, "demand")
+		lacks := max(0, w.size-w.have)
+		before := len(spare)
+		spare = v.give(w.pool, lacks, spare, "demand")
+		v.short += lacks - (before - len(spare))
 	}
 	for _, w := range wants {
 		spare = v.give(w.pool, v.expected[w.pool.Name]-max(w.have, w.size), spare, "expected surge")
 	}
 	v.park(spare)
+	lend := max(0, v.short-len(v.draining))
 	for _, w := range wants {
-		v.drain(w)
+		lent := min(lend, max(0, min(w.have, w.keep)-w.size))
+		lend -= lent
+		v.drain(w, max(0, w.have-w.keep)+lent)
 	}
 }
 
@@ -73,10 +81,10 @@
 	return spare
 }
 
-// drain gives the least used workers of a pool that is too large no new tasks,
-// so that their hosts become idle and can leave.
-func (v *view) drain(w want) {
-	over := w.have - w.size
+// drain gives workers of a pool that has too many no new tasks, so that their
+// hosts become idle and can leave: first those with the least work that can
+// still be in time.
+func (v *view) drain(w want, over int) {
 	var list []*estate.Host
 	for i := range v.Hosts {
 		h := &v.Hosts[i]
@@ -87,7 +95,8 @@
 		list = append(list, h)
 	}
 	slices.SortStableFunc(list, func(a, b *estate.Host) int {
-		return cmp.Compare(v.workers[a.WorkerID].Used, v.workers[b.WorkerID].Used)
+		x, y := v.workers[a.WorkerID], v.workers[b.WorkerID]
+		return cmp.Or(cmp.Compare(x.Used-x.Late, y.Used-y.Late), cmp.Compare(x.Used, y.Used))
 	})
 	for _, h := range list {
 		worker := v.workers[h.WorkerID]
@@ -115,8 +124,12 @@
 	slices.SortStableFunc(list, func(a, b *estate.Host) int {
 		return cmp.Compare(v.workers[b.WorkerID].Used, v.workers[a.WorkerID].Used)
 	})
+	enough := w.keep
+	if v.short > 0 {
+		enough = w.size
+	}
 	for _, h := range list {
-		if w.have >= w.size {
+		if w.have >= enough {
 			return
 		}
 		w.have++
@@ -153,7 +166,7 @@
 			continue
 		}
 		s := v.size(pool, have[pool.Name])
-		wants = append(wants, want{pool: pool, size: s.Size, have: s.Have})
+		wants = append(wants, want{pool: pool, size: s.Size, keep: s.Keep, have: s.Have})
 		if s.Size != d.told {
 			d.told = s.Size
 			v.decide(Decision{Kind: Resize, To: pool.Name, Sizing: s})
@@ -196,9 +209,9 @@
 		return Sizing{}
 	}
 	s := Sizing{
-		Have: have, Rate: d.rate, Waiting: pool.Waiting, Steady: pool.Steady, Used: pool.used(),
+		Have: have, Rate: d.rate, Waiting: pool.Waiting, Steady: pool.Steady, Used: pool.used(), Late: pool.late(),
 	}
-	there := s.Used + waitingShare*pool.Waiting
+	there := s.Used - s.Late + waitingShare*pool.Waiting
 	coming := rateReserve*d.rate + pool.Steady
 	need := int(math.Ceil(max(there, coming)/cores)) + headroom
 	if _, surged := v.rhythm.last(pool.Name); !surged {
@@ -213,6 +226,7 @@
 	s.Expected = v.expected[pool.Name]
 	need = max(need, min(have, s.Expected))
 	s.Size = need
+	s.Keep = max(need, int(math.Ceil((s.Used+waitingShare*pool.Waiting)/cores))+headroom)
 	return s
 }
 
@@ -237,7 +251,10 @@
 func (v *view) spareHosts(wants []want) []spareHost {
 	over := map[string]int{}
 	for _, w := range wants {
-		over[w.pool.Name] = w.have - w.size
+		over[w.pool.Name] = w.have - w.keep
+		if v.short > 0 {
+			over[w.pool.Name] = w.have - w.size
+		}
 	}
 	var spare []spareHost
 	for i := range v.Hosts {
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -24,7 +24,7 @@
 			}
 			out.Steady += w.steady()
 			out.Workers = append(out.Workers, fleetplan.Worker{
-				ID: w.ID, Cores: w.Capacity.Processors, Used: w.used.Processors, Lasting: w.lasting(),
+				ID: w.ID, Cores: w.Capacity.Processors, Used: w.used.Processors, Late: e.late(w, now), Lasting: w.lasting(),
 				Idle: !w.inherited && !w.occupied() && len(w.pending) == 0 && !w.Draining && w.failedLooks == 0,
 				Open: w.usable(now),
 			})
@@ -44,6 +44,18 @@
 	return list
 }
 
+// late is how many cores tasks hold on a worker whose jobs cannot be in time
+// any more.
+func (e *Engine) late(w *worker, now time.Duration) float64 {
+	sum := 0.0
+	for _, r := range w.runs {
+		if s := r.task.step; !s.LongRunning && e.outlook(s.job, s.occ, now) != inTime {
+			sum += s.Room().Processors
+		}
+	}
+	return sum
+}
+
 // steady is how many cores the long-running tasks on a worker hold.
 func (w *worker) steady() float64 {
 	sum := 0.0
