--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -108,6 +108,9 @@
 	// orderLife is how long an ordered host is left alone when the list does
 	// not show it where it should be.
 	orderLife = 8 * time.Second
+	// maxUnanswered bounds the orders that wait for an answer: what a service
+	// with some hundred orders a second answers before the next plans.
+	maxUnanswered = 60
 )
 
 // Planner remembers orders and the rhythm of the pools' demand.
@@ -255,8 +258,13 @@
 	wanted    []want
 	expected  map[string]int
 	decisions []Decision
+	// unanswered counts the orders that wait for an answer.
+	unanswered int
 }
 
+// mayOrder reports whether one more order may be given now.
+func (v *view) mayOrder() bool { return v.unanswered < maxUnanswered }
+
 func (p *Planner) view(s State) *view {
 	v := &view{
 		Planner: p, State: s, hosts: map[string]*estate.Host{}, byWorker: map[string]*estate.Host{},
@@ -270,6 +278,11 @@
 		}
 		v.settle(h)
 	}
+	for _, o := range p.orders {
+		if o.done == 0 {
+			v.unanswered++
+		}
+	}
 	for i := range s.Pools {
 		pool := &s.Pools[i]
 		v.pools[pool.Name] = pool
@@ -329,6 +342,9 @@
 }
 
 func (v *view) decide(d Decision) {
+	if d.Kind == Move || d.Kind == Maintain {
+		v.unanswered++
+	}
 	v.decisions = append(v.decisions, d)
 	if d.Kind == Move || d.Kind == Maintain {
 		v.orders[d.Host] = order{kind: d.Kind, to: d.To, at: v.Now, wave: d.Wave}
--- a/internal/fleetplan/fleetplan_test.go
+++ b/internal/fleetplan/fleetplan_test.go
@@ -33,8 +33,11 @@
 	moves     int
 	completed bool
 	fault     string
-	// luck tells whether an order gets no answer.
-	lose func() bool
+	// lose tells whether an order gets no answer. While the service is silent
+	// orders wait for theirs.
+	lose   func() bool
+	silent bool
+	late   []Decision
 }
 
 type fakeHost struct {
@@ -75,6 +78,12 @@
 // step plays one tick: work arrives, is placed and ends, and the plan is made.
 func (f *fleet) step() {
 	f.now += tick
+	if !f.silent {
+		for _, d := range f.late {
+			f.planner.Done(d, f.now)
+		}
+		f.late = nil
+	}
 	for _, h := range f.hosts {
 		if h.state != estate.HostUp && f.now >= h.until {
 			h.state = estate.HostUp
@@ -186,6 +195,10 @@
 		h.state, h.until = estate.HostMaintenance, f.now+testMaintenance
 		f.begun[h.name]++
 	}
+	if f.silent {
+		f.late = append(f.late, d)
+		return
+	}
 	if f.lose != nil && f.lose() {
 		f.planner.Unknown(d, f.now)
 		return
@@ -357,3 +370,20 @@
 		t.Errorf("%d moves while most hosts are down", f.moves)
 	}
 }
+
+// TestOrdersWithoutAnswerAreBounded plays a surge that wants more hosts than
+// the fleet service answers for at once.
+func TestOrdersWithoutAnswerAreBounded(t *testing.T) {
+	f := newFleet(map[string]int{"a": 4, "b": 4, "c": 4, "spare": 200})
+	f.pools["a"].demand = surge(150*testCores, 0, time.Minute)
+	f.silent = true
+	f.run(3 * time.Second)
+	if f.moves == 0 || f.moves > maxUnanswered {
+		t.Errorf("%d orders wait for an answer, want some and at most %d", f.moves, maxUnanswered)
+	}
+	f.silent = false
+	f.run(10 * time.Second)
+	if got := f.size("a"); got < 150 {
+		t.Errorf("the pool has %d hosts, needs 150", got)
+	}
+}
--- a/internal/fleetplan/move.go
+++ b/internal/fleetplan/move.go
@@ -51,9 +51,8 @@
 	v.short = 0
 	for _, w := range wants {
 		lacks := max(0, w.size-w.have)
-		before := len(spare)
+		v.short += max(0, lacks-len(spare))
 		spare = v.give(w.pool, lacks, spare, "demand")
-		v.short += lacks - (before - len(spare))
 	}
 	for _, w := range wants {
 		spare = v.give(w.pool, v.expected[w.pool.Name]-max(w.have, w.size), spare, "expected surge")
@@ -71,7 +70,7 @@
 func (v *view) give(pool *Pool, n int, spare []spareHost, reason string) []spareHost {
 	for ; n > 0; n-- {
 		i := v.pick(spare, pool)
-		if i < 0 {
+		if i < 0 || !v.mayOrder() {
 			break
 		}
 		h := spare[i].host
@@ -309,7 +308,7 @@
 	parked := map[string]int{}
 	for _, s := range spare {
 		pool := v.pools[s.host.Pool]
-		if s.standby || s.idleFor < idleBeforeMove {
+		if s.standby || s.idleFor < idleBeforeMove || !v.mayOrder() {
 			continue
 		}
 		if parked[pool.Name] >= max(1, int(maxShrinkShare*float64(len(pool.Workers)))) {
--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -60,7 +60,7 @@
 	due := float64(v.Now-v.waveSeen[w.Number]) / (paceShare * float64(w.Duration)) * float64(len(w.Hosts))
 	urgent := float64(len(w.Hosts)-missing) < due
 	for _, h := range left {
-		if room <= 0 {
+		if room <= 0 || !v.mayOrder() {
 			return
 		}
 		room--
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -230,9 +230,9 @@
 		event.HostMaintenanceOrdered.Log(o.node.Log, fields...)
 	}
 	switch {
-	case err != nil:
+	case err != nil && !errors.Is(err, platform.ErrUnavailable):
 		d.planner.Unknown(dec, now)
-	case outcome == platform.DutyDone:
+	case err == nil && outcome == platform.DutyDone:
 		d.planner.Done(dec, now)
 		if dec.Worker != "" {
 			o.engine.HostTaken(dec.Worker, now)
