--- /dev/null
+++ b/test/soak/callers_test.go
@@ -0,0 +1,129 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+)
+
+const (
+	spec        = "soak"
+	maxAttempts = 2
+	queueHost   = "soak.example"
+	queuePrefix = "/jobs/"
+	// patience is how long a caller waits for one answer.
+	patience = 2 * time.Second
+	// tries is how often a caller asks before it gives up.
+	tries = 5
+)
+
+// callers submit, watch and cancel jobs.
+type callers struct {
+	world  *world
+	client *http.Client
+}
+
+func newCallers(w *world) *callers {
+	return &callers{world: w, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
+}
+
+// call makes a request to a node. Status 0 is no answer.
+func (c *callers) call(method, address, id string, body []byte) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+queuePrefix+id, bytes.NewReader(body))
+	if err != nil {
+		return 0, ""
+	}
+	req.Host = queueHost
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	var out struct {
+		State string `json:"state"`
+	}
+	_ = json.Unmarshal(data, &out) // no state in most refusals
+	return resp.StatusCode, out.State
+}
+
+// live plays one job from its submission to its end.
+func (c *callers) live(ctx context.Context, id string, rng *rand.Rand) {
+	j := &jobSeen{poison: rng.IntN(12) == 0}
+	var steps []map[string]any
+	for i := range 1 + rng.IntN(3) {
+		s := step{count: 1 + rng.IntN(4), after: i - 1}
+		wire := map[string]any{"count": s.count, "cpu": 1000, "mem_mb": 64, "estimated_ms": 200}
+		if i > 0 {
+			wire["after"] = []int{i - 1}
+		}
+		j.steps = append(j.steps, s)
+		steps = append(steps, wire)
+	}
+	body, err := json.Marshal(map[string]any{"task_spec": spec, "steps": steps})
+	if err != nil {
+		panic(err)
+	}
+	c.world.checker.add(id, j)
+	if !c.submit(id, body, rng) {
+		return
+	}
+	if rng.IntN(10) == 0 {
+		time.Sleep(time.Duration(rng.IntN(500)) * time.Millisecond)
+		c.cancel(id, rng)
+	}
+	for ctx.Err() == nil {
+		status, state := c.call(http.MethodGet, c.world.anyNode(rng), id, nil)
+		switch {
+		case status == http.StatusOK:
+			c.world.checker.shown(id, state)
+			if state == "completed" || state == "failed" || state == "cancelled" {
+				return
+			}
+		case status == http.StatusGone:
+			c.world.checker.update(id, func(*jobSeen) { c.world.checker.fault("LOST: accepted job %s is unknown", id) })
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// submit hands a job in and reports whether it was accepted.
+func (c *callers) submit(id string, body []byte, rng *rand.Rand) bool {
+	for range tries {
+		status, _ := c.call(http.MethodPost, c.world.anyNode(rng), id, body)
+		switch status {
+		case http.StatusOK:
+			c.world.checker.update(id, func(j *jobSeen) { j.accepted, j.refusedOnly = true, false })
+			return true
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		c.world.checker.update(id, func(j *jobSeen) { j.refusedOnly = false })
+	}
+	return false
+}
+
+func (c *callers) cancel(id string, rng *rand.Rand) {
+	c.world.checker.update(id, func(j *jobSeen) { j.cancelSent = true })
+	for range tries {
+		if status, _ := c.call(http.MethodDelete, c.world.anyNode(rng), id, nil); status == http.StatusOK {
+			c.world.checker.update(id, func(j *jobSeen) { j.cancelled = time.Now() })
+			return
+		}
+	}
+}
+
+// jobID names the nth job of a seed.
+func jobID(seed uint64, n int) string { return fmt.Sprintf("%08x%08x", uint32(seed), n) }
