--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -164,6 +164,7 @@
 	})
 	metrics := echo.New()
 	metrics.GET("/metrics", echo.WrapHandler(expvar.Handler()))
+	node.NewJobsAPI(n).Register(metrics)
 	server, err := listen(s.CallersAddress, callers)
 	if err != nil {
 		return nil, err
--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -176,6 +176,53 @@
 	Checkpoints bool `json:"checkpoints,omitempty"`
 	// RunMS is the declared run time, 0 for unknown.
 	RunMS int64 `json:"run_ms,omitempty"`
+	// Queue, Steps and Schedule describe a job of several tasks, which
+	// egretpitch-node runs. Its id is 16 hexadecimal digits; the queue stands in
+	// place of team, pool and priority, the steps in place of the sizes.
+	Queue    string       `json:"queue,omitempty"`
+	Steps    []JobStep    `json:"steps,omitempty"`
+	Schedule *JobSchedule `json:"schedule,omitempty"`
+}
+
+// JobStep is a set of equal tasks of a job.
+type JobStep struct {
+	Count int `json:"count"`
+	// Processors are cores, and may be fractions.
+	Processors   float64 `json:"processors,omitempty"`
+	MemoryMB     int     `json:"memory_mb,omitempty"`
+	Accelerators int     `json:"accelerators,omitempty"`
+	// RunMS is the estimated run time of one task.
+	RunMS int64 `json:"run_ms,omitempty"`
+	// After lists the steps, from 0, that must be done first.
+	After       []int `json:"after,omitempty"`
+	Checkpoints bool  `json:"checkpoints,omitempty"`
+	// Gang tasks work only together; RackLocal ones are slow across racks.
+	Gang      bool `json:"gang,omitempty"`
+	RackLocal bool `json:"rack_local,omitempty"`
+	// Requires is a label of the worker, Rack where the data is.
+	Requires string `json:"requires,omitempty"`
+	Rack     string `json:"rack,omitempty"`
+	// MaxPerWorker bounds the step's tasks on one worker, 0 for no bound.
+	MaxPerWorker int `json:"max_per_worker,omitempty"`
+	// Speculative tasks may have several runs at once; the first end counts.
+	Speculative bool `json:"speculative,omitempty"`
+	// LongRunning tasks run until the job is cancelled. MaxUnavailable of them
+	// may be away at once by the system's own doing.
+	LongRunning    bool `json:"long_running,omitempty"`
+	MaxUnavailable int  `json:"max_unavailable,omitempty"`
+	// Image names what the tasks run. TailTargetMS bounds the tail of a serving
+	// task's response times. Filler tasks take what others leave.
+	Image        string `json:"image,omitempty"`
+	TailTargetMS int64  `json:"tail_target_ms,omitempty"`
+	Filler       bool   `json:"filler,omitempty"`
+}
+
+// JobSchedule repeats the steps of a job.
+type JobSchedule struct {
+	// StartMS is the first due time as a Unix time in milliseconds.
+	StartMS     int64 `json:"start_ms"`
+	IntervalMS  int64 `json:"interval_ms"`
+	Occurrences int   `json:"occurrences"`
 }
 
 // States of a job.
@@ -204,6 +251,9 @@
 // Jobs are all jobs that are not forgotten yet.
 type Jobs struct {
 	Jobs []Job `json:"jobs"`
+	// Pending counts, by queue, the jobs of which no task has started. Only
+	// egretpitch-node tells it.
+	Pending map[string]int `json:"pending,omitempty"`
 }
 
 // SubmitRequest submits jobs: all of them or none.
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -157,6 +157,8 @@
 		{parser.Command, "maintenance", "Show the progress of maintenance", maintenanceHelp, &maintenanceCommand{app: a}},
 		{jobs, "list", "List jobs", jobsListHelp, &jobsListCommand{app: a}},
 		{jobs, "submit", "Submit a job", jobsSubmitHelp, &jobsSubmitCommand{app: a}},
+		{jobs, "start", "Submit a job of several tasks from a file", jobsStartHelp, &jobsStartCommand{app: a}},
+		{jobs, "pending", "Count the jobs that wait, by queue", jobsPendingHelp, &jobsPendingCommand{app: a}},
 		{jobs, "cancel", "Cancel jobs", jobsCancelHelp, &jobsCancelCommand{app: a}},
 		{parser.Command, "report", "Show the capacity report", reportHelp, &reportCommand{app: a}},
 	} {
--- a/internal/command/jobs.go
+++ b/internal/command/jobs.go
@@ -63,9 +63,9 @@
 	if c.app.json() {
 		return c.app.printJSON(chosen)
 	}
-	t := &table{header: []string{"JOB", "TEAM", "POOL", "PRIORITY", "STATE", "HOST", "SUBMITTED", "DEADLINE", "REASON"}}
+	t := &table{header: []string{"JOB", "TEAM", "POOL", "QUEUE", "PRIORITY", "STATE", "HOST", "SUBMITTED", "DEADLINE", "REASON"}}
 	for _, j := range chosen.Jobs {
-		t.add(j.ID, j.Team, j.Pool, strconv.Itoa(j.Priority), j.State, orDash(j.Host),
+		t.add(j.ID, orDash(j.Team), orDash(j.Pool), orDash(j.Queue), strconv.Itoa(j.Priority), j.State, orDash(j.Host),
 			timeText(j.SubmittedMS), timeText(j.DeadlineMS), orDash(j.Reason))
 	}
 	return c.app.printTable(t)
@@ -107,16 +107,21 @@
 	if err != nil {
 		return operr.Wrap(err, "command: submit job "+spec.ID, "")
 	}
-	if c.app.json() {
-		return c.app.printJSON(struct {
+	return c.app.submitted(spec.ID, reply)
+}
+
+// submitted prints the outcome of a submission.
+func (a *app) submitted(id string, reply *adminapi.JobsReply) error {
+	if a.json() {
+		return a.printJSON(struct {
 			ID string `json:"id"`
 			*adminapi.JobsReply
-		}{spec.ID, reply})
+		}{id, reply})
 	}
 	if reply.Changed == 0 {
-		return c.app.printf("job %s was submitted before; nothing changed\n", spec.ID)
+		return a.printf("job %s was submitted before; nothing changed\n", id)
 	}
-	return c.app.printf("job %s submitted\n", spec.ID)
+	return a.printf("job %s submitted\n", id)
 }
 
 // spec returns the job that the flags describe.
--- a/internal/job/submit.go
+++ b/internal/job/submit.go
@@ -71,6 +71,8 @@
 	switch {
 	case s.ID == "" || len(s.ID) > maxIDBytes || strings.ContainsAny(s.ID, "/ \t\r\n"):
 		return fmt.Sprintf("bad id; allowed: 1 to %d bytes without slashes and spaces", maxIDBytes)
+	case len(s.Steps) > 0 || s.Queue != "" || s.Schedule != nil:
+		return "jobs with a queue, steps or a schedule are run by egretpitch-node only"
 	case effective.Pools[s.Pool] == nil:
 		return "no such pool: " + s.Pool
 	case !teamKnown:
--- /dev/null
+++ b/internal/node/jobsapi.go
@@ -0,0 +1,198 @@
+package node
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/egretpitch/egretpitch/internal/adminapi"
+	"github.com/egretpitch/egretpitch/internal/estate"
+	"github.com/egretpitch/egretpitch/internal/event"
+	"github.com/egretpitch/egretpitch/internal/placement"
+	"github.com/egretpitch/egretpitch/internal/workload"
+)
+
+const (
+	// jobsTimeout bounds a request of the administration API.
+	jobsTimeout = 5 * time.Second
+	// maxSubmitted bounds the jobs of one submission.
+	maxSubmitted = 100
+)
+
+// JobsAPI serves the jobs of the product's own administration API, as
+// egretpitch-control does for jobs of a single command.
+type JobsAPI struct{ node *Node }
+
+// NewJobsAPI returns the handler.
+func NewJobsAPI(n *Node) *JobsAPI { return &JobsAPI{node: n} }
+
+// Register serves the routes.
+func (a *JobsAPI) Register(e *echo.Echo) {
+	e.GET(adminapi.PathJobs, a.list)
+	e.POST(adminapi.PathJobs, a.submit)
+	e.DELETE(adminapi.PathJobs, a.cancel)
+}
+
+// adminStates are the words of the administration API for a job's state.
+var adminStates = map[workload.State]string{
+	workload.Queued: adminapi.JobPending, workload.Running: adminapi.JobRunning, workload.Completed: adminapi.JobDone,
+	workload.Failed: adminapi.JobFailed, workload.Cancelled: adminapi.JobCancelled,
+}
+
+// list answers with all jobs, from the rows.
+func (a *JobsAPI) list(c echo.Context) error {
+	ctx, cancel := context.WithTimeout(c.Request().Context(), jobsTimeout)
+	defer cancel()
+	rows, _, err := a.node.readJobParts(ctx, progressTable)
+	if err != nil {
+		return a.problem(c, http.StatusServiceUnavailable, err)
+	}
+	answer := adminapi.Jobs{Jobs: make([]adminapi.Job, 0, len(rows)), Pending: map[string]int{}}
+	for _, r := range rows {
+		p, err := workload.DecodeProgress(r.Value)
+		if err != nil {
+			event.RowUnreadable.Log(a.node.Log, zap.String("key", r.Key), zap.Error(err))
+			continue
+		}
+		answer.Jobs = append(answer.Jobs, adminapi.Job{JobSpec: adminapi.JobSpec{ID: r.Key, Queue: p.Queue}, State: adminStates[p.State]})
+		if p.State == workload.Queued {
+			answer.Pending[p.Queue]++
+		}
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+// submit stores jobs. All are checked before the first is stored; each is then
+// stored by itself, and one that was stored before is left as it is.
+func (a *JobsAPI) submit(c echo.Context) error {
+	var req adminapi.SubmitRequest
+	if err := c.Bind(&req); err != nil {
+		return a.problem(c, http.StatusBadRequest, err)
+	}
+	catalog := a.node.catalog.Load()
+	if catalog == nil {
+		return a.problem(c, http.StatusServiceUnavailable, errors.New("no configuration yet"))
+	}
+	jobs, err := a.jobs(req.Jobs, catalog)
+	if err != nil {
+		return a.problem(c, http.StatusUnprocessableEntity, err)
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), jobsTimeout)
+	defer cancel()
+	reply := &adminapi.JobsReply{}
+	for _, j := range jobs {
+		known, err := a.node.readProgress(ctx, j.ID)
+		if err != nil {
+			return a.problem(c, http.StatusServiceUnavailable, errors.Wrapf(err, "job %s", j.ID))
+		}
+		if known != nil {
+			reply.Unchanged = append(reply.Unchanged, j.ID)
+			continue
+		}
+		switch a.node.acceptor.submit(ctx, j, time.Now().Add(jobsTimeout)) {
+		case acceptedNot:
+			return a.problem(c, http.StatusServiceUnavailable, errors.Errorf("job %s is not stored: table service unavailable", j.ID))
+		case acceptedUnknown:
+			return a.problem(c, http.StatusGatewayTimeout, errors.Errorf("job %s is not known to be stored; submit it again under its id", j.ID))
+		}
+		reply.Changed++
+	}
+	return c.JSON(http.StatusOK, reply)
+}
+
+// jobs checks a submission. The error names the first job that is at fault.
+func (a *JobsAPI) jobs(specs []adminapi.JobSpec, catalog *estate.Catalog) ([]*workload.Job, error) {
+	if len(specs) == 0 || len(specs) > maxSubmitted {
+		return nil, errors.Errorf("%d jobs at once; allowed: 1 to %d", len(specs), maxSubmitted)
+	}
+	now := a.node.Clock.StoreMS(a.node.Clock.Now())
+	jobs := make([]*workload.Job, 0, len(specs))
+	for i := range specs {
+		s := &specs[i]
+		queue := catalog.Queues[s.Queue]
+		switch {
+		case !workload.ValidID(s.ID):
+			return nil, errors.Errorf("job %q: bad id; allowed: 16 hexadecimal digits", s.ID)
+		case queue == nil:
+			return nil, errors.Errorf("job %s: no such queue: %q", s.ID, s.Queue)
+		case s.Team != "" || s.Pool != "" || s.Processors != 0 || s.MemoryMB != 0 || s.Accelerators != 0 || s.DeadlineMS != 0:
+			return nil, errors.Errorf("job %s: team, pool, sizes and deadline are for jobs of a single command; give queue and steps", s.ID)
+		}
+		j := jobOf(s, queue.Pool)
+		j.AcceptedMS = now
+		if err := j.Check(); err != nil {
+			return nil, errors.Wrapf(err, "job %s", s.ID)
+		}
+		jobs = append(jobs, j)
+	}
+	return jobs, nil
+}
+
+// jobOf returns the job that the API describes.
+func jobOf(s *adminapi.JobSpec, pool string) *workload.Job {
+	j := &workload.Job{ID: s.ID, Queue: s.Queue, Pool: pool, Spec: s.Command, Steps: make([]workload.Step, len(s.Steps))}
+	for i := range s.Steps {
+		j.Steps[i] = stepOf(&s.Steps[i])
+	}
+	if s.Schedule != nil {
+		j.Schedule = &workload.Schedule{
+			StartMS: s.Schedule.StartMS, Interval: milliseconds(s.Schedule.IntervalMS), Occurrences: s.Schedule.Occurrences,
+		}
+	}
+	return j
+}
+
+func stepOf(s *adminapi.JobStep) workload.Step {
+	return workload.Step{
+		Count: s.Count, Size: placement.Resources{Processors: s.Processors, MemoryMB: s.MemoryMB, Accelerators: s.Accelerators},
+		Estimate: milliseconds(s.RunMS), After: s.After, Checkpoints: s.Checkpoints, Gang: s.Gang, RackLocal: s.RackLocal,
+		Requires: s.Requires, Rack: s.Rack, MaxPerWorker: s.MaxPerWorker, Speculative: s.Speculative, LongRunning: s.LongRunning,
+		Image: s.Image, TailTarget: milliseconds(s.TailTargetMS), Filler: s.Filler, MaxUnavailable: s.MaxUnavailable,
+	}
+}
+
+// milliseconds converts a count; one that a duration cannot hold becomes
+// negative, which the job's check refuses.
+func milliseconds(ms int64) time.Duration {
+	if ms > math.MaxInt64/int64(time.Millisecond) {
+		return -1
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// cancel marks jobs as cancelled.
+func (a *JobsAPI) cancel(c echo.Context) error {
+	var req adminapi.CancelRequest
+	// Bind leaves the body of a DELETE alone.
+	if err := (&echo.DefaultBinder{}).BindBody(c, &req); err != nil {
+		return a.problem(c, http.StatusBadRequest, err)
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), jobsTimeout)
+	defer cancel()
+	reply := &adminapi.JobsReply{}
+	for _, id := range req.IDs {
+		p, err := a.node.readProgress(ctx, id)
+		if err != nil {
+			return a.problem(c, http.StatusServiceUnavailable, errors.Wrapf(err, "job %s", id))
+		}
+		if p == nil || p.State.Over() {
+			reply.Unchanged = append(reply.Unchanged, id)
+			continue
+		}
+		if err := a.node.writeCancel(ctx, id); err != nil {
+			return a.problem(c, http.StatusGatewayTimeout, errors.Wrapf(err, "job %s", id))
+		}
+		reply.Changed++
+	}
+	return c.JSON(http.StatusOK, reply)
+}
+
+func (a *JobsAPI) problem(c echo.Context, status int, err error) error {
+	event.RequestAnswered.Log(a.node.Log, zap.String("method", c.Request().Method), zap.String("path", c.Path()), zap.Int("status", status), zap.Error(err))
+	return c.JSON(status, adminapi.Problem{Message: err.Error()})
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -53,8 +53,15 @@
 
 // ask sends a request and returns status and body.
 func ask(e *echo.Echo, method, path, body string) (int, string) {
+	return askWith(e, method, path, body, "")
+}
+
+func askWith(e *echo.Echo, method, path, body, media string) (int, string) {
 	r := httptest.NewRequest(method, "http://h"+path, strings.NewReader(body))
 	r.Header.Set("Deadline", "3000")
+	if media != "" {
+		r.Header.Set("Content-Type", media)
+	}
 	w := httptest.NewRecorder()
 	e.ServeHTTP(w, r)
 	return w.Code, w.Body.String()
