node: callers are sent elsewhere while the table service is not reached

The process went on to tell the balancer that it was ready. Change: a process whose every call to the service has failed for 0.6 s refuses new submissions at once (nothing was sent: "not stored" is true), gives up those in doubt with 504, and after 1 s tells the balancer.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -70,12 +70,16 @@
 	return a
 }
 
-// submit stores a job. It returns by the deadline.
+// submit stores a job. It returns by the deadline, and at once while the table
+// service is known to be away.
 func (a *acceptor) submit(ctx context.Context, job *workload.Job, deadline time.Time) accepted {
 	s, err := newSubmission(job, deadline)
 	if err != nil {
 		return acceptedNot
 	}
+	if a.node.reach.away() {
+		return acceptedNot
+	}
 	select {
 	case a.queues[partOf(job.ID)] <- s:
 	default:
@@ -173,6 +177,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, acceptTry)
 	defer cancel()
 	stamp, err := a.node.Rows.CommitRows(callCtx, txn)
+	a.node.reach.saw(err)
 	a.node.Clock.SeeStore(stamp, a.node.Clock.Now())
 	var conflict *platform.RowConflict
 	switch {
@@ -184,11 +189,22 @@
 	case errors.Is(err, platform.ErrUnavailable):
 		// Nothing was done. What was never tried without an answer is refused
 		// soon, so that its caller may come back when the store does.
-		return a.retryLater(ctx, refuseCertain(batch))
+		rest := refuseCertain(batch)
+		if a.node.reach.away() {
+			finish(rest, acceptedUnknown) // the doubtful ones
+			return nil
+		}
+		return a.retryLater(ctx, rest)
 	}
 	for _, s := range batch {
 		s.doubtful = true
 	}
+	if a.node.reach.away() {
+		// Another process may reach the service: the callers' next tries go to
+		// others, under the same ids.
+		finish(batch, acceptedUnknown)
+		return nil
+	}
 	return a.retryLater(ctx, batch)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,7 @@
 	view     atomic.Pointer[ownership.View]
 	waves    waveBook
 	acceptor *acceptor
+	reach    reach
 	metrics  *metrics
 	// owner is what this process owns, nil for nothing.
 	owner atomic.Pointer[owner]
@@ -79,7 +80,9 @@
 }
 
 // Ready reports whether the process can serve callers.
-func (n *Node) Ready() bool { return n.catalog.Load() != nil && !n.stopping.Load() }
+func (n *Node) Ready() bool {
+	return n.catalog.Load() != nil && !n.stopping.Load() && n.reach.failing() < unreadyAfter
+}
 
 func (n *Node) self() ownership.Record {
 	return ownership.Record{Owner: n.Name, Address: n.Address, Incarnation: n.incarnation}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -109,6 +109,36 @@
 	}
 }
 
+// TestCallersAreSentElsewhereWhileTheStoreIsAway plays a process that has not
+// reached the table service for a while, as others may: its callers hear so at
+// once, the balancer is told, and all is well with the next answer.
+func TestCallersAreSentElsewhereWhileTheStoreIsAway(t *testing.T) {
+	n, _, e := testNode(t)
+	n.reach.saw(platform.ErrUnknown)
+	n.reach.failingSince.Store(time.Now().Add(-2 * unreadyAfter).UnixNano())
+	begin := time.Now()
+	code, _ := ask(e, http.MethodPost, "/q/"+testID, testBody)
+	if took := time.Since(begin); code != http.StatusServiceUnavailable || took > 50*time.Millisecond || n.Ready() {
+		t.Errorf("answer %d after %v, ready %v; want 503 at once and not ready", code, took, n.Ready())
+	}
+	n.reach.saw(nil)
+	if code, _ := ask(e, http.MethodPost, "/q/"+testID, testBody); code != http.StatusOK || !n.Ready() {
+		t.Errorf("answer %d, ready %v once the service answers; want 200 and ready", code, n.Ready())
+	}
+}
+
+// TestDoubtfulSubmissionIsGivenUpWhileTheStoreIsAway plays a table service that
+// loses every commit: the caller hears soon, and not that the job is refused.
+func TestDoubtfulSubmissionIsGivenUpWhileTheStoreIsAway(t *testing.T) {
+	_, rows, e := testNode(t)
+	rows.SetFaults(standin.Faults{DropCommits: 1000})
+	begin := time.Now()
+	code, _ := ask(e, http.MethodPost, "/q/"+testID, testBody)
+	if took := time.Since(begin); code != http.StatusGatewayTimeout || took > 1200*time.Millisecond {
+		t.Errorf("answer %d after %v, want 504 in under 1.2 s of the caller's 3 s", code, took)
+	}
+}
+
 // TestSubmissionIsRefusedSoonWhileTheStoreIsAway holds that a refused job is
 // not stored, that its caller hears so well before its patience ends, and when
 // to come back.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -61,6 +61,7 @@
 // vacant.
 func (n *Node) watchControl(ctx context.Context) error {
 	take := func(sent time.Duration, rows []platform.PartRow, stamp platform.Stamp, err error) (int64, error) {
+		n.reach.saw(err)
 		if err != nil {
 			return 0, err
 		}
