scheduler: a start that was kept out stays out in the worker's next life

Ruled out: the deadline of the start, since the next life's clock begins anew. TestBarredStartStaysBarredInTheNextLife fails with the guard withdrawn.

--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -68,6 +68,7 @@
 		if r.phase == runSent {
 			r.phase = runUncertain
 		}
+		w.unanswered = append(w.unanswered, unanswered{runKey{r.task.id(), r.number}, r.task.step.Room(), now})
 		r.sentAt = now // only a look that is sent from now on tells
 		w.doubt(now)
 		return
@@ -152,7 +153,13 @@
 func (e *Engine) Stopped(o *StopOrder, a platform.OrderAnswer, err error, now time.Duration) {
 	w := o.worker
 	r := w.runs[runKey{o.Task, o.Run}]
-	if r == nil || e.workers[w.ID] != w {
+	if e.workers[w.ID] != w {
+		return
+	}
+	if s := w.strays[runKey{o.Task, o.Run}]; s != nil && err == nil && a.Outcome == platform.OrderDone {
+		s.barredAt = now
+	}
+	if r == nil {
 		return
 	}
 	switch {
@@ -171,6 +178,8 @@
 // checkRuns repeats stops without an answer.
 func (e *Engine) checkRuns(now time.Duration) {
 	for _, w := range e.workers {
+		w.unanswered = slices.DeleteFunc(w.unanswered, func(u unanswered) bool { return now-u.at > lateOrder })
+		e.bar(w, now)
 		for _, r := range w.runs {
 			if r.phase == runStopping && now-r.stopAt > stopRetry+e.opts.StopGrace && w.failedLooks == 0 {
 				e.sendStop(r, now)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -157,7 +157,7 @@
 	passAt time.Duration
 	// copiesAt is when tasks that lag behind are searched next.
 	copiesAt time.Duration
-	queues map[string]*queueStats
+	queues   map[string]*queueStats
 	// unread counts the workers of former owners that were not looked at yet.
 	unread int
 	// arrived is the work in core-seconds that was accepted so far, in
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -369,3 +369,36 @@
 		t.Errorf("state is %q, want completed", got)
 	}
 }
+
+// TestBarredStartStaysBarredInTheNextLife plays a start without an answer that
+// a stop has kept out of its worker, which is then reborn under its id and has
+// forgotten the stop. The late start must not be carried out there.
+func TestBarredStartStaysBarredInTheNextLife(t *testing.T) {
+	w := newWorld(t)
+	f := w.addWorker("w1", "p", 8)
+	m := w.own()
+	w.run(200*time.Millisecond, m)
+	w.lose = func(o Order) fate {
+		if s, ok := o.(*StartOrder); ok && s.Worker.ID == "w1" && s.Run == 1 {
+			return fate{lost: true, applied: true, delay: 1400 * time.Millisecond}
+		}
+		return fate{}
+	}
+	job := jobOf(1, 1, 2)
+	w.submit(m, job)
+	w.run(100*time.Millisecond, m)
+	w.addWorker("w2", "p", 8)
+	m.discover()
+	w.run(800*time.Millisecond, m)
+	if got := w.state(job.ID); got == workload.Queued {
+		t.Fatal("the task was not started again")
+	}
+	f.crash()
+	f.reborn(w.now)
+	m.discover()
+	w.run(3*time.Second, m)
+	w.check()
+	if len(f.highest) == 0 {
+		t.Error("the next life was not told to refuse the start")
+	}
+}
--- a/internal/scheduler/stray.go
+++ b/internal/scheduler/stray.go
@@ -16,6 +16,49 @@
 	room placement.Resources
 	// seenAt is when a look last showed the run.
 	seenAt time.Duration
+	// mayCome strays are not there, but a start without an answer may still
+	// bring them until expires, unless a stop that was answered at barredAt
+	// keeps them out.
+	mayCome          bool
+	expires          time.Duration
+	stopAt, barredAt time.Duration
+}
+
+// unanswered is a start that got no answer. What settled it in one life of its
+// worker is forgotten by the next one under the same id.
+type unanswered struct {
+	key  runKey
+	room placement.Resources
+	at   time.Duration
+}
+
+// expect keeps starts without an answer to a former life out of this one.
+func (e *Engine) expect(w *worker, starts []unanswered, now time.Duration) {
+	for _, u := range starts {
+		if _, carried := w.runs[u.key]; carried || now-u.at > lateOrder {
+			continue
+		}
+		w.unanswered = append(w.unanswered, u)
+		w.strays[u.key] = &stray{room: u.room, mayCome: true, expires: u.at + lateOrder}
+		w.used = w.used.Add(u.room)
+	}
+	e.bar(w, now)
+}
+
+// bar sends stops for what may still come, again and again until one is
+// answered: a worker refuses a start that is not above a run it was told to
+// stop.
+func (e *Engine) bar(w *worker, now time.Duration) {
+	for key, s := range w.strays {
+		switch {
+		case !s.mayCome || s.barredAt > 0:
+		case now > s.expires:
+			w.strayGone(key)
+		case s.stopAt == 0 || now-s.stopAt > stopRetry+e.opts.StopGrace:
+			s.stopAt = now
+			e.emit(&StopOrder{Worker: w.Worker, Task: key.task, Run: key.run, Token: e.opts.Token, worker: w, bornMS: w.BornMS})
+		}
+	}
 }
 
 // strayRun stops a run that should not be there. A worker that accepts
@@ -31,7 +74,7 @@
 		w.strays[key] = known
 		w.used = w.used.Add(known.room)
 	}
-	known.seenAt = now
+	known.seenAt, known.mayCome = now, false
 	e.emit(&StopOrder{Worker: w.Worker, Task: s.Task, Run: s.Run, Token: e.opts.Token, worker: w, bornMS: w.BornMS})
 }
 
@@ -61,7 +104,8 @@
 // dropStrays forgets the strays that the answer to a look does not list.
 func (w *worker) dropStrays(listed map[runKey]struct{}, sentAt time.Duration) {
 	for key, s := range w.strays {
-		if _, ok := listed[key]; !ok && sentAt > s.seenAt {
+		barred := !s.mayCome || (s.barredAt > 0 && sentAt > s.barredAt)
+		if _, ok := listed[key]; !ok && sentAt > s.seenAt && barred {
 			w.strayGone(key)
 		}
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -37,6 +37,8 @@
 	strays map[runKey]*stray
 	// speculative counts the runs of tasks that permit copies.
 	speculative int
+	// unanswered are starts of the last time that got no answer.
+	unanswered []unanswered
 	// used is the room that runs and strays take.
 	used placement.Resources
 
@@ -180,6 +182,7 @@
 		}
 		next.hold(r)
 	}
+	e.expect(next, w.unanswered, now)
 	return next
 }
 
