--- a/test.sh
+++ b/test.sh
@@ -12,7 +12,10 @@
 if [ -s KNOWN-RED.txt ]; then
   echo "known red, passed over:"
   cat KNOWN-RED.txt
-  names=$(grep -oE '^(Test|Fuzz)[A-Za-z0-9_]+' KNOWN-RED.txt | paste -sd '|' -)
-  skip=(-skip "^($names)\$")
+  # An entry may name a seed that no run of CI draws, and no test to pass over.
+  names=$(sed -nE 's/^((Test|Fuzz)[A-Za-z0-9_]+).*/\1/p' KNOWN-RED.txt | paste -sd '|' -)
+  if [ -n "$names" ]; then
+    skip=(-skip "^($names)\$")
+  fi
 fi
 go test -race -count=1 -timeout 15m "${skip[@]}" ./...
