fleetplan: pools grow for tasks that must spread

Every worker left in its small pool held as many of its step as it may, and the few cores that it asks for call for no further host. Ruled out: the new guards (nothing was held or reserved at the end). Change: a pool whose waiting long-running tasks have a bound a worker is at least as large as that bound asks for. TestTasksThatMustSpreadGetTheirWorkers (fails without), TestWaitingTasksTellHowFarTheyMustSpread.

--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -40,6 +40,9 @@
 	Waiting float64
 	// Steady is how many cores long-running tasks hold.
 	Steady float64
+	// Spread is the number of workers that the bounds on tasks a worker ask for,
+	// of steps with long-running tasks that wait.
+	Spread int
 	// Arrived is the work in core-seconds that was accepted so far, and Jobs
 	// the number of jobs.
 	Arrived float64
--- a/internal/fleetplan/fleetplan_test.go
+++ b/internal/fleetplan/fleetplan_test.go
@@ -60,6 +60,8 @@
 	// backlog is late work that takes what other work leaves.
 	backlog float64
 	jobs    int
+	// spread is how many workers its waiting long-running tasks ask for.
+	spread int
 }
 
 func newFleet(sizes map[string]int) *fleet {
@@ -140,7 +142,7 @@
 	}
 	for _, name := range []string{"a", "b", "c", "spare"} {
 		p := f.pools[name]
-		s.Pools = append(s.Pools, Pool{Name: name, Standby: p.standby, Workers: members[name], Waiting: p.waiting, Arrived: p.arrived, Jobs: p.jobs})
+		s.Pools = append(s.Pools, Pool{Name: name, Standby: p.standby, Workers: members[name], Waiting: p.waiting, Arrived: p.arrived, Jobs: p.jobs, Spread: p.spread})
 	}
 	for _, d := range f.planner.Plan(s) {
 		f.carryOut(d, byName[d.Host], byWorker[d.Worker])
@@ -387,3 +389,20 @@
 		t.Errorf("the pool has %d hosts, needs 150", got)
 	}
 }
+
+// TestTasksThatMustSpreadGetTheirWorkers plays a small long-running task that
+// waits since every worker of its pool holds as many of its step as it may: the
+// cores that it asks for call for no host, the bound does.
+func TestTasksThatMustSpreadGetTheirWorkers(t *testing.T) {
+	f := newFleet(map[string]int{"a": 3, "b": 3, "c": 3, "spare": 4})
+	for _, h := range f.hosts {
+		if !f.pools[h.pool].standby {
+			h.lasting = 1
+		}
+	}
+	f.pools["a"].spread = 5
+	f.run(4 * time.Second)
+	if got := f.size("a"); got < 5 {
+		t.Errorf("the pool has %d hosts, its tasks have to spread over 5", got)
+	}
+}
--- a/internal/fleetplan/move.go
+++ b/internal/fleetplan/move.go
@@ -221,7 +221,7 @@
 		}
 		need = max(need, min(have, keep))
 	}
-	need = max(need, minWorkers)
+	need = max(need, minWorkers, pool.Spread)
 	s.Expected = v.expected[pool.Name]
 	need = max(need, min(have, s.Expected))
 	s.Size = need
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -35,6 +35,7 @@
 			case s.LongRunning:
 				out.Waiting += cores
 				out.Steady += cores
+				out.Spread = max(out.Spread, s.spread())
 			case e.outlook(s.job, s.occ, now) == inTime:
 				out.Waiting += cores
 			}
@@ -44,6 +45,15 @@
 	return list
 }
 
+// spread is how many workers the step's bound on tasks a worker asks for, 0 if
+// it has none.
+func (s *step) spread() int {
+	if s.MaxPerWorker == 0 {
+		return 0
+	}
+	return (s.Count + s.MaxPerWorker - 1) / s.MaxPerWorker
+}
+
 // late is how many cores tasks hold on a worker whose jobs cannot be in time
 // any more.
 func (e *Engine) late(w *worker, now time.Duration) float64 {
--- a/internal/scheduler/terms_test.go
+++ b/internal/scheduler/terms_test.go
@@ -183,3 +183,20 @@
 		t.Errorf("%d tasks left, up to %d away at once; want none and at most 1", len(f.running), worst)
 	}
 }
+
+// TestWaitingTasksTellHowFarTheyMustSpread holds what the plan of the fleet is
+// told of long-running tasks that no worker may take.
+func TestWaitingTasksTellHowFarTheyMustSpread(t *testing.T) {
+	w := newWorld(t)
+	w.addWorker("w1", "p", 8).duration = func(workload.TaskID) (time.Duration, platform.RunEnd) { return time.Hour, platform.EndDone }
+	m := w.own()
+	job := jobOf(1, 5, 1)
+	job.Steps[0].LongRunning, job.Steps[0].MaxPerWorker = true, 2
+	w.submit(m, job)
+	w.run(300*time.Millisecond, m)
+	for _, p := range m.Pools(w.now) {
+		if p.Name == "p" && p.Spread != 3 {
+			t.Errorf("tasks ask for %d workers, want 3: five of them, two a worker", p.Spread)
+		}
+	}
+}
