scheduler, node, command: one piece of code for what stood twice

Stops are sent by one function, whose orders no longer carry a birth that nothing read. Hosts are indexed by name in one place. A submission that cannot be tried again while the table service is away is settled where others are put off. The list of jobs is asked for by one function of the command line.

--- a/internal/command/jobfile.go
+++ b/internal/command/jobfile.go
@@ -146,11 +146,7 @@
 
 // Execute implements flags.Commander.
 func (c *jobsPendingCommand) Execute([]string) error {
-	client, err := c.app.client()
-	if err != nil {
-		return err
-	}
-	all, err := client.Jobs(c.app.ctx)
+	all, err := c.app.allJobs()
 	if err != nil {
 		return err
 	}
--- a/internal/command/jobs.go
+++ b/internal/command/jobs.go
@@ -46,11 +46,7 @@
 
 // Execute implements flags.Commander.
 func (c *jobsListCommand) Execute([]string) error {
-	client, err := c.app.client()
-	if err != nil {
-		return err
-	}
-	all, err := client.Jobs(c.app.ctx)
+	all, err := c.app.allJobs()
 	if err != nil {
 		return err
 	}
@@ -71,6 +67,15 @@
 	return c.app.printTable(t)
 }
 
+// allJobs returns all jobs of the server that the operator named.
+func (a *app) allJobs() (*adminapi.Jobs, error) {
+	client, err := a.client()
+	if err != nil {
+		return nil, err
+	}
+	return client.Jobs(a.ctx)
+}
+
 // matches reports whether a value passes a filter; an empty one passes all.
 func matches(filter, value string) bool { return filter == "" || filter == value }
 
--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -189,26 +189,22 @@
 	case errors.Is(err, platform.ErrUnavailable):
 		// Nothing was done. What was never tried without an answer is refused
 		// soon, so that its caller may come back when the store does.
-		rest := refuseCertain(batch)
-		if a.node.reach.away() {
-			finish(rest, acceptedUnknown) // the doubtful ones
-			return nil
-		}
-		return a.retryLater(ctx, rest)
+		return a.retryLater(ctx, refuseCertain(batch))
 	}
 	for _, s := range batch {
 		s.doubtful = true
 	}
-	if a.node.reach.away() {
-		// Another process may reach the service: the callers' next tries go to
-		// others, under the same ids.
-		finish(batch, acceptedUnknown)
-		return nil
-	}
 	return a.retryLater(ctx, batch)
 }
 
+// retryLater returns what is to be tried again after a pause: nothing while the
+// service is away. Another process may reach it, and the callers' next tries go
+// to others, under the same ids.
 func (a *acceptor) retryLater(ctx context.Context, batch []*submission) []*submission {
+	if a.node.reach.away() {
+		finish(batch, acceptedUnknown)
+		return nil
+	}
 	if len(batch) > 0 {
 		timer := time.NewTimer(acceptPause)
 		defer timer.Stop()
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -281,9 +281,12 @@
 			event.OwnershipUnproved.Log(o.node.Log, zap.Int64("epoch", o.record.Epoch))
 		}
 	}
-	if now-o.keptAt >= housekeeping || o.engine.Unrecorded() {
-		o.keptAt = now
+	tidy := now-o.keptAt >= housekeeping
+	if tidy || o.engine.Unrecorded() {
 		o.recordUse(ctx, now)
+	}
+	if tidy {
+		o.keptAt = now
 		o.publish()
 	}
 	if holds {
--- a/internal/node/used.go
+++ b/internal/node/used.go
@@ -95,13 +95,18 @@
 	return h.WorkerID != worker && (h.WorkerID != "" || h.State != estate.HostUp)
 }
 
+func byName(list []estate.Host) map[string]estate.Host {
+	hosts := make(map[string]estate.Host, len(list))
+	for _, h := range list {
+		hosts[h.Name] = h
+	}
+	return hosts
+}
+
 // endedLives returns the workers that an earlier list shows on a host and a
 // later one no longer does.
 func endedLives(earlier, later []estate.Host) []string {
-	now := make(map[string]estate.Host, len(later))
-	for _, h := range later {
-		now[h.Name] = h
-	}
+	now := byName(later)
 	var ids []string
 	for _, h := range earlier {
 		if n, ok := now[h.Name]; ok && h.WorkerID != "" && endedOn(n, h.WorkerID) {
@@ -113,10 +118,7 @@
 
 // alive returns the workers of which tasks may still run.
 func alive(used []usedWorker, list []estate.Host) []estate.Worker {
-	hosts := make(map[string]estate.Host, len(list))
-	for _, h := range list {
-		hosts[h.Name] = h
-	}
+	hosts := byName(list)
 	var workers []estate.Worker
 	for i := range used {
 		if !used[i].ended(hosts) {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -146,7 +146,12 @@
 	r.stopAcked = false
 	e.stats.Stops++
 	event.TaskStopped.Log(e.opts.Log, zap.Stringer("task", r.task.id()), zap.Int("run", r.number), zap.String("worker", r.worker.ID), zap.String("reason", r.stopWhy))
-	e.emit(&StopOrder{Worker: r.worker.Worker, Task: r.task.id(), Run: r.number, Token: e.opts.Token, worker: r.worker, bornMS: r.worker.BornMS})
+	e.orderStop(r.worker, runKey{r.task.id(), r.number})
+}
+
+// orderStop tells a worker to end a run, or to refuse it if it comes.
+func (e *Engine) orderStop(w *worker, key runKey) {
+	e.emit(&StopOrder{Worker: w.Worker, Task: key.task, Run: key.run, Token: e.opts.Token, worker: w})
 }
 
 // Stopped takes in the answer to a stop.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -228,7 +228,6 @@
 	Run    int
 	Token  int64
 	worker *worker
-	bornMS int64
 }
 
 // PaceOrder tells a worker to let a run work at a share. Its answer goes to
--- a/internal/scheduler/stray.go
+++ b/internal/scheduler/stray.go
@@ -56,7 +56,7 @@
 			w.strayGone(key)
 		case s.stopAt == 0 || now-s.stopAt > stopRetry+e.opts.StopGrace:
 			s.stopAt = now
-			e.emit(&StopOrder{Worker: w.Worker, Task: key.task, Run: key.run, Token: e.opts.Token, worker: w, bornMS: w.BornMS})
+			e.orderStop(w, key)
 		}
 	}
 }
@@ -75,7 +75,7 @@
 		w.used = w.used.Add(known.room)
 	}
 	known.seenAt, known.mayCome = now, false
-	e.emit(&StopOrder{Worker: w.Worker, Task: s.Task, Run: s.Run, Token: e.opts.Token, worker: w, bornMS: w.BornMS})
+	e.orderStop(w, key)
 }
 
 // strayRoom is what a run takes of its worker: all of it, if its job is not
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -17,6 +17,7 @@
 	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/workload"
+	wire "github.com/egretpitch/egretpitch/platform"
 	"github.com/egretpitch/egretpitch/platform/standin"
 )
 
@@ -144,7 +145,7 @@
 		return
 	}
 	cmd := exec.Command(binary)
-	cmd.Env = []string{"EGRETPITCH_CONFIG=" + n.settings}
+	cmd.Env = []string{wire.SettingsVariable + "=" + n.settings}
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		t.Error(err)
