scheduler: log why a run is given up, ends without a record and unanswered lease renewals

task lost gains reason, incarnation, silent and lease_left; two new events (939 poll not answered, 940 end ignored) and the counters UnansweredPolls and EndsIgnored. No logic is changed.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -96,6 +96,8 @@
 	TaskThrottleChanged  = New(936, zapcore.InfoLevel, "task throttle changed")
 	Recommended          = New(937, zapcore.InfoLevel, "workers recommended")
 	RecommendationFailed = New(938, zapcore.WarnLevel, "no recommendation")
+	PollUnanswered       = New(939, zapcore.WarnLevel, "poll not answered")
+	EndIgnored           = New(940, zapcore.WarnLevel, "end ignored")
 	RecoveryEnded        = New(933, zapcore.InfoLevel, "recovery ended")
 )
 
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -140,7 +140,7 @@
 		return // an incarnation that has ended
 	}
 	if err != nil || status.Outcome != platform.OrderDone {
-		e.pollFailed(w, status, err, now)
+		e.pollFailed(w, o, status, err, now)
 		return
 	}
 	if w.otherIncarnation(status.StartedMS) {
@@ -179,7 +179,7 @@
 }
 
 // pollFailed handles a poll without a usable answer.
-func (e *Engine) pollFailed(w *worker, status platform.WorkerStatus, err error, now time.Duration) {
+func (e *Engine) pollFailed(w *worker, o *PollOrder, status platform.WorkerStatus, err error, now time.Duration) {
 	if err == nil {
 		switch status.Outcome {
 		case platform.OrderWrongIncarnation:
@@ -191,6 +191,11 @@
 			return
 		}
 	}
+	if err != nil && (o.DeadlineMS > 0 || o.Acknowledged > 0) {
+		e.stats.UnansweredPolls++
+		event.PollUnanswered.Log(e.opts.Log, zap.String("worker", w.ID), zap.Int64("incarnation", w.StartedMS), zap.Duration("age", now-o.sentAt),
+			zap.Int64("acknowledged", o.Acknowledged), zap.Int64("lease_until_ms", o.DeadlineMS), zap.Int64("clock_ms", w.clock(now)))
+	}
 	if w.failedPolls == 0 {
 		event.WorkerSilent.Log(e.opts.Log, zap.String("worker", w.ID), zap.Stringer("outcome", status.Outcome), zap.Error(err),
 			zap.Int("runs", len(w.runs)), zap.Duration("lease_left", w.leaseEnd()-now))
@@ -240,6 +245,6 @@
 		e.endRun(r, now) // it never started there, and cannot any more
 	case r.phase == runStopping && !r.stopAcked:
 	case r.phase == runConfirmed:
-		e.loseRun(r, now)
+		e.loseRun(r, "not listed", now)
 	}
 }
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -261,15 +261,18 @@
 func (e *Engine) ended(w *worker, end platform.EndedRun, now time.Duration) *job {
 	j := e.jobs[end.Task.Job]
 	if j == nil {
+		e.ignoreEnd(w, end, "unknown job")
 		return nil
 	}
 	t := j.find(end.Task.Occurrence, end.Task.Step, end.Task.Index)
 	if t == nil {
+		e.ignoreEnd(w, end, "unknown task")
 		return nil
 	}
 	r := w.runs[runKey{end.Task, end.Run}]
 	if r == nil && slices.Contains(t.lostRuns, end.Run) {
-		return nil // given up as lost before
+		e.ignoreEnd(w, end, "run given up before")
+		return nil
 	}
 	t.lastRun = max(t.lastRun, end.Run)
 	if end.Checkpoint != "" {
@@ -300,6 +303,13 @@
 	return changed
 }
 
+// ignoreEnd logs an end that is acknowledged without a record.
+func (e *Engine) ignoreEnd(w *worker, end platform.EndedRun, reason string) {
+	e.stats.EndsIgnored++
+	event.EndIgnored.Log(e.opts.Log, zap.Stringer("task", end.Task), zap.Int("run", end.Run), zap.String("worker", w.ID),
+		zap.Int64("incarnation", w.StartedMS), zap.String("end", string(end.End)), zap.Int64("number", end.Number), zap.String("reason", reason))
+}
+
 // taskDone records that a task has finished. The end of one member of a gang
 // finishes the whole gang.
 func (e *Engine) taskDone(t *task, by *run, now time.Duration) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -158,6 +158,10 @@
 	// of slow tasks, and Paces throttle orders.
 	WorkersSetAside, StuckRuns, Copies, Paces int64
 	Recommendations, TicketsRefused           int64
+	// UnansweredPolls counts polls without an answer that renewed a lease or
+	// acknowledged ends, and EndsIgnored ends that were acknowledged without a
+	// record.
+	UnansweredPolls, EndsIgnored int64
 	// OrphansStopped counts the stop orders for listed runs that no job needs.
 	OrphansStopped int64
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -120,7 +120,7 @@
 	}
 	p.add(w)
 	e.workers[entry.ID] = w
-	event.WorkerSeen.Log(e.opts.Log, zap.String("worker", w.ID), zap.String("pool", w.Pool), zap.String("address", w.Address))
+	event.WorkerSeen.Log(e.opts.Log, zap.String("worker", w.ID), zap.Int64("incarnation", w.StartedMS), zap.String("pool", w.Pool), zap.String("address", w.Address))
 	return w
 }
 
@@ -153,10 +153,10 @@
 // incarnationEnded handles the certain end of an incarnation of a worker: none
 // of its runs is left.
 func (e *Engine) incarnationEnded(w *worker, reason string, now time.Duration) {
-	event.WorkerLost.Log(e.opts.Log, zap.String("worker", w.ID), zap.String("pool", w.Pool), zap.String("reason", reason), zap.Int("runs", len(w.runs)),
+	event.WorkerLost.Log(e.opts.Log, zap.String("worker", w.ID), zap.Int64("incarnation", w.StartedMS), zap.String("pool", w.Pool), zap.String("reason", reason), zap.Int("runs", len(w.runs)),
 		zap.Duration("silent", now-w.lastContact))
 	for _, r := range w.runs {
-		e.loseRun(r, now)
+		e.loseRun(r, reason, now)
 	}
 	w.pool.remove(w)
 	w.pool.needsPass = true
@@ -198,9 +198,11 @@
 }
 
 // loseRun gives up a run whose end was not seen.
-func (e *Engine) loseRun(r *run, now time.Duration) {
+func (e *Engine) loseRun(r *run, reason string, now time.Duration) {
+	w := r.worker
 	e.stats.LostRuns++
-	event.TaskLost.Log(e.opts.Log, zap.Stringer("task", r.task.id()), zap.Int("run", r.number), zap.String("worker", r.worker.ID))
+	event.TaskLost.Log(e.opts.Log, zap.Stringer("task", r.task.id()), zap.Int("run", r.number), zap.String("worker", w.ID),
+		zap.Int64("incarnation", w.StartedMS), zap.String("reason", reason), zap.Duration("silent", now-w.lastContact), zap.Duration("lease_left", w.leaseEnd()-now))
 	r.task.lostRuns = append(r.task.lostRuns, r.number)
 	e.endRun(r, now)
 }
@@ -212,7 +214,7 @@
 		if w.failedPolls > 0 && now > w.leaseEnd() {
 			for _, r := range w.runs {
 				if !r.mayArrive() || now > r.sentAt+maxOrderDelay+e.opts.MaxLease {
-					e.loseRun(r, now)
+					e.loseRun(r, "lease expired", now)
 				}
 			}
 			w.removeUnlistedOrphans(nil, now)
