scheduler: the failure of an older poll does not make a worker silent

Callers saw: tasks of workers that answer are given up with their leases and started again.

Cause: a probe and a long poll are in flight at once. When the long poll times out after the probe was answered, its worker counted as silent: polls no longer renewed its lease, and its runs were given up when that ran out.

Why it works: only the failure of a poll that was sent after the last answered one says anything new about the worker.

--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -149,6 +149,7 @@
 		}
 		return
 	}
+	w.answeredSentAt = max(w.answeredSentAt, o.sentAt)
 	w.recordContact(status.ClockMS, now, e)
 	w.lastAckedEnd = max(w.lastAckedEnd, o.Acknowledged)
 	w.pendingEnds = slices.DeleteFunc(w.pendingEnds, func(p pendingEnd) bool { return p.number <= w.lastAckedEnd })
@@ -196,6 +197,9 @@
 		event.PollUnanswered.Log(e.opts.Log, zap.String("worker", w.ID), zap.Int64("incarnation", w.StartedMS), zap.Duration("age", now-o.sentAt),
 			zap.Int64("acknowledged", o.Acknowledged), zap.Int64("lease_until_ms", o.DeadlineMS), zap.Int64("clock_ms", w.clock(now)))
 	}
+	if o.sentAt < w.answeredSentAt {
+		return // the worker has answered a later poll
+	}
 	if w.failedPolls == 0 {
 		event.WorkerSilent.Log(e.opts.Log, zap.String("worker", w.ID), zap.Stringer("outcome", status.Outcome), zap.Error(err),
 			zap.Int("runs", len(w.runs)), zap.Duration("lease_left", w.leaseEnd()-now))
--- a/internal/scheduler/settle_test.go
+++ b/internal/scheduler/settle_test.go
@@ -55,3 +55,25 @@
 		t.Errorf("%d starts, state %q; want the 2 that the queue permits, and failed", s.Starts, sim.state(job.ID))
 	}
 }
+
+// pollAnswered hands the engine the answer to a poll that was sent at sentAt.
+func pollAnswered(owner *testOwner, id string, sentAt time.Duration, status platform.WorkerStatus, err error) {
+	w := owner.workers[id]
+	owner.Polled(&PollOrder{Worker: w.Worker, worker: w, sentAt: sentAt, probe: true}, status, err, owner.sim.now)
+}
+
+// TestFailureOfAnOlderPollIsNotSilence guards against leases that run out on a
+// worker that answers.
+func TestFailureOfAnOlderPollIsNotSilence(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorker("w1", "p", 2)
+	f.duration = lasting(10 * time.Second)
+	owner := sim.newOwner()
+	sim.submit(owner, jobOf(1, 1, 2))
+	sim.run(time.Second, owner)
+	pollAnswered(owner, "w1", sim.now, sim.answerPoll(f, platform.Poll{Token: owner.token}), nil)
+	pollAnswered(owner, "w1", sim.now-800*time.Millisecond, platform.WorkerStatus{}, errNoAnswer)
+	if n := owner.workers["w1"].failedPolls; n != 0 {
+		t.Errorf("%d polls count as failed, though a later one was answered", n)
+	}
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -52,6 +52,8 @@
 	nextPoll         time.Duration
 	failedPolls      int
 	lastContact      time.Duration
+	// answeredSentAt is when the latest answered poll was sent.
+	answeredSentAt time.Duration
 	// clockMS is the worker's clock at clockAt, from its last answer.
 	clockMS int64
 	clockAt time.Duration
