scheduler: an answer that a later one has overtaken settles no run

Callers saw: nothing yet; an ended run comes back as running, is given up as "not listed" at the next poll, and holds its resources until then.

Cause: answers on different connections overtake each other. The older answer's list of runs was compared with the present runs, so a run whose end was already handled was adopted, and the worker's clock was set back.

Why it works: the worker's clock in the answer orders answers of one incarnation by the moment at which they were made. An overtaken one still delivers ends that are not known yet, nothing else; a run that has ended is not adopted again (settledRuns, which held only runs that were given up).

TestOlderAnswerDoesNotReviveAnEndedRun fails before (1 run, clock set back) and passes now. go test ./internal/scheduler passes.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -83,10 +83,9 @@
 	lastRun  int
 	failures int
 	runs     []*run
-	// lostRuns are the numbers of the runs that were given up because their end
-	// was not seen.
-	lostRuns   []int
-	checkpoint string
+	// settledRuns are the numbers of the runs that have ended or were given up.
+	settledRuns []int
+	checkpoint  string
 	// notBefore is the earliest time of the next start.
 	notBefore time.Duration
 	// failedOn holds the ids of the workers on which runs failed or stalled.
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -150,7 +150,10 @@
 		return
 	}
 	w.answeredSentAt = max(w.answeredSentAt, o.sentAt)
-	w.recordContact(status.ClockMS, now, e)
+	overtaken := status.ClockMS > 0 && status.ClockMS < w.clockMS // a later answer was handled before
+	if !overtaken {
+		w.recordContact(status.ClockMS, now, e)
+	}
 	w.lastAckedEnd = max(w.lastAckedEnd, o.Acknowledged)
 	w.pendingEnds = slices.DeleteFunc(w.pendingEnds, func(p pendingEnd) bool { return p.number <= w.lastAckedEnd })
 	if !w.fenced {
@@ -161,7 +164,9 @@
 			zap.Int("runs", len(status.Runs)), zap.Int("ends", len(status.Ends)))
 	}
 	e.processEnds(w, status.Ends, now)
-	e.reconcileRuns(w, o, status.Runs, now)
+	if !overtaken {
+		e.reconcileRuns(w, o, status.Runs, now)
+	}
 }
 
 // recordContact records an answer of the worker with its clock in milliseconds,
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -205,7 +205,7 @@
 		return nil
 	}
 	t := j.find(s.Task.Occurrence, s.Task.Step, s.Task.Index)
-	if t == nil || t.done || len(t.runs) > 0 || slices.Contains(t.lostRuns, s.Run) || s.Run < t.lastRun {
+	if t == nil || t.done || len(t.runs) > 0 || slices.Contains(t.settledRuns, s.Run) || s.Run < t.lastRun {
 		return nil
 	}
 	r := &run{task: t, number: s.Run, worker: w, phase: runConfirmed, sentAt: now, confirmedAt: now, progressAt: now, throttledPercent: 100}
@@ -275,7 +275,8 @@
 		t.checkpoint = end.Checkpoint
 	}
 	event.TaskEnded.Log(e.opts.Log, zap.Stringer("task", end.Task), zap.Int("run", end.Run), zap.String("worker", w.ID),
-		zap.String("end", string(end.End)), zap.Int64("number", end.Number), zap.Bool("given_up", slices.Contains(t.lostRuns, end.Run)))
+		zap.String("end", string(end.End)), zap.Int64("number", end.Number), zap.Bool("given_up", slices.Contains(t.settledRuns, end.Run)))
+	t.settledRuns = append(t.settledRuns, end.Run)
 	var changed *job
 	switch {
 	case t.done || j.ended():
--- a/internal/scheduler/settle_test.go
+++ b/internal/scheduler/settle_test.go
@@ -77,3 +77,28 @@
 		t.Errorf("%d polls count as failed, though a later one was answered", n)
 	}
 }
+
+// TestOlderAnswerDoesNotReviveAnEndedRun guards against runs that are adopted
+// from an answer that a later one has overtaken.
+func TestOlderAnswerDoesNotReviveAnEndedRun(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorker("w1", "p", 2)
+	f.duration = func(workload.TaskID) (time.Duration, platform.RunEnd) {
+		return 800 * time.Millisecond, platform.EndFailed
+	}
+	owner := sim.newOwner()
+	sim.submit(owner, jobOf(1, 1, 2))
+	sim.run(400*time.Millisecond, owner)
+	older := sim.answerPoll(f, platform.Poll{Token: owner.token})
+	sentAt := sim.now
+	for owner.Stats().FailedRuns == 0 {
+		sim.run(testTick, owner)
+	}
+	pollAnswered(owner, "w1", sentAt, older, nil)
+	if n := len(owner.workers["w1"].runs); n != 0 {
+		t.Errorf("the worker has %d runs, but its only run has ended", n)
+	}
+	if got, want := owner.workers["w1"].clockMS, older.ClockMS; got <= want {
+		t.Errorf("the worker's clock is back at %d", got)
+	}
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -205,7 +205,7 @@
 	e.stats.LostRuns++
 	event.TaskLost.Log(e.opts.Log, zap.Stringer("task", r.task.id()), zap.Int("run", r.number), zap.String("worker", w.ID),
 		zap.Int64("incarnation", w.StartedMS), zap.String("reason", reason), zap.Duration("silent", now-w.lastContact), zap.Duration("lease_left", w.leaseEnd()-now))
-	r.task.lostRuns = append(r.task.lostRuns, r.number)
+	r.task.settledRuns = append(r.task.settledRuns, r.number)
 	e.endRun(r, now)
 }
 
