scheduler: an adopted run is given up no sooner than its previous owner's lease

Callers saw: a task runs on two workers at once after a change of owner.

Cause: an owner whose ownership lease is near expiry renews workers' leases by MaxLease (6 s) instead of three quarters of it. Its successor knows only the leases that it granted itself. If a worker with an adopted run falls silent right after the takeover, the successor gives the run up up to 0.8 s before the lease ends, and starts the task elsewhere. If the run ends as done in this time and its worker is reached again, that end is acknowledged too.

Evidence: TestAdoptedRunKeepsTheLeaseOfItsPreviousOwner fails before ("runs twice at 5.37s: run 1 on w1 and run 3001 on w2") and passes now.

Why it works: recovery has always waited for the latest lease that a previous owner can have granted before it starts a task without a known run; the same bound now holds for runs that it adopted.

go test ./internal/scheduler passes.

--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -23,13 +23,15 @@
 func (e *Engine) Recover(used []estate.Worker, lastOrder, now time.Duration) {
 	e.recovering = true
 	lease := e.opts.MaxLease
-	e.recoveryDeadline = max(lastOrder+lease+time.Duration(float64(lease)*clockDrift)+leaseSlack, now+firstPollsTimeout)
+	leaseEnd := lastOrder + lease + time.Duration(float64(lease)*clockDrift) + leaseSlack
+	e.recoveryDeadline = max(leaseEnd, now+firstPollsTimeout)
 	for _, entry := range used {
 		w := e.workers[entry.ID]
 		if w == nil {
 			w = e.addWorker(entry, now)
 		}
 		w.inherited = true
+		w.inheritedLeaseEnd = leaseEnd
 		w.recorded = true
 	}
 }
--- a/internal/scheduler/settle_test.go
+++ b/internal/scheduler/settle_test.go
@@ -102,3 +102,25 @@
 		t.Errorf("the worker's clock is back at %d", got)
 	}
 }
+
+// TestAdoptedRunKeepsTheLeaseOfItsPreviousOwner guards against TWICE: an owner
+// near the end of its ownership grants longer leases than its successor.
+func TestAdoptedRunKeepsTheLeaseOfItsPreviousOwner(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorker("w1", "p", 2)
+	f.duration = lasting(20 * time.Second)
+	first := sim.newOwner()
+	sim.submit(first, jobOf(1, 1, 2))
+	sim.run(500*time.Millisecond, first)
+	f.leaseMS = f.clock(sim.now) + testMaxLease.Milliseconds()
+	successor := sim.newOwnerAfter(0)
+	sim.run(100*time.Millisecond, successor)
+	if len(successor.workers["w1"].runs) != 1 {
+		t.Fatal("the run is not adopted")
+	}
+	f.reachable = false
+	sim.addWorker("w2", "p", 2)
+	successor.discover()
+	sim.run(8*time.Second, successor)
+	sim.check()
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -61,6 +61,9 @@
 	// clock. leasedAt is when a poll last renewed the lease.
 	leaseMS  int64
 	leasedAt time.Duration
+	// inheritedLeaseEnd is when the last lease that a previous owner can have
+	// granted has expired.
+	inheritedLeaseEnd time.Duration
 
 	// lastSeenEnd is the number of the last end that was handled, lastAckedEnd
 	// that of the last one that the worker may discard.
@@ -235,7 +238,7 @@
 	if left < 0 {
 		left = 0
 	}
-	return w.clockAt + left + time.Duration(float64(left)*clockDrift) + leaseSlack
+	return max(w.clockAt+left+time.Duration(float64(left)*clockDrift)+leaseSlack, w.inheritedLeaseEnd)
 }
 
 // clock estimates the worker's clock in milliseconds from below: it leaves out
