node: a new ownership lease counts from the sending of the record

Callers saw: nothing; two owners could give orders at the same time.

Cause: an owner gives orders for LeaseDuration after it sent its last heartbeat, but its first lease counted from the answer to the write of the owner record. Other processes count from when they see the record. An answer that takes, or lies unread for, more than the 0.5 s between LeaseDuration and TakeoverTimeout made the two overlap; a write whose answer was lost and whose record the feed shows later did so at any length. Successors also take the end of that lease for the last order of their predecessor.

Why it works: the record is the first heartbeat, and its lease counts like that of the others.

TestOwnershipLeaseCountsFromTheSendingOfTheRecord fails before (the lease is valid 1.7 s after the write) and passes now.

--- /dev/null
+++ b/internal/node/acquire_test.go
@@ -0,0 +1,42 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/egretpitch/egretpitch/internal/ownership"
+	"github.com/egretpitch/egretpitch/internal/standin"
+)
+
+// acquireUnanswered lets a process acquire the control work with a write whose
+// answer is lost, and shows it the record that was written. The ownership that
+// starts from it cannot load the stored state.
+func acquireUnanswered(t *testing.T) *Node {
+	t.Helper()
+	n, rows, _ := testNode(t)
+	rows.SetFaults(standin.Faults{LoseAnswers: 1})
+	n.acquire(t.Context())
+	stored, _, err := rows.ReadRows(t.Context(), controlTable, controlPart, "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.observeControl(stored, n.Clock.Now()); err != nil {
+		t.Fatal(err)
+	}
+	rows.SetFaults(standin.Faults{Down: true})
+	return n
+}
+
+// TestOwnershipLeaseCountsFromTheSendingOfTheRecord guards against two owners at
+// once: others count from the write, which may be answered late.
+func TestOwnershipLeaseCountsFromTheSendingOfTheRecord(t *testing.T) {
+	n := acquireUnanswered(t)
+	time.Sleep(ownership.LeaseDuration)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	n.acquireIfVacant(ctx, n.Clock.Now())
+	if o := n.owner.Load(); o == nil || o.ownershipValid(n.Clock.Now()) {
+		t.Errorf("the ownership is %v, want one with an expired lease", o)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,6 +65,9 @@
 	// owner is the current ownership of the control work, nil if this process
 	// does not own it.
 	owner atomic.Pointer[owner]
+	// acquireSent is when the last attempt to acquire the control work was
+	// sent. It belongs to the goroutine that watches the control table.
+	acquireSent time.Duration
 	// stopping is set once the process shuts down. It then no longer acquires
 	// the control work.
 	stopping atomic.Bool
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -72,14 +72,15 @@
 }
 
 // startOwnership starts an ownership whose record is stored in the table
-// service; token is the version of that record.
-func (n *Node) startOwnership(ctx context.Context, record, previous ownership.Record, token int64) {
+// service; token is the version of that record. The ownership lease counts from
+// sent, when the write of the record was sent.
+func (n *Node) startOwnership(ctx context.Context, record, previous ownership.Record, token int64, sent time.Duration) {
 	ctx, cancel := context.WithCancel(ctx)
 	o := &owner{
 		node: n, token: token, record: record, previous: previous, events: make(chan func(time.Duration), eventQueueLength),
 		cancel: cancel, done: make(chan struct{}), acquiredAt: n.Clock.Now(), ownershipWasValid: true, previousHeartbeat: n.view.Load().HeartbeatSeen,
 	}
-	o.lease.Renew(o.acquiredAt)
+	o.lease.Renew(sent)
 	o.workerCalls = newWorkerCallLimiter(o)
 	n.owner.Store(o)
 	n.metrics.ownerships.Add(1)
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -102,7 +102,7 @@
 		// An earlier attempt to acquire the work got no answer but was applied.
 		// The record that it replaced is no longer known; with an unknown
 		// holder, firstHostOrder waits for HolderLease in any case.
-		n.startOwnership(ctx, view.Record, ownership.Record{HostOrderHolder: "unknown"}, view.RecordVersion)
+		n.startOwnership(ctx, view.Record, ownership.Record{HostOrderHolder: "unknown"}, view.RecordVersion, n.acquireSent)
 		return
 	}
 	if view.Vacant(n.self(), sent) && ctxtime.Sleep(ctx, n.TakeoverBackoff) == nil {
@@ -143,6 +143,7 @@
 		event.OwnershipNotAcquired.Log(n.Log, zap.Error(err))
 		return
 	}
+	n.acquireSent = n.Clock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	stamp, err := n.Rows.CommitRows(callCtx, platform.RowTxn{
@@ -156,5 +157,5 @@
 		// it does not, heartbeats are missing until a process takes over again.
 		return
 	}
-	n.startOwnership(ctx, record, view.Record, stamp.Version)
+	n.startOwnership(ctx, record, view.Record, stamp.Version, n.acquireSent)
 }
