node: an ended ownership is not started again with its token

Cause: a process whose view of the control table shows its own record starts an ownership, because a write without an answer may have been applied. After an ownership has ended (a worker or the store named a successor) the view may still be the old one, when a slow process handles an older answer of the feed. The second engine has the same token, so workers cannot tell its orders from those of the first one that are carried out late.

Why it works: a token serves one engine. If the record stays, the process acquires the work like any other, with a new token, after TakeoverTimeout.

--- a/internal/node/acquire_test.go
+++ b/internal/node/acquire_test.go
@@ -28,6 +28,25 @@
 	return n
 }
 
+// TestEndedOwnershipIsNotStartedAgain guards against an owner that gives orders
+// again with the token of an ownership that it has lost.
+func TestEndedOwnershipIsNotStartedAgain(t *testing.T) {
+	n := acquireUnanswered(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	n.acquireIfVacant(ctx, n.Clock.Now())
+	first := n.owner.Load()
+	if first == nil {
+		t.Fatal("the ownership is not started")
+	}
+	first.cancel()
+	<-first.done
+	n.acquireIfVacant(ctx, n.Clock.Now())
+	if again := n.owner.Load(); again != nil {
+		t.Errorf("an ownership with token %d is started after the one with token %d has ended", again.token, first.token)
+	}
+}
+
 // TestOwnershipLeaseCountsFromTheSendingOfTheRecord guards against two owners at
 // once: others count from the write, which may be answered late.
 func TestOwnershipLeaseCountsFromTheSendingOfTheRecord(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,6 +65,8 @@
 	// owner is the current ownership of the control work, nil if this process
 	// does not own it.
 	owner atomic.Pointer[owner]
+	// endedToken is the token of the last ownership that ended in this process.
+	endedToken atomic.Int64
 	// acquireSent is when the last attempt to acquire the control work was
 	// sent. It belongs to the goroutine that watches the control table.
 	acquireSent time.Duration
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -88,6 +88,7 @@
 	go func() {
 		defer close(o.done)
 		defer n.owner.Store(nil)
+		defer n.endedToken.Store(o.token)
 		defer cancel()
 		go o.sendHeartbeats(ctx)
 		if err := o.run(ctx); err != nil && ctx.Err() == nil {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -98,6 +98,14 @@
 		return
 	}
 	view := n.view.Load()
+	if view.Record.Incarnation == n.incarnation && view.RecordVersion <= n.endedToken.Load() {
+		// The ownership has ended, perhaps because a successor exists that this
+		// answer does not show yet.
+		if sent-view.HeartbeatSeen > ownership.TakeoverTimeout {
+			n.acquire(ctx)
+		}
+		return
+	}
 	if view.Record.Incarnation == n.incarnation {
 		// An earlier attempt to acquire the work got no answer but was applied.
 		// The record that it replaced is no longer known; with an unknown
