scheduler: a worker is given up only after a probe that this process could read

Callers saw: a task is started again although its worker had answered, or would have: TWICE, if the run goes on or its end is acknowledged.

Cause: the runs of a silent worker were given up as soon as its lease had run out by this process's clock, whatever lay unread.

Why it works: the worker is probed right after its lease; its runs are given up only when that probe fails, so an answer always comes before the decision. A failure counts only if this process kept deciding meanwhile: the gap between two decisions (50 ms at most) shows a stall.

Cost: a lost worker's tasks wait about 0.5 s longer. An owner that stalls for more than 0.25 s again and again gives up nothing until it keeps up.

--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -18,7 +18,7 @@
 	// milliseconds.
 	orderTimeout = 500 * time.Millisecond
 	// pollSlack is how much longer than its wait a poll may take.
-	pollSlack = 500 * time.Millisecond
+	pollSlack = scheduler.ProbeTimeout
 	// commitTimeout bounds a transaction that records progress.
 	commitTimeout = 1200 * time.Millisecond
 	// ordersPerWorker is the maximum number of concurrent orders to one worker,
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -18,6 +18,12 @@
 	// warmingWait is the wait of a long poll while a long-running task starts
 	// up: other tasks of its step may be interrupted only once it is ready.
 	warmingWait = 200 * time.Millisecond
+	// ProbeTimeout is how long the answer to a probe is awaited. A worker
+	// answers within milliseconds.
+	ProbeTimeout = 500 * time.Millisecond
+	// stallThreshold is the time between two decisions from which this process
+	// counts as stalled. It decides at least every 50 ms.
+	stallThreshold = ProbeTimeout / 2
 	// unrecordedPollInterval is the time between polls that only renew the
 	// lease of a worker whose ends cannot be recorded yet.
 	unrecordedPollInterval = 500 * time.Millisecond
@@ -209,8 +215,20 @@
 		event.WorkerSilent.Log(e.opts.Log, zap.String("worker", w.ID), zap.Stringer("outcome", status.Outcome), zap.Error(err),
 			zap.Int("runs", len(w.runs)), zap.Duration("lease_left", w.leaseEnd()-now))
 	}
+	if !e.stalledSince(o.sentAt, now) {
+		w.silentAt = max(w.silentAt, o.sentAt)
+	}
 	w.failedPolls++
 	w.nextPoll = now + min(pollRetry<<min(w.failedPolls-1, 4), pollRetryMax)
+	if end := w.leaseEnd(); end >= now && end < w.nextPoll+ProbeTimeout {
+		w.nextPoll = end + time.Millisecond // this probe decides whether its runs are given up
+	}
+}
+
+// stalledSince reports whether this process took no step for longer than
+// stallThreshold since a time. Answers may have arrived that it has not read.
+func (e *Engine) stalledSince(since, now time.Duration) bool {
+	return e.stalledAt >= since || now-e.lastDecide > stallThreshold
 }
 
 // reconcileRuns compares the runs that a worker lists with the expected ones.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -109,6 +109,9 @@
 	opts    Options
 	catalog *estate.Catalog
 	jobs    map[string]*job
+	// lastDecide is when Decide was last called, and stalledAt the end of the
+	// last stall.
+	lastDecide, stalledAt time.Duration
 	// nextSweep is the time of the next sweep.
 	nextSweep time.Duration
 	// knownJobs holds the ids of all jobs that were ever added: a feed may
@@ -313,6 +316,10 @@
 // ownership is OwnershipExpired.
 func (e *Engine) Decide(now time.Duration, ownership OwnershipState) []Order {
 	e.ownership = ownership
+	if now-e.lastDecide > stallThreshold {
+		e.stalledAt = now
+	}
+	e.lastDecide = now
 	sweep := now >= e.nextSweep
 	if sweep {
 		e.nextSweep = now + sweepInterval
--- a/internal/scheduler/settle_test.go
+++ b/internal/scheduler/settle_test.go
@@ -124,3 +124,53 @@
 	sim.run(8*time.Second, successor)
 	sim.check()
 }
+
+// doneWhileSilent runs a task to its end on w1 while its owner gets no answer
+// from it, and returns the owner. w2 has capacity for the task.
+func doneWhileSilent(sim *simulation) (*testOwner, *fakeWorker) {
+	f := sim.addWorker("w1", "p", 2)
+	f.duration = lasting(3 * time.Second)
+	owner := sim.newOwner()
+	sim.submit(owner, jobOf(1, 1, 2))
+	sim.run(500*time.Millisecond, owner)
+	sim.addWorker("w2", "p", 2)
+	owner.discover()
+	f.reachable = false
+	return owner, f
+}
+
+// TestWorkerIsProbedOnceMoreAfterItsLease guards against TWICE: a worker that
+// answers again by the end of its lease is given up unread.
+func TestWorkerIsProbedOnceMoreAfterItsLease(t *testing.T) {
+	sim := newSimulation(t)
+	owner, f := doneWhileSilent(sim)
+	sim.run(2*time.Second, owner)
+	sim.run(owner.workers["w1"].leaseEnd()-sim.now-testTick, owner)
+	f.reachable = true
+	sim.run(2*time.Second, owner)
+	sim.check()
+	if s := owner.Stats(); s.Starts != 1 {
+		t.Errorf("%d starts, want 1: the worker answered", s.Starts)
+	}
+}
+
+// TestOwnStallIsNotTakenForSilence guards against TWICE: a poll times out because
+// this process did not run, and its worker is given up.
+func TestOwnStallIsNotTakenForSilence(t *testing.T) {
+	sim := newSimulation(t)
+	owner, f := doneWhileSilent(sim)
+	sim.run(2*time.Second, owner)
+	sim.run(owner.workers["w1"].leaseEnd()-sim.now+3*testTick, owner)
+	if !owner.workers["w1"].probing {
+		t.Fatal("the worker is not probed after its lease")
+	}
+	owner.paused = true
+	f.reachable = true
+	sim.run(time.Second)
+	owner.paused = false
+	sim.run(2*time.Second, owner)
+	sim.check()
+	if s := owner.Stats(); s.Starts != 1 {
+		t.Errorf("%d starts, want 1: the worker answered", s.Starts)
+	}
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -52,8 +52,9 @@
 	nextPoll         time.Duration
 	failedPolls      int
 	lastContact      time.Duration
-	// answeredSentAt is when the latest answered poll was sent.
-	answeredSentAt time.Duration
+	// answeredSentAt is when the latest answered poll was sent, and silentAt
+	// when the latest one was that failed for no delay of this process.
+	answeredSentAt, silentAt time.Duration
 	// clockMS is the worker's clock at clockAt, from its last answer.
 	clockMS int64
 	clockAt time.Duration
@@ -212,11 +213,12 @@
 	e.endRun(r, now)
 }
 
-// expireLeases gives up the runs of workers whose lease has expired without
-// contact, and drops unlisted workers that have nothing left to settle.
+// expireLeases gives up the runs of workers whose lease has expired and that
+// have not answered a probe since, and drops unlisted workers that have nothing
+// left to settle.
 func (e *Engine) expireLeases(now time.Duration) {
 	for _, w := range e.workers {
-		if w.failedPolls > 0 && now > w.leaseEnd() {
+		if w.failedPolls > 0 && w.silentAt > w.leaseEnd() {
 			for _, r := range w.runs {
 				if !r.mayArrive() || now > r.sentAt+maxOrderDelay+e.opts.MaxLease {
 					e.loseRun(r, "lease expired", now)
