scheduler, node: a start that is no longer wanted is not sent

Callers saw: a task is started over a second after its end was taken note of or its job was cancelled (TWICE, UNASKED).

Cause: three orders at a time go to one worker; others wait for up to their deadline, 1.5 s. A start that waited was sent even if the engine had settled its run meanwhile, because its task was done elsewhere or its job cancelled; the stop waited behind it.

Why it works: the engine withdraws the order when it stops or settles the run, and the sender checks that with the ownership lease, right before it sends. An order that was not sent has the outcome OrderNotSent; a start held back for the ownership lease no longer counts against its worker.

--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -70,8 +70,8 @@
 	switch x := order.(type) {
 	case *scheduler.StartOrder:
 		a, err := o.workerCalls.order(ctx, x.Worker.ID, func(ctx context.Context) (platform.OrderAnswer, error) {
-			if !o.ownershipValid(n.Clock.Now()) {
-				return platform.OrderAnswer{Outcome: platform.OrderBusy}, nil
+			if x.Withdrawn() || !o.ownershipValid(n.Clock.Now()) {
+				return platform.OrderAnswer{Outcome: platform.OrderNotSent}, nil
 			}
 			return n.Runner.StartRun(ctx, &x.Worker, x.Start)
 		})
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -172,9 +172,11 @@
 	// OrderInvalid means that the worker could not decode the order, or that its
 	// reason for refusing it is unknown.
 	OrderInvalid
+	// OrderNotSent means that this process did not send the order.
+	OrderNotSent
 )
 
-var orderNames = [...]string{"done", "fenced", "old", "late", "no capacity", "no ticket", "wrong incarnation", "busy", "invalid"}
+var orderNames = [...]string{"done", "fenced", "old", "late", "no capacity", "no ticket", "wrong incarnation", "busy", "invalid", "not sent"}
 
 // String returns the outcome's name for logs.
 func (o OrderOutcome) String() string { return orderNames[o] }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -111,7 +111,9 @@
 	task   *task
 	number int
 	worker *worker
-	phase  runPhase
+	// order is the order that started the run, nil for an adopted run.
+	order *StartOrder
+	phase runPhase
 	// sentAt is when the start was sent. It is reset when the start turns out
 	// to be unanswered. confirmedAt is when the worker last confirmed the run,
 	// -1 if it never did.
@@ -134,6 +136,13 @@
 	throttledAt      time.Duration
 }
 
+// withdraw keeps the start of the run from being sent, if it was not yet.
+func (r *run) withdraw() {
+	if r.order != nil {
+		r.order.withdrawn.Store(true)
+	}
+}
+
 // mayArrive reports whether a start that was sent to a previous incarnation of
 // the worker may still reach the current one.
 func (r *run) mayArrive() bool { return r.carriedOver && !r.listed }
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -47,10 +47,11 @@
 	e.stats.Starts++
 	event.TaskPlaced.Log(e.opts.Log, zap.Stringer("task", t.id()), zap.Int("run", number), zap.String("worker", w.ID),
 		zap.Duration("waited", now-max(s.job.accepted, s.occ.due)), zap.Int64("catalog", e.catalog.Version))
-	e.emit(&StartOrder{Worker: w.Worker, run: r, Start: platform.Start{
+	r.order = &StartOrder{Worker: w.Worker, run: r, Start: platform.Start{
 		Task: t.id(), Run: number, Spec: s.job.Spec, DeadlineMS: r.deadlineMS, Token: e.opts.Token,
 		Checkpoint: t.checkpoint, Ticket: ticket,
-	}})
+	}}
+	e.emit(r.order)
 }
 
 // nextRun returns the number of a task's next run.
@@ -92,7 +93,7 @@
 	e.refused(r, a, now)
 }
 
-// refused handles a start that the worker refused.
+// refused handles a start that the worker refused or that was not sent.
 func (e *Engine) refused(r *run, a platform.OrderAnswer, now time.Duration) {
 	w, t := r.worker, r.task
 	event.StartRefused.Log(e.opts.Log, zap.Stringer("task", t.id()), zap.Int("run", r.number), zap.String("worker", w.ID), zap.Stringer("outcome", a.Outcome))
@@ -123,6 +124,7 @@
 	if i < 0 {
 		return
 	}
+	r.withdraw()
 	t.runs = slices.Delete(t.runs, i, i+1)
 	r.worker.removeRun(r)
 	r.worker.pool.needsPass = true
@@ -141,6 +143,7 @@
 	}
 	r.phase = runStopping
 	r.stopReason = reason
+	r.withdraw()
 	e.sendStop(r, now)
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 package scheduler
 
 import (
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -247,8 +248,15 @@
 	Worker estate.Worker
 	platform.Start
 	run *run
+	// withdrawn is set once the engine no longer wants the run.
+	withdrawn atomic.Bool
 }
 
+// Withdrawn reports whether the start must not be sent any more. An order may
+// wait for its worker; the caller checks right before it sends one. It may be
+// called from any goroutine.
+func (o *StartOrder) Withdrawn() bool { return o.withdrawn.Load() }
+
 // StopOrder ends a run on a worker. Its answer goes to Stopped.
 type StopOrder struct {
 	Worker estate.Worker
