scheduler: an answer about the previous incarnation settles nothing of the next

Callers saw: nothing yet; all runs of a worker that has come back are given up and started elsewhere while they go on (TWICE).

Cause: a start without a settled outcome is carried over to the next incarnation of its worker. When its answer arrived late, from the old address or incarnation, it was handled as the next incarnation's: "another worker answers at its address" ended that one, "done" confirmed a run that it does not have.

Why it works: an order names the incarnation that it was sent to. A refusal from there settles the run as not run; "done" there means that it ended with its incarnation.

TestAnswerToThePreviousIncarnationDoesNotEndTheNext fails before (the next incarnation is forgotten) and passes now.

--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -77,6 +77,14 @@
 		w.pauseAfterUnanswered(now)
 		return
 	}
+	if w.otherIncarnation(o.Worker.StartedMS) {
+		if a.Outcome == platform.OrderDone {
+			e.loseRun(r, "started by the previous incarnation", now)
+		} else {
+			e.refused(r, a, now)
+		}
+		return
+	}
 	switch a.Outcome {
 	case platform.OrderDone:
 		if r.phase == runSent {
--- a/internal/scheduler/settle_test.go
+++ b/internal/scheduler/settle_test.go
@@ -174,3 +174,32 @@
 		t.Errorf("%d starts, want 1: the worker answered", s.Starts)
 	}
 }
+
+// TestAnswerToThePreviousIncarnationDoesNotEndTheNext guards against TWICE: a
+// start for the previous incarnation is refused at its old address, and the
+// runs of the next one are given up.
+func TestAnswerToThePreviousIncarnationDoesNotEndTheNext(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorker("w1", "p", 4)
+	f.duration = lasting(5 * time.Second)
+	var held *StartOrder
+	sim.injectFault = func(o Order) orderFault {
+		if s, ok := o.(*StartOrder); ok && held == nil {
+			held = s
+			return orderFault{lost: true}
+		}
+		return orderFault{}
+	}
+	owner := sim.newOwner()
+	sim.submit(owner, jobOf(1, 1, 2))
+	for held == nil {
+		sim.run(testTick, owner)
+	}
+	f.crash()
+	f.restart(sim.now)
+	owner.discover()
+	owner.Started(held, platform.OrderAnswer{Outcome: platform.OrderWrongIncarnation}, nil, sim.now)
+	if w := owner.workers["w1"]; w == nil || len(w.runs) != 0 {
+		t.Errorf("the next incarnation is %v, want it known and without runs", w)
+	}
+}
