scheduler: a seed repeats its history in the simulation

Cause: the simulation delivered orders, ended runs and listed runs, workers and jobs in the random order of maps, and Engine.pass placed candidates of equal rank in that of pool.ready. A failing seed of TestNoTaskRunsTwiceInAnyHistory was reported as "flaky, can not reproduce".

Ruled out: sorting in the simulation alone.

Change: the simulation sorts what it takes from maps, and the orders of a decision by kind, worker, task and run. Candidates of equal rank are ordered by job, occurrence and step.

Conclusion: a reported seed can be played again.

--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -17,6 +18,15 @@
 	rank rank
 }
 
+// compare orders candidates by rank. The order of equal ones is fixed, so that
+// a simulation can be repeated.
+func (c candidate) compare(o candidate) int {
+	if by := c.rank.compare(o.rank); by != 0 {
+		return by
+	}
+	return cmp.Or(cmp.Compare(c.job.ID, o.job.ID), cmp.Compare(c.occ.number, o.occ.number), cmp.Compare(c.index, o.index))
+}
+
 // pass starts waiting tasks of a pool, best rank first.
 func (e *Engine) pass(p *pool, now time.Duration) {
 	p.needsPass = false
@@ -34,7 +44,7 @@
 			list = append(list, candidate{s, e.rank(s, now)})
 		}
 	}
-	slices.SortFunc(list, func(a, b candidate) int { return a.rank.compare(b.rank) })
+	slices.SortFunc(list, candidate.compare)
 	for _, c := range list {
 		if !c.Requests().Fits(most) {
 			continue
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -159,13 +161,33 @@
 	f.ended = append(f.ended, platform.EndedRun{Number: f.lastEnd, Task: r.task, Run: r.run, End: how})
 }
 
+// runs returns the runs in a fixed order.
+func (f *fakeWorker) runs() []*fakeRun {
+	return slices.SortedFunc(maps.Values(f.running), func(a, b *fakeRun) int {
+		return cmp.Or(compareTasks(a.task, b.task), cmp.Compare(a.run, b.run))
+	})
+}
+
+func compareTasks(a, b workload.TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+}
+
+// sorted returns the values of a map in the order of its keys.
+func sorted[V any](m map[string]V) []V {
+	values := make([]V, 0, len(m))
+	for _, key := range slices.Sorted(maps.Keys(m)) {
+		values = append(values, m[key])
+	}
+	return values
+}
+
 // tick ends the runs that have finished, have been stopped or have lost their
 // lease.
 func (f *fakeWorker) tick(now time.Duration) {
 	if f.clock(now) > f.leaseMS {
 		f.leaseExpiredAt = now
 	}
-	for _, r := range f.running {
+	for _, r := range f.runs() {
 		if f.clock(now) > f.leaseMS {
 			f.end(r, platform.EndLapsed, now)
 			continue
@@ -250,8 +272,8 @@
 	if at, ok := j.doneAt[o.Task]; ok {
 		sim.violate("task %v run %d starts on %s at %v, though its end was acknowledged at %v", o.Task, o.Run, f.ID, sim.now, at)
 	}
-	for _, other := range sim.workers {
-		for _, r := range other.running {
+	for _, other := range sorted(sim.workers) {
+		for _, r := range other.runs() {
 			if r.task == o.Task && other.up {
 				sim.violate("task %v runs twice at %v: run %d on %s and run %d on %s", o.Task, sim.now, r.run, other.ID, o.Run, f.ID)
 			}
@@ -282,7 +304,7 @@
 // throttle percentage of the fillers beside them.
 func (f *fakeWorker) load() float64 {
 	throttlePercent := 0
-	for _, r := range f.running {
+	for _, r := range f.runs() {
 		throttlePercent = max(throttlePercent, r.throttlePercent)
 		if r.task.Step == 1 {
 			throttlePercent = r.throttlePercent
@@ -314,7 +336,7 @@
 		}
 	}
 	f.ended = slices.DeleteFunc(f.ended, func(e platform.EndedRun) bool { return e.Number <= poll.Acknowledged })
-	for _, r := range f.running {
+	for _, r := range f.runs() {
 		s.Runs = append(s.Runs, platform.RunStatus{Task: r.task, Run: r.run, Percent: f.percent(r, sim.now), Load: f.load()})
 	}
 	s.Ends = slices.Clone(f.ended)
@@ -384,13 +406,9 @@
 	})
 	owner := &testOwner{Engine: e, sim: sim, token: sim.fence}
 	e.SetCatalog(sim.catalog())
-	var used []estate.Worker
-	for _, u := range sim.inUse {
-		used = append(used, u)
-	}
-	e.Recover(used, sim.now-ago, sim.now)
+	e.Recover(sorted(sim.inUse), sim.now-ago, sim.now)
 	owner.discover()
-	for _, j := range sim.records {
+	for _, j := range sorted(sim.records) {
 		p := j.progress
 		p.Done, p.Failures = slices.Clone(p.Done), slices.Clone(p.Failures)
 		e.AddJob(j.spec, &p, j.version, 0, true, sim.now)
@@ -412,7 +430,7 @@
 
 // discover lists the workers whose heartbeats arrive.
 func (owner *testOwner) discover() {
-	for _, f := range owner.sim.workers {
+	for _, f := range sorted(owner.sim.workers) {
 		if f.up && f.reachable {
 			owner.WorkerListed(f.Worker, owner.sim.now)
 		}
@@ -440,7 +458,7 @@
 func (sim *simulation) run(d time.Duration, owners ...*testOwner) {
 	for end := sim.now + d; sim.now < end; {
 		sim.now += testTick
-		for _, f := range sim.workers {
+		for _, f := range sorted(sim.workers) {
 			if f.up {
 				f.tick(sim.now)
 			}
@@ -450,13 +468,46 @@
 			if owner.paused {
 				continue
 			}
-			for _, o := range owner.Decide(sim.now, owner.ownershipState()) {
+			// The engine gives orders in the random order of its maps.
+			orders := owner.Decide(sim.now, owner.ownershipState())
+			slices.SortStableFunc(orders, func(a, b Order) int { return keyOf(a).compare(keyOf(b)) })
+			for _, o := range orders {
 				sim.deliver(owner, o)
 			}
 		}
 	}
 }
 
+// orderKey orders the orders of a decision.
+type orderKey struct {
+	kind   int
+	target string
+	task   workload.TaskID
+	run    int
+}
+
+func (k orderKey) compare(o orderKey) int {
+	return cmp.Or(cmp.Compare(k.kind, o.kind), cmp.Compare(k.target, o.target), compareTasks(k.task, o.task), cmp.Compare(k.run, o.run))
+}
+
+func keyOf(o Order) orderKey {
+	switch x := o.(type) {
+	case *StopOrder:
+		return orderKey{0, x.Worker.ID, x.Task, x.Run}
+	case *ThrottleOrder:
+		return orderKey{1, x.Worker.ID, x.Task, x.Run}
+	case *RecommendOrder:
+		return orderKey{2, x.Step, workload.TaskID{}, 0}
+	case *StartOrder:
+		return orderKey{3, x.Worker.ID, x.Task, x.Run}
+	case *PollOrder:
+		return orderKey{4, x.Worker.ID, workload.TaskID{}, 0}
+	case *Commit:
+		return orderKey{5, "", workload.TaskID{}, x.Part}
+	}
+	return orderKey{kind: 6}
+}
+
 func (sim *simulation) fireEvents() {
 	due := sim.events[:0:0]
 	var rest []timedEvent
