scheduler: a worker's next incarnation refuses orders to the previous one

Cause: a worker that comes back under its id knows no token, so it carries out orders that the previous incarnation never answered: starts that were settled there, and polls whose acknowledgement discards ends that nobody has read. For starts the engine kept a list for 12 s, reserved their resources and sent stops; a late poll had no guard.

Why it works: each incarnation gets a token of its own, above those of the previous ones and below any successor's (the owner's token shifted by 24 bits plus a counter). From its first poll on it refuses whatever was sent before. What it carried out until then is in the answer to that poll. The list, its reservations and stops are gone; a start that still waits in this process is withdrawn.

TestBarredStartStaysBarredInTheNextLife asked for the stop that the old guard sent; it now asks that the late start is refused for its token, and fails with one token for all incarnations.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -123,11 +123,8 @@
 	stopAcked           bool
 	stopReason          string
 	// listed is set once a poll has shown the run.
-	listed bool
-	// carriedOver is set if the start was sent to a previous incarnation of the
-	// worker and may reach the current one.
-	carriedOver bool
-	percent     float64
+	listed  bool
+	percent float64
 	// progressAt is when percent last rose.
 	progressAt       time.Duration
 	load             float64
@@ -143,9 +140,9 @@
 	}
 }
 
-// mayArrive reports whether a start that was sent to a previous incarnation of
-// the worker may still reach the current one.
-func (r *run) mayArrive() bool { return r.carriedOver && !r.listed }
+// sentToPrevious reports whether the start was sent to a previous incarnation
+// of the worker. The current one refuses it once it has answered a poll.
+func (r *run) sentToPrevious() bool { return r.order != nil && r.order.Token < r.worker.token }
 
 func (t *task) id() workload.TaskID {
 	return workload.TaskID{Job: t.step.job.ID, Occurrence: t.step.occ.number, Step: t.step.index, Index: t.index}
--- a/internal/scheduler/orphan.go
+++ b/internal/scheduler/orphan.go
@@ -16,50 +16,6 @@
 	resources placement.Resources
 	// seenAt is when a poll last listed the run.
 	seenAt time.Duration
-	// mayArrive is set if the worker does not have the run, but a start without
-	// an answer may still arrive until expires. A stop that was answered at
-	// blockedAt prevents that.
-	mayArrive         bool
-	expires           time.Duration
-	stopAt, blockedAt time.Duration
-}
-
-// unanswered is a start that got no answer. A stop that blocked it in one
-// incarnation of its worker is unknown to the next one under the same id.
-type unanswered struct {
-	key       runKey
-	resources placement.Resources
-	at        time.Duration
-}
-
-// expectLateStarts reserves resources for unanswered starts that were sent to
-// the previous incarnation and may reach this one, and blocks them.
-func (e *Engine) expectLateStarts(w *worker, starts []unanswered, now time.Duration) {
-	for _, u := range starts {
-		if _, carried := w.runs[u.key]; carried || now-u.at > maxOrderDelay {
-			continue
-		}
-		w.unanswered = append(w.unanswered, u)
-		w.orphans[u.key] = &orphan{resources: u.resources, mayArrive: true, expires: u.at + maxOrderDelay}
-		w.used = w.used.Add(u.resources)
-	}
-	e.blockLateStarts(w, now)
-}
-
-// blockLateStarts sends stops for starts that may still arrive, and repeats
-// each until it is answered: a worker refuses a start that is not above a run
-// it was ordered to stop.
-func (e *Engine) blockLateStarts(w *worker, now time.Duration) {
-	for key, s := range w.orphans {
-		switch {
-		case !s.mayArrive || s.blockedAt > 0:
-		case now > s.expires:
-			w.removeOrphan(key)
-		case s.stopAt == 0 || now-s.stopAt > stopRetry+e.opts.StopGrace:
-			s.stopAt = now
-			e.emitStop(w, key)
-		}
-	}
 }
 
 // stopOrphan stops a run that no job needs. Its resources stay in use
@@ -75,7 +31,7 @@
 		w.orphans[key] = known
 		w.used = w.used.Add(known.resources)
 	}
-	known.seenAt, known.mayArrive = now, false
+	known.seenAt = now
 	e.emitStop(w, key)
 }
 
@@ -90,8 +46,7 @@
 	return w.Capacity
 }
 
-// removeOrphan drops an orphan that has ended or can no longer arrive, and
-// releases its resources.
+// removeOrphan drops an orphan that has ended and releases its resources.
 func (w *worker) removeOrphan(key runKey) {
 	s := w.orphans[key]
 	if s == nil {
@@ -103,11 +58,10 @@
 }
 
 // removeUnlistedOrphans removes the orphans that are not listed in the answer
-// to a poll sent at sentAt, unless their start may still arrive.
+// to a poll sent at sentAt.
 func (w *worker) removeUnlistedOrphans(listed map[runKey]struct{}, sentAt time.Duration) {
 	for key, s := range w.orphans {
-		cannotArrive := !s.mayArrive || (s.blockedAt > 0 && sentAt > s.blockedAt)
-		if _, ok := listed[key]; !ok && sentAt > s.seenAt && cannotArrive {
+		if _, ok := listed[key]; !ok && sentAt > s.seenAt {
 			w.removeOrphan(key)
 		}
 	}
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -107,7 +107,7 @@
 // worker that does not answer is not renewed.
 func (e *Engine) poll(w *worker, probe bool, now time.Duration) {
 	o := &PollOrder{Worker: w.Worker, worker: w, sentAt: now, probe: probe}
-	o.Token = e.opts.Token
+	o.Token = w.token
 	// The worker may have a new incarnation, which numbers its ends anew: an
 	// acknowledgement that it carries out discards ends that nobody has read. A
 	// successor may have to read ends that an expired owner knows.
@@ -168,7 +168,7 @@
 		w.fenced = true
 		w.inherited = false
 		w.pool.needsPass = true
-		event.WorkerFenced.Log(e.opts.Log, zap.String("worker", w.ID), zap.Int64("token", e.opts.Token),
+		event.WorkerFenced.Log(e.opts.Log, zap.String("worker", w.ID), zap.Int64("token", w.token),
 			zap.Int("runs", len(status.Runs)), zap.Int("ends", len(status.Ends)))
 	}
 	e.processEnds(w, status.Ends, now)
@@ -201,7 +201,7 @@
 			return
 		case platform.OrderFenced:
 			e.superseded = true
-			event.EngineSuperseded.Log(e.opts.Log, zap.String("worker", w.ID), zap.Int64("token", e.opts.Token))
+			event.EngineSuperseded.Log(e.opts.Log, zap.String("worker", w.ID), zap.Int64("token", w.token))
 			return
 		}
 	}
@@ -264,6 +264,8 @@
 func (e *Engine) reconcileMissingRun(r *run, o *PollOrder, now time.Duration) {
 	w := r.worker
 	switch {
+	case r.sentToPrevious():
+		e.endRun(r, now) // a start that arrives from now on is refused for its token
 	case r.phase == runSent || o.sentAt <= r.confirmedAt || o.sentAt <= r.sentAt:
 		return
 	case r.phase == runUncertain && w.clockMS > r.deadlineMS:
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -48,7 +48,7 @@
 	event.TaskPlaced.Log(e.opts.Log, zap.Stringer("task", t.id()), zap.Int("run", number), zap.String("worker", w.ID),
 		zap.Duration("waited", now-max(s.job.accepted, s.occ.due)), zap.Int64("catalog", e.catalog.Version))
 	r.order = &StartOrder{Worker: w.Worker, run: r, Start: platform.Start{
-		Task: t.id(), Run: number, Spec: s.job.Spec, DeadlineMS: r.deadlineMS, Token: e.opts.Token,
+		Task: t.id(), Run: number, Spec: s.job.Spec, DeadlineMS: r.deadlineMS, Token: w.token,
 		Checkpoint: t.checkpoint, Ticket: ticket,
 	}}
 	e.emit(r.order)
@@ -72,7 +72,6 @@
 		if r.phase == runSent {
 			r.phase = runUncertain
 		}
-		w.unanswered = append(w.unanswered, unanswered{runKey{r.task.id(), r.number}, r.task.step.Requests(), now})
 		r.sentAt = now // only a poll sent from now on shows whether the run started
 		w.pauseAfterUnanswered(now)
 		return
@@ -166,7 +165,7 @@
 // emitStop orders a worker to end a run, or to refuse its start if that arrives
 // later.
 func (e *Engine) emitStop(w *worker, key runKey) {
-	e.emit(&StopOrder{Worker: w.Worker, Task: key.task, Run: key.run, Token: e.opts.Token, worker: w})
+	e.emit(&StopOrder{Worker: w.Worker, Task: key.task, Run: key.run, Token: w.token, worker: w})
 }
 
 // Stopped handles the answer to a stop.
@@ -176,9 +175,6 @@
 	if e.workers[w.ID] != w {
 		return
 	}
-	if s := w.orphans[runKey{o.Task, o.Run}]; s != nil && err == nil && a.Outcome == platform.OrderDone {
-		s.blockedAt = now
-	}
 	if r == nil {
 		return
 	}
@@ -195,11 +191,9 @@
 	}
 }
 
-// checkRuns repeats stops without an answer and drops old unanswered starts.
+// checkRuns repeats stops without an answer.
 func (e *Engine) checkRuns(now time.Duration) {
 	for _, w := range e.workers {
-		w.unanswered = slices.DeleteFunc(w.unanswered, func(u unanswered) bool { return now-u.at > maxOrderDelay })
-		e.blockLateStarts(w, now)
 		for _, r := range w.runs {
 			if r.phase == runStopping && now-r.stopAt > stopRetry+e.opts.StopGrace && w.failedPolls == 0 {
 				e.sendStop(r, now)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -62,6 +62,10 @@
 	maxOrderDelay = 12 * time.Second
 	// leaseSlack is added to a lease before its runs are given up.
 	leaseSlack = 200 * time.Millisecond
+	// incarnationBits is the number of low bits of a fencing token that number
+	// the incarnations of workers under one owner. The rest is Options.Token,
+	// which leaves 29 bits of the 53 that a JSON number holds exactly.
+	incarnationBits = 24
 	// runsPerEpoch is the distance between the run numbers of successive
 	// owners. Starts are not recorded, so an owner does not know which numbers
 	// previous owners used and has to start above them.
@@ -119,8 +123,10 @@
 	// repeat a job that has ended and was dropped.
 	knownJobs map[string]struct{}
 	workers   map[string]*worker
-	pools     map[string]*pool
-	stats     Stats
+	// added counts the incarnations of workers that were added.
+	added int64
+	pools map[string]*pool
+	stats Stats
 
 	// orders are returned by the next Decide. Events between two decisions add
 	// to them.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -133,7 +133,7 @@
 	sim.run(expiredFor, previous)
 	next := sim.newOwnerAfter(expiredFor)
 	sim.injectFault = func(o Order) orderFault {
-		if l, ok := o.(*PollOrder); ok && l.Token == next.token && l.Worker.ID == "w1" {
+		if l, ok := o.(*PollOrder); ok && l.Token>>incarnationBits == next.token && l.Worker.ID == "w1" {
 			return orderFault{lost: true}
 		}
 		return orderFault{}
@@ -381,15 +381,16 @@
 
 // TestBarredStartStaysBarredInTheNextLife simulates a start without an answer
 // that a stop has blocked on its worker. The worker restarts under the same id
-// and no longer has the stop. The new incarnation must not carry out the late
-// start.
+// and no longer has the stop. The new incarnation must refuse the late start.
 func TestBarredStartStaysBarredInTheNextLife(t *testing.T) {
 	sim := newSimulation(t)
 	f := sim.addWorker("w1", "p", 8)
 	owner := sim.newOwner()
 	sim.run(200*time.Millisecond, owner)
+	var late *StartOrder
 	sim.injectFault = func(o Order) orderFault {
 		if s, ok := o.(*StartOrder); ok && s.Worker.ID == "w1" && s.Run == 1 {
+			late = s
 			return orderFault{lost: true, applied: true, delay: 1400 * time.Millisecond}
 		}
 		return orderFault{}
@@ -408,7 +409,7 @@
 	owner.discover()
 	sim.run(3*time.Second, owner)
 	sim.check()
-	if len(f.highestRun) == 0 {
-		t.Error("the new incarnation was not told to refuse the start")
+	if late.Token >= f.token || len(f.highestRun) != 0 {
+		t.Errorf("the new incarnation has seen token %d and runs %v, want a token above %d and none", f.token, f.highestRun, late.Token)
 	}
 }
--- a/internal/scheduler/settle_test.go
+++ b/internal/scheduler/settle_test.go
@@ -71,7 +71,7 @@
 	owner := sim.newOwner()
 	sim.submit(owner, jobOf(1, 1, 2))
 	sim.run(time.Second, owner)
-	pollAnswered(owner, "w1", sim.now, sim.answerPoll(f, platform.Poll{Token: owner.token}), nil)
+	pollAnswered(owner, "w1", sim.now, sim.answerPoll(f, platform.Poll{Token: owner.workers["w1"].token}), nil)
 	pollAnswered(owner, "w1", sim.now-800*time.Millisecond, platform.WorkerStatus{}, errNoAnswer)
 	if n := owner.workers["w1"].failedPolls; n != 0 {
 		t.Errorf("%d polls count as failed, though a later one was answered", n)
@@ -89,7 +89,7 @@
 	owner := sim.newOwner()
 	sim.submit(owner, jobOf(1, 1, 2))
 	sim.run(400*time.Millisecond, owner)
-	older := sim.answerPoll(f, platform.Poll{Token: owner.token})
+	older := sim.answerPoll(f, platform.Poll{Token: owner.workers["w1"].token})
 	sentAt := sim.now
 	for owner.Stats().FailedRuns == 0 {
 		sim.run(testTick, owner)
--- a/internal/scheduler/throttle.go
+++ b/internal/scheduler/throttle.go
@@ -77,7 +77,7 @@
 	e.stats.Paces++
 	event.TaskThrottleChanged.Log(e.opts.Log, zap.Stringer("task", r.task.id()), zap.Int("run", r.number), zap.String("worker", r.worker.ID),
 		zap.Int("percent", percent), zap.Float64("tail_of_target", worst))
-	e.emit(&ThrottleOrder{Worker: r.worker.Worker, Task: r.task.id(), Run: r.number, Percent: percent, Token: e.opts.Token, run: r})
+	e.emit(&ThrottleOrder{Worker: r.worker.Worker, Task: r.task.id(), Run: r.number, Percent: percent, Token: r.worker.token, run: r})
 }
 
 // Throttled handles the answer to a throttle order. One without an answer is
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -18,6 +18,10 @@
 type worker struct {
 	estate.Worker
 	pool *pool
+	// token is the fencing token of all orders to this incarnation. It is above
+	// those of every previous incarnation under the same id, whose orders may be
+	// carried out late.
+	token int64
 	// listed is set while discovery has an entry of the worker.
 	listed bool
 	// fenced is set once the worker has answered a poll with this owner's
@@ -41,8 +45,6 @@
 	orphans map[runKey]*orphan
 	// speculative counts the runs of tasks that permit copies.
 	speculative int
-	// unanswered holds the starts of the last maxOrderDelay that got no answer.
-	unanswered []unanswered
 	// used is the sum of the requests of runs and orphans.
 	used placement.Resources
 
@@ -121,8 +123,9 @@
 
 func (e *Engine) addWorker(entry estate.Worker, now time.Duration) *worker {
 	p := e.pool(entry.Pool)
+	e.added = min(e.added+1, 1<<incarnationBits-1)
 	w := &worker{
-		Worker: entry, pool: p, runs: map[runKey]*run{}, orphans: map[runKey]*orphan{}, lastContact: now,
+		Worker: entry, pool: p, token: e.opts.Token<<incarnationBits | e.added, runs: map[runKey]*run{}, orphans: map[runKey]*orphan{}, lastContact: now,
 	}
 	p.add(w)
 	e.workers[entry.ID] = w
@@ -171,8 +174,8 @@
 
 // replaceIncarnation replaces a worker by its next incarnation under the same
 // id. Runs that the previous incarnation listed have ended with it. A start
-// that it did not list may still reach the new incarnation, which cannot
-// distinguish it from one that is meant for itself.
+// that it did not list may still reach the next incarnation, until that has
+// answered a poll with its own token.
 func (e *Engine) replaceIncarnation(w *worker, startedMS int64, now time.Duration) *worker {
 	var open []*run
 	for _, r := range w.runs {
@@ -190,7 +193,8 @@
 	next.listed, next.recorded = w.listed, w.recorded
 	next.inherited = w.inherited // starts of a previous owner may arrive until this incarnation has seen a higher token
 	for _, r := range open {
-		r.worker, r.carriedOver = next, true
+		r.withdraw()
+		r.worker = next
 		r.deadlineMS = math.MaxInt64 // the deadline was on the previous incarnation's clock
 		r.sentAt = now
 		r.stopAcked = false
@@ -199,7 +203,6 @@
 		}
 		next.addRun(r)
 	}
-	e.expectLateStarts(next, w.unanswered, now)
 	return next
 }
 
@@ -220,7 +223,7 @@
 	for _, w := range e.workers {
 		if w.failedPolls > 0 && w.silentAt > w.leaseEnd() {
 			for _, r := range w.runs {
-				if !r.mayArrive() || now > r.sentAt+maxOrderDelay+e.opts.MaxLease {
+				if !r.sentToPrevious() || r.listed || now > r.sentAt+maxOrderDelay+e.opts.MaxLease {
 					e.loseRun(r, "lease expired", now)
 				}
 			}
