node: counts of pending jobs include jobs that the owner has not read

Cause: an entry took the owner's counts for fresh because the heartbeat that carried them was. The heartbeats go on while the owner's feed of jobs does not: the log has "dependency lost: jobs" at 16.7 s (for 1.7 s) and at 20.7 s.

Ruled out, with extra log lines in a trial on this change: that the control goroutine stalls. In the 28 lines from 17.4 s to 22.3 s that arrived whole, it had last renewed the counts 0.09 s to 0.19 s before and had at most 82 events waiting, none in most, while the newest answer of the feed, and the newest that it had handled, were the same one and up to 6.8 s old. The counts stayed at 144 in all, while one entry found 727 newer jobs of another queue.

A heartbeat now carries the version and the store's time up to which its counts cover all accepted jobs. An entry that finds that time over 2 s ago, the age that the interface allows, reads the changes of the progress rows after that version and adds the jobs that are still queued. Each row is read once per process, at most twice a second, and only while somebody asks. If that fails, all rows are counted, as before. It holds as well for a heartbeat that the store applies late. The owner does no more work than before, but for one event for each long poll of the feed without changes. A count may still include jobs that have begun since.

The time is compared on the store's clock.

Test: TestPendingCountsJobsThatTheOwnerHasNotRead fails without the change ("answer {"pending":1} after 2.2 s without a new count by the owner, want 3").

--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -71,7 +71,8 @@
 	}()
 	o.pendingMu.Lock()
 	heartbeat := ownership.Heartbeat{
-		Incarnation: n.incarnation, PendingKnown: o.pending != nil, Pending: maps.Clone(o.pending), Surges: o.surges, Waves: o.waves,
+		Incarnation: n.incarnation, PendingKnown: o.pending != nil, Pending: maps.Clone(o.pending),
+		JobsVersion: o.pendingAsOf.Version, JobsMS: o.pendingAsOf.NowMS, Surges: o.surges, Waves: o.waves,
 	}
 	o.pendingMu.Unlock()
 	value, err := ownership.Encode(heartbeat)
@@ -103,7 +104,7 @@
 func (o *owner) updateHeartbeat() {
 	pending := o.engine.Pending()
 	o.pendingMu.Lock()
-	o.pending = pending
+	o.pending, o.pendingAsOf = pending, o.jobsRead
 	o.surges, o.waves = o.fleetController.surges(), o.fleetController.wavesFirstSeen()
 	o.pendingMu.Unlock()
 	o.node.metrics.setEngineStats(o.engine.Stats())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,7 @@
 	view         atomic.Pointer[ownership.View]
 	waves        waveSet
 	acceptor     *acceptor
+	newJobs      *newJobs
 	reachability reachability
 	metrics      *metrics
 	// owner is the current ownership of the control work, nil if this process
@@ -77,6 +78,7 @@
 	n := &Node{Options: o, incarnation: rand.Uint64() | 1, metrics: newMetrics(), catalogChanged: make(chan struct{}, 1)}
 	n.view.Store(&ownership.View{})
 	n.acceptor = newAcceptor(n)
+	n.newJobs = newNewJobs(n)
 	return n
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -225,6 +225,55 @@
 	}
 }
 
+// TestPendingCountsJobsThatTheOwnerHasNotRead guards against an owner that sends heartbeats but handles no new jobs.
+func TestPendingCountsJobsThatTheOwnerHasNotRead(t *testing.T) {
+	n, rows, e := testNode(t)
+	o := testOwner(t, rows, 1)
+	o.engine = scheduler.New(scheduler.Options{
+		Token: 1, Epoch: 1, MaxLease: time.Second, Parts: 1, PartOf: func(string) int { return 0 }, Log: zap.NewNop(),
+	})
+	o.engine.SetCatalog(testCatalog(1, "/q/"))
+	o.fleetController = newFleetController(o, nil, 0)
+	o.node.adopt(platform.OperatorChanges{Catalog: testCatalog(1, "/q/")})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go o.watchJobs(ctx, 0)
+	pendingAfterHeartbeat := func() string {
+		t.Helper()
+		o.sendHeartbeat(ctx, o.node.Clock.Now())
+		control, _, err := rows.ReadRows(ctx, controlTable, controlPart, "", "")
+		if err == nil {
+			err = n.observeControl(control, n.Clock.Now())
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		view := *n.view.Load()
+		view.Record.Incarnation = o.node.incarnation
+		n.view.Store(&view)
+		_, body := request(e, http.MethodGet, "/q/", "")
+		return strings.TrimSpace(body)
+	}
+	for i, id := range []string{"00000000000000a1", "00000000000000a2", "00000000000000a3"} {
+		if code, body := request(e, http.MethodPost, "/q/"+id, testBody); code != http.StatusOK {
+			t.Fatalf("answer %d %s, want 200", code, body)
+		}
+		if i == 0 {
+			for len(o.engine.Pending()) == 0 {
+				(<-o.events)(o.node.Clock.Now())
+			}
+			o.updateHeartbeat()
+		}
+	}
+	if got := pendingAfterHeartbeat(); got != `{"pending":1}` {
+		t.Errorf("answer %s at first, want the owner's count of 1", got)
+	}
+	time.Sleep(2200 * time.Millisecond)
+	if got := pendingAfterHeartbeat(); got != `{"pending":3}` {
+		t.Errorf("answer %s after 2.2 s without a new count by the owner, want 3", got)
+	}
+}
+
 // testOwner stores a new owner record and returns its ownership.
 func testOwner(t *testing.T, rows *standin.Rows, epoch int64) *owner {
 	t.Helper()
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -57,12 +57,16 @@
 	cancel            context.CancelFunc
 	done              chan struct{}
 	acquiredAt        time.Duration
-	// pending, surges and waves are the contents of the next heartbeat. run
-	// sets them under pendingMu.
-	pendingMu sync.Mutex
-	pending   map[string]int
-	surges    []ownership.Surge
-	waves     map[int64]int64
+	// jobsRead is the state of the table service up to which all accepted jobs
+	// are in the engine. Only run uses it.
+	jobsRead platform.Stamp
+	// pending, pendingAsOf, surges and waves are the contents of the next
+	// heartbeat. run sets them under pendingMu.
+	pendingMu   sync.Mutex
+	pending     map[string]int
+	pendingAsOf platform.Stamp
+	surges      []ownership.Surge
+	waves       map[int64]int64
 
 	used usedWorkersRecord
 	// lastSweep is when the heartbeat's contents and the record of workers in
@@ -240,6 +244,7 @@
 		progress[r.Key] = r
 	}
 	o.addJobs(l.jobs, progress, now)
+	o.jobsRead = l.jobStamp
 }
 
 // addJobs passes new jobs and cancellations to the engine. A job without a row
--- a/internal/node/ownerfeeds.go
+++ b/internal/node/ownerfeeds.go
@@ -16,9 +16,10 @@
 	n := o.node
 	apply := func(rows []platform.PartRow, stamp platform.Stamp) int64 {
 		n.Clock.ObserveStore(stamp, n.Clock.Now())
-		if len(rows) > 0 {
-			o.post(ctx, func(now time.Duration) { o.addJobs(rows, nil, now) })
-		}
+		o.post(ctx, func(now time.Duration) {
+			o.addJobs(rows, nil, now)
+			o.jobsRead = stamp
+		})
 		return stamp.Version
 	}
 	f := feed{
--- a/internal/node/queueapi.go
+++ b/internal/node/queueapi.go
@@ -31,10 +31,13 @@
 	// retryAfterSeconds is the Retry-After value of a refusal. Outages of the
 	// table service last seconds.
 	retryAfterSeconds = "1"
-	// maxPendingAge is the age at which the owner's count of pending jobs is no
-	// longer used and the rows are counted instead. The count in an answer may
-	// be up to 2 s old.
+	// maxPendingAge is the age of the last heartbeat at which the owner's count
+	// of pending jobs is no longer used and the rows are counted instead.
 	maxPendingAge = 1400 * time.Millisecond
+	// maxJobsAge is how long ago the owner may have last read new jobs. Beyond
+	// it, the jobs accepted since are counted from their rows and added to the
+	// owner's count. The count in an answer may be up to 2 s old.
+	maxJobsAge = 2 * time.Second
 	// defaultMaxBody is the maximum size of a body, in bytes, if the
 	// configuration sets none.
 	defaultMaxBody = 256 << 10
@@ -79,11 +82,12 @@
 }
 
 // response is the answer to a request. reason is logged, and sent as the error
-// if there is no body.
+// if there is no body. fields are logged.
 type response struct {
 	status int
 	body   any
 	reason string
+	fields []zap.Field
 }
 
 // handle finds the queue of a request, serves it with the given function,
@@ -143,8 +147,8 @@
 	if r.queue != nil {
 		queue = r.queue.Name
 	}
-	event.RequestAnswered.Log(h.node.Log, zap.String("method", r.Request().Method), zap.String("job", r.id), zap.String("queue", queue),
-		zap.Int("status", a.status), zap.String("reason", a.reason), zap.Int64("catalog", catalogVersion(r.catalog)), zap.Duration("took", took))
+	event.RequestAnswered.Log(h.node.Log, append([]zap.Field{zap.String("method", r.Request().Method), zap.String("job", r.id), zap.String("queue", queue),
+		zap.Int("status", a.status), zap.String("reason", a.reason), zap.Int64("catalog", catalogVersion(r.catalog)), zap.Duration("took", took)}, a.fields...)...)
 }
 
 // catalogVersion returns the version of a catalog, 0 for none.
@@ -221,16 +225,24 @@
 }
 
 // pending answers with the number of pending jobs of a queue: from the owner's
-// last heartbeat if that is recent, otherwise counted from the rows.
+// last heartbeat if that is recent, with the jobs that the owner has not read
+// yet, otherwise counted from the rows.
 func (h *QueueAPI) pending(r *queueRequest) response {
 	n := h.node
-	view := n.view.Load()
-	age := n.Clock.Now() - view.HeartbeatSeen
-	if view.Heartbeat.PendingKnown && age < maxPendingAge && view.Heartbeat.Incarnation == view.Record.Incarnation {
-		return response{status: http.StatusOK, body: h.codec.EncodePending(view.Heartbeat.Pending[r.queue.Name]), reason: "counted by the owner"}
-	}
 	ctx, cancel := context.WithDeadline(r.Request().Context(), r.deadline)
 	defer cancel()
+	view, now := n.view.Load(), n.Clock.Now()
+	heartbeat := &view.Heartbeat
+	if heartbeat.PendingKnown && now-view.HeartbeatSeen < maxPendingAge && heartbeat.Incarnation == view.Record.Incarnation {
+		count := heartbeat.Pending[r.queue.Name]
+		age := time.Duration(n.Clock.StoreMS(now)-heartbeat.JobsMS) * time.Millisecond
+		if age <= maxJobsAge {
+			return h.pendingResponse(count, "counted by the owner", zap.Duration("age", age))
+		}
+		if added, err := n.newJobs.count(ctx, heartbeat.JobsVersion, r.queue.Name); err == nil {
+			return h.pendingResponse(count+added, "counted by the owner, newer jobs from the rows", zap.Duration("age", age), zap.Int("newer", added))
+		}
+	}
 	rows, _, err := n.readJobParts(ctx, progressTable)
 	if err != nil {
 		return response{status: http.StatusServiceUnavailable, reason: err.Error()}
@@ -242,7 +254,15 @@
 			count++
 		}
 	}
-	return response{status: http.StatusOK, body: h.codec.EncodePending(count), reason: "counted from the rows"}
+	return h.pendingResponse(count, "counted from the rows")
+}
+
+// pendingResponse returns the answer with a count of pending jobs.
+func (h *QueueAPI) pendingResponse(count int, reason string, fields ...zap.Field) response {
+	return response{
+		status: http.StatusOK, body: h.codec.EncodePending(count), reason: reason,
+		fields: append(fields, zap.Int("pending", count)),
+	}
 }
 
 // cancel records a job's cancellation, unless it has already ended.
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -63,6 +63,12 @@
 	// Pending is the number of jobs in each queue of which no task has started.
 	// Queues without such jobs are left out.
 	Pending map[string]int `json:"pending,omitempty"`
+	// JobsVersion is the version of the table service up to which Pending covers
+	// all accepted jobs, and JobsMS the store's clock, in milliseconds, when that
+	// was its newest version. They do not advance while the owner does not read
+	// or handle new jobs.
+	JobsVersion int64 `json:"jobs_version,omitempty"`
+	JobsMS      int64 `json:"jobs_ms,omitempty"`
 	// Surges are the latest surges of the pools' demand, for the forecast of a
 	// successor.
 	Surges []Surge `json:"surges,omitempty"`
