scheduler: a job has begun once a worker confirmed, listed or ended a run

Callers could be told that fewer jobs of a queue wait than do, and that a job is "running" of which no task has started.

Cause: a job counted as begun, and was recorded as running, when the start of its first task was ordered. The worker may refuse that start, never get it, or get it after its deadline; nothing took the mark back. Both the owner's counts and the counts from the rows go by it.

A job has now begun when a worker confirms a start, lists a run or lists its end, whichever comes first, and is recorded as running then. A successor that finds the run of a job recorded as queued records it as well.

Tests: three fail without the change: TestJobWhoseStartNeverArrivedIsPending ("0 pending, recorded as "queued" at 100ms; want 1 and queued"), TestJobWhoseStartWasRefusedIsPending ("0 pending, recorded as "running", 98 refusals") and TestAdoptedJobThatWasRecordedAsQueuedIsNotPending ("0 pending, recorded as "queued" after the takeover; want 0 and running"). The other three pass before. Each of the three calls of begin is needed by a test: without that in Started TestJobWhoseStartWasConfirmedIsNotPending fails, without that in observe TestJobWhoseStartAnswerWasLostIsNotPendingOnceListed, without that in ended TestJobWhoseOnlyRunFailedIsNotPending.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -21,7 +21,8 @@
 	// inherited is set if a previous owner may have started runs of the job.
 	inherited bool
 	cancelled bool
-	// started is set once a task has started, also under a previous owner.
+	// started is set once a worker has confirmed, listed or ended a run, also
+	// under a previous owner.
 	started bool
 	// seq numbers the newest change and durable the newest recorded one.
 	seq, durable uint64
--- a/internal/scheduler/pending.go
+++ b/internal/scheduler/pending.go
@@ -1,5 +1,22 @@
 package scheduler
 
+import (
+	"time"
+
+	"github.com/egretpitch/egretpitch/internal/workload"
+)
+
+// begin records that a task of the job has started. An order alone is no
+// evidence of that: it may be refused, late or lost.
+func (e *Engine) begin(j *job, now time.Duration) {
+	if j.started || j.ended() {
+		return
+	}
+	j.started = true
+	j.progress.State = workload.Running
+	e.markDirty(j, false, now)
+}
+
 // Pending returns, for each queue, the number of jobs of which no task has
 // started.
 func (e *Engine) Pending() map[string]int {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -39,11 +39,6 @@
 	t.runs = append(t.runs, r)
 	w.addRun(r)
 	s.job.liveRuns++
-	if !s.job.started {
-		s.job.started = true
-		s.job.progress.State = workload.Running
-		e.markDirty(s.job, false, now)
-	}
 	e.stats.Starts++
 	event.TaskPlaced.Log(e.opts.Log, zap.Stringer("task", t.id()), zap.Int("run", number), zap.String("worker", w.ID),
 		zap.Duration("waited", now-max(s.job.accepted, s.occ.due)), zap.Int64("catalog", e.catalog.Version))
@@ -82,6 +77,7 @@
 			r.phase = runConfirmed
 		}
 		r.confirmedAt = now
+		e.begin(r.task.step.job, now)
 		return
 	case platform.OrderFenced:
 		e.superseded = true
@@ -217,7 +213,6 @@
 	t.runs = append(t.runs, r)
 	w.addRun(r)
 	j.liveRuns++
-	j.started = true
 	event.TaskAdopted.Log(e.opts.Log, zap.Stringer("task", s.Task), zap.Int("run", s.Run), zap.String("worker", w.ID))
 	return r
 }
@@ -229,6 +224,7 @@
 	}
 	r.confirmedAt = max(r.confirmedAt, now)
 	r.listed = true
+	e.begin(r.task.step.job, now)
 	if s.Checkpoint != "" {
 		r.task.checkpoint = s.Checkpoint
 	}
@@ -280,6 +276,7 @@
 	}
 	event.TaskEnded.Log(e.opts.Log, zap.Stringer("task", end.Task), zap.Int("run", end.Run), zap.String("worker", w.ID),
 		zap.String("end", string(end.End)), zap.Int64("number", end.Number))
+	e.begin(j, now)
 	var changed *job
 	switch {
 	case t.done || j.ended():
