scheduler: simulated workers are as strict as the platform about TWICE

Cause: the simulation kept a late poll from the next incarnation of its worker, carried orders out at most 3 s late, counted a start only after the end of the task was acknowledged, and let a late lease end at its deadline. The platform does none of that.

Change: late polls reach the next incarnation, with what they acknowledge; a third of late orders take up to 12 s. A start after an end "done" is a violation once that end is acknowledged then or later, unless the lease expired in between. The lease and acknowledgement of a long poll apply when it arrives; before, its answer applied the lease again, which the platform does not do. All of this holds in TestNoTaskRunsTwiceInAnyHistory too.

Two new tests add denser histories, one fault each: TestNoTaskRunsTwiceWhenOrdersOutliveAnIncarnation, and TestNoTaskRunsTwiceWhenALeaseOutlastsItsDeadline, in which most late polls renew the lease from their arrival and no late order reaches the next incarnation. The engine is as it was.

--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -20,59 +21,128 @@
 // capacity. Once all faults end, every job must end as well.
 func TestNoTaskRunsTwiceInAnyHistory(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		playHistory(t).judge(t)
+		playHistory(t, faultClasses{}).judge(t)
 	})
 }
 
+// Orders without an answer are carried out by the next incarnation too.
+func TestNoTaskRunsTwiceWhenOrdersOutliveAnIncarnation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { playHistory(t, faultClasses{ordersOutlive: true}).judge(t) })
+}
+
+// A lease that is renewed late counts from the arrival of the poll.
+func TestNoTaskRunsTwiceWhenALeaseOutlastsItsDeadline(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { playHistory(t, faultClasses{leaseFromArrival: true}).judge(t) })
+}
+
 // TestSeedRepeatsItsHistory guards against a simulation that depends on the
 // order of a map: a failure of such a history cannot be reproduced.
 func TestSeedRepeatsItsHistory(t *testing.T) {
-	histories := rapid.Custom(func(t *rapid.T) []string {
-		sim := playHistory(t)
-		return append(sim.trace, sim.violation)
-	})
-	for seed := range 25 {
-		first, second := histories.Example(seed), histories.Example(seed)
-		if diff := cmp.Diff(first, second); diff != "" {
-			t.Fatalf("seed %d plays two histories:\n%s", seed, diff)
+	for _, classes := range []faultClasses{{}, {ordersOutlive: true, leaseFromArrival: true}} {
+		histories := rapid.Custom(func(t *rapid.T) []string {
+			sim := playHistory(t, classes)
+			return append(sim.trace, sim.violation)
+		})
+		for seed := range 25 {
+			first, second := histories.Example(seed), histories.Example(seed)
+			if diff := cmp.Diff(first, second); diff != "" {
+				t.Fatalf("seed %d plays two histories:\n%s", seed, diff)
+			}
 		}
 	}
 }
 
+// faultClasses are the faults of a history in addition to those that each has.
+// With any of them, draws are uniform (those of rapid favour small values),
+// orders to a worker that is down or unreachable may be
+// carried out late, workers crash and restart at once, and some tasks outlast
+// a lease.
+type faultClasses struct {
+	// ordersOutlive lets late orders reach the next incarnation of their worker.
+	ordersOutlive bool
+	// leaseFromArrival lets the leases of late polls count from their arrival.
+	leaseFromArrival bool
+}
+
+func (c faultClasses) wide() bool { return c != faultClasses{} }
+
 // playHistory plays a random history to its end or to the first violation.
-func playHistory(t *rapid.T) *simulation {
+func playHistory(t *rapid.T, classes faultClasses) *simulation {
 	sim := newSimulation(t)
 	ids := []string{"w1", "w2", "w3", "w4"}
+	var random *rand.Rand
+	if classes.wide() {
+		random = rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+	}
+	draw := func(from, to int, label string) int {
+		if classes.wide() {
+			return from + random.IntN(to-from+1)
+		}
+		return rapid.IntRange(from, to).Draw(t, label)
+	}
 	overcommits := rapid.Bool().Draw(t, "workers start whatever they are told to")
-	stopTakes := time.Duration(rapid.IntRange(0, 200).Draw(t, "stop takes ms")) * time.Millisecond
+	stopTakes := time.Duration(draw(0, 200, "stop takes ms")) * time.Millisecond
 	for _, id := range ids {
 		f := sim.addWorker(id, "p", 6)
 		f.overcommits = overcommits
 		f.stopTakes = stopTakes
 		f.duration = func(task workload.TaskID) (time.Duration, platform.RunEnd) {
+			if classes.wide() && task.Job[15]%3 == 0 {
+				return time.Duration(2+task.Index*2) * time.Second, platform.EndDone
+			}
 			ms := 100 + int(task.Job[15]-'0')*130 + task.Index*70
 			return time.Duration(ms) * time.Millisecond, platform.EndDone
 		}
 	}
 	faults := true
-	loss := rapid.IntRange(0, 30).Draw(t, "loss percent")
-	draws := rapid.SliceOfN(rapid.IntRange(0, 99), 400, 400).Draw(t, "luck")
+	loss := draw(0, 30, "loss percent")
+	var draws []int
+	if !classes.wide() {
+		draws = rapid.SliceOfN(rapid.IntRange(0, 99), 400, 400).Draw(t, "luck")
+	}
 	next := 0
-	nextDraw := func() int { next++; return draws[next%len(draws)] }
+	nextDraw := func() int {
+		if classes.wide() {
+			return random.IntN(100)
+		}
+		next++
+		return draws[next%len(draws)]
+	}
 	sim.injectFault = func(o Order) orderFault {
-		if !faults || nextDraw() >= loss {
+		if !faults {
+			return orderFault{}
+		}
+		f := sim.workers[keyOf(o).target]
+		cut := classes.wide() && f != nil && !(f.up && f.reachable)
+		if !cut && nextDraw() >= loss {
 			return orderFault{}
 		}
 		late := nextDraw()
-		return orderFault{lost: true, applied: late%2 == 0, delay: time.Duration(late) * 30 * time.Millisecond}
+		ft := orderFault{lost: true, applied: late%2 == 0, delay: time.Duration(late) * 30 * time.Millisecond}
+		if nextDraw()%3 == 0 {
+			ft.delay = min(4*ft.delay, maxOrderDelay)
+		}
+		ft.sameIncarnation = classes.wide() && !classes.ordersOutlive
+		ft.fromArrival = classes.leaseFromArrival && nextDraw()%4 > 0
+		return ft
 	}
 	owners := []*testOwner{sim.newOwner()}
 	current := owners[0]
 	jobs := 0
-	steps := rapid.IntRange(5, 40).Draw(t, "steps")
+	actions := []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9}
+	if classes.wide() {
+		actions = append(actions, 0, 0, 1, 2, 3, 3, 3, 3)
+	}
+	if classes.ordersOutlive {
+		actions = append(actions, 10, 10, 10, 10)
+	}
+	if classes.leaseFromArrival {
+		actions = append(actions, 11, 11, 11, 11, 11, 11)
+	}
+	steps := draw(5, 40, "steps")
 	for range steps {
-		f := sim.workers[rapid.SampledFrom(ids).Draw(t, "worker")]
-		switch rapid.IntRange(0, 9).Draw(t, "action") {
+		f := sim.workers[ids[draw(0, len(ids)-1, "worker")]]
+		switch actions[draw(0, len(actions)-1, "action")] {
 		case 0, 1, 2:
 			jobs++
 			spec := jobOf(jobs%10, 1+jobs%3, 2)
@@ -98,9 +168,19 @@
 			owners = append(owners, current)
 		case 9:
 			sim.storeDown = !sim.storeDown
+		case 11:
+			// The worker is away for longer than a lease.
+			f.reachable = false
+			sim.after(time.Duration(draw(4500, 7000, "away ms"))*time.Millisecond, func() { f.reachable = true })
+		case 10:
+			if f.up {
+				f.crash()
+				f.restart(sim.now)
+				sim.tracef("%s restarts", f.ID)
+			}
 		}
 		current.discover()
-		sim.run(time.Duration(rapid.IntRange(5, 900).Draw(t, "pause"))*time.Millisecond, owners...)
+		sim.run(time.Duration(draw(5, 900, "pause"))*time.Millisecond, owners...)
 		if sim.violation != "" {
 			return sim
 		}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -52,6 +52,12 @@
 	lost    bool
 	applied bool
 	delay   time.Duration
+	// fromArrival lets the lease of a poll that is carried out late count from
+	// its arrival.
+	fromArrival bool
+	// sameIncarnation keeps a late order from the next incarnation of its
+	// worker, to tell failures of both kinds apart.
+	sameIncarnation bool
 }
 
 type timedEvent struct {
@@ -67,6 +73,20 @@
 	cancelled bool
 	// doneAt holds when the end of each finished task was acknowledged.
 	doneAt map[workload.TaskID]time.Duration
+	starts map[workload.TaskID][]startRecord
+}
+
+// startRecord is a start that a worker has carried out.
+type startRecord struct {
+	run    int
+	worker string
+	moment
+}
+
+// moment is a point in the history. seq orders moments of the same time.
+type moment struct {
+	at  time.Duration
+	seq int
 }
 
 // fakeWorker behaves as the platform specifies for a worker.
@@ -85,7 +105,8 @@
 	// leaseExpiredAt is when the lease was last found to have expired, and
 	// endedAt when each listed run ended.
 	leaseExpiredAt time.Duration
-	endedAt        map[int64]time.Duration
+	endedAt        map[int64]moment
+	sim            *simulation
 	highestRun     map[workload.TaskID]int
 	duration       func(workload.TaskID) (time.Duration, platform.RunEnd)
 	// stalls keeps every run from making progress. tailLatency is the load of
@@ -120,13 +141,18 @@
 	sim.events = append(sim.events, timedEvent{sim.now + d, sim.seq, fn})
 }
 
+func (sim *simulation) nextMoment() moment {
+	sim.seq++
+	return moment{sim.now, sim.seq}
+}
+
 func (sim *simulation) addWorker(id, pool string, cores float64) *fakeWorker {
 	f := &fakeWorker{
 		Worker: estate.Worker{
 			ID: id, Pool: pool, Address: id + ":1", StartedMS: sim.now.Milliseconds() + 1,
 			Labels: []string{"a", "rack"}, Capacity: placement.Resources{Processors: cores, MemoryMB: 1 << 20, Accelerators: 8},
 		},
-		up: true, reachable: true, startedAt: sim.now, running: map[runKey]*fakeRun{}, endedAt: map[int64]time.Duration{}, highestRun: map[workload.TaskID]int{},
+		up: true, reachable: true, startedAt: sim.now, sim: sim, running: map[runKey]*fakeRun{}, endedAt: map[int64]moment{}, highestRun: map[workload.TaskID]int{},
 		duration: func(workload.TaskID) (time.Duration, platform.RunEnd) {
 			return 300 * time.Millisecond, platform.EndDone
 		},
@@ -144,7 +170,7 @@
 	f.startedAt = now
 	f.token, f.leaseMS, f.lastEnd = 0, 0, 0
 	f.running, f.ended, f.highestRun = map[runKey]*fakeRun{}, nil, map[workload.TaskID]int{}
-	f.endedAt = map[int64]time.Duration{}
+	f.endedAt = map[int64]moment{}
 	f.up = true
 }
 
@@ -157,7 +183,7 @@
 func (f *fakeWorker) end(r *fakeRun, how platform.RunEnd, now time.Duration) {
 	delete(f.running, runKey{r.task, r.run})
 	f.lastEnd++
-	f.endedAt[f.lastEnd] = now
+	f.endedAt[f.lastEnd] = f.sim.nextMoment()
 	f.ended = append(f.ended, platform.EndedRun{Number: f.lastEnd, Task: r.task, Run: r.run, End: how})
 }
 
@@ -272,6 +298,7 @@
 	if at, ok := j.doneAt[o.Task]; ok {
 		sim.violate("task %v run %d starts on %s at %v, though its end was acknowledged at %v", o.Task, o.Run, f.ID, sim.now, at)
 	}
+	j.starts[o.Task] = append(j.starts[o.Task], startRecord{o.Run, f.ID, sim.nextMoment()})
 	for _, other := range sorted(sim.workers) {
 		for _, r := range other.runs() {
 			if r.task == o.Task && other.up {
@@ -281,6 +308,25 @@
 	}
 }
 
+// checkDone checks the acknowledged end of a finished run: the task must not
+// have started after the end, whenever that is acknowledged.
+func (sim *simulation) checkDone(f *fakeWorker, e platform.EndedRun) {
+	j := sim.records[e.Task.Job]
+	if j == nil {
+		return
+	}
+	ended := f.endedAt[e.Number]
+	for _, s := range j.starts[e.Task] {
+		if s.seq > ended.seq {
+			sim.violate("task %v run %d started on %s at %v, after run %d had ended as done on %s at %v, acknowledged at %v",
+				e.Task, s.run, s.worker, s.at, e.Run, f.ID, ended.at, sim.now)
+		}
+	}
+	if _, ok := j.doneAt[e.Task]; !ok {
+		j.doneAt[e.Task] = sim.now
+	}
+}
+
 func (sim *simulation) violate(format string, args ...any) {
 	if sim.violation == "" {
 		const shown = 60 // lines of the trace
@@ -328,11 +374,9 @@
 	for _, e := range f.ended {
 		// An end from before the expiry of the lease does not count as
 		// acknowledged.
-		acknowledged := e.Number <= poll.Acknowledged && f.endedAt[e.Number] > f.leaseExpiredAt
+		acknowledged := e.Number <= poll.Acknowledged && f.endedAt[e.Number].at > f.leaseExpiredAt
 		if acknowledged && e.End == platform.EndDone {
-			if j := sim.records[e.Task.Job]; j != nil {
-				j.doneAt[e.Task] = sim.now
-			}
+			sim.checkDone(f, e)
 		}
 	}
 	f.ended = slices.DeleteFunc(f.ended, func(e platform.EndedRun) bool { return e.Number <= poll.Acknowledged })
@@ -446,7 +490,7 @@
 func (sim *simulation) submit(owner *testOwner, spec *workload.Job) {
 	sim.version++
 	sim.records[spec.ID] = &storedJob{
-		spec: spec, version: sim.version, doneAt: map[workload.TaskID]time.Duration{},
+		spec: spec, version: sim.version, doneAt: map[workload.TaskID]time.Duration{}, starts: map[workload.TaskID][]startRecord{},
 		progress: workload.Progress{Queue: spec.Queue, State: workload.Queued},
 	}
 	if owner != nil {
@@ -547,36 +591,14 @@
 		sim.after(20*time.Millisecond, func() { owner.Recommended(r, t, nil, sim.now) })
 		return
 	}
-	var id string
-	switch x := o.(type) {
-	case *ThrottleOrder:
-		id = x.Worker.ID
-	case *StartOrder:
-		id = x.Worker.ID
-	case *StopOrder:
-		id = x.Worker.ID
-	case *PollOrder:
-		id = x.Worker.ID
-	default:
-		return
-	}
-	f := sim.workers[id]
+	f := sim.workers[keyOf(o).target]
 	var ft orderFault
 	if sim.injectFault != nil {
 		ft = sim.injectFault(o)
 	}
 	if ft.lost {
 		if ft.applied && f != nil {
-			incarnation := f.incarnation
-			_, isPoll := o.(*PollOrder)
-			sim.after(ft.delay, func() {
-				// A poll that another incarnation carries out makes it discard
-				// ends that no owner has read; docs/PLATFORM.md lists that as
-				// open.
-				if f.up && !(isPoll && f.incarnation != incarnation) {
-					sim.apply(f, o)
-				}
-			})
+			sim.deliverLate(f, o, ft)
 		}
 		sim.after(500*time.Millisecond, func() { owner.answer(o, nil, errNoAnswer) })
 		return
@@ -599,6 +621,27 @@
 	})
 }
 
+// deliverLate carries an order without an answer to its worker after the delay
+// of the fault. The next incarnation of the worker cannot distinguish it from
+// an order that is meant for itself.
+func (sim *simulation) deliverLate(f *fakeWorker, o Order, ft orderFault) {
+	incarnation, sentMS := f.incarnation, f.clock(sim.now)
+	sim.after(ft.delay, func() {
+		poll, isPoll := o.(*PollOrder)
+		if !f.up || (ft.sameIncarnation && f.incarnation != incarnation) {
+			return
+		}
+		sim.tracef("%s carries out an order %v late", f.ID, ft.delay)
+		if isPoll && ft.fromArrival && poll.DeadlineMS > 0 {
+			late := poll.Poll
+			late.DeadlineMS += f.clock(sim.now) - sentMS
+			sim.answerPoll(f, late)
+			return
+		}
+		sim.apply(f, o)
+	})
+}
+
 // applyPoll carries out an order. A long poll is answered at the next end or
 // when its wait is over.
 func (sim *simulation) applyPoll(f *fakeWorker, o Order, answer func(any)) {
@@ -609,7 +652,7 @@
 	}
 	first := sim.answerPoll(f, x.Poll)
 	later := x.Poll
-	later.Acknowledged = 0 // ends are discarded when the call arrives
+	later.Acknowledged, later.DeadlineMS = 0, 0 // they apply when the call arrives
 	until := sim.now + x.Wait
 	var poll func()
 	poll = func() {
