scheduler: one function for the end of a lease at the slowest clock

The sum stood in leaseEnd and in Recover.

Ruled out with a trial: to let leases of polls without an answer run from the latest moment at which a worker may carry them out (12 s), as the kind applied_late says of grants.

--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -22,8 +22,7 @@
 // ended, or until every lease that a previous owner gave has expired.
 func (e *Engine) Recover(used []estate.Worker, lastOrder, now time.Duration) {
 	e.recovering = true
-	lease := e.opts.MaxLease
-	leaseEnd := lastOrder + lease + time.Duration(float64(lease)*clockDrift) + leaseSlack
+	leaseEnd := lastOrder + atSlowClock(e.opts.MaxLease)
 	e.recoveryDeadline = max(leaseEnd, now+firstPollsTimeout)
 	for _, entry := range used {
 		w := e.workers[entry.ID]
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -243,7 +243,13 @@
 	if left < 0 {
 		left = 0
 	}
-	return max(w.clockAt+left+time.Duration(float64(left)*clockDrift)+leaseSlack, w.inheritedLeaseEnd)
+	return max(w.clockAt+atSlowClock(left), w.inheritedLeaseEnd)
+}
+
+// atSlowClock returns the time after which a lease has expired by the slowest
+// clock of a worker.
+func atSlowClock(lease time.Duration) time.Duration {
+	return lease + time.Duration(float64(lease)*clockDrift) + leaseSlack
 }
 
 // clock estimates the worker's clock in milliseconds from below: it leaves out
