scheduler: an owner without a lease polls at intervals

Callers saw: an owner that has lost the table service becomes slow, answers wait unread, and what follows from that.

Cause: while ends cannot be recorded, polls were spaced from the last renewal of the worker's lease. An owner whose own lease has expired renews none, so it polled each worker with ends again as soon as it had answered: each answer came at once, with the same ends.

Why it works: polls are spaced from the last answer, and also while recorded ends may not be acknowledged.

--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -27,8 +27,8 @@
 	// stallThreshold is the time between two decisions from which this process
 	// counts as stalled. It decides at least every 50 ms.
 	stallThreshold = ProbeTimeout / 2
-	// unrecordedPollInterval is the time between polls that only renew the
-	// lease of a worker whose ends cannot be recorded yet.
+	// unrecordedPollInterval is the time between polls of a worker whose ends
+	// cannot be recorded or acknowledged yet.
 	unrecordedPollInterval = 500 * time.Millisecond
 )
 
@@ -51,11 +51,11 @@
 			if w.occupied() || w.listed {
 				e.poll(w, true, now)
 			}
-		case len(w.pendingEnds) > 0 && w.lastRecordedEnd() == w.lastAckedEnd:
+		case len(w.pendingEnds) > 0 && (w.lastRecordedEnd() == w.lastAckedEnd || e.ownership == OwnershipExpired):
 			// A long poll would return at once with ends that are known
 			// already. Only the lease has to be renewed until they are
 			// recorded.
-			if now >= w.leasedAt+unrecordedPollInterval {
+			if now >= w.lastContact+unrecordedPollInterval {
 				e.poll(w, true, now)
 			}
 		case w.occupied():
@@ -118,7 +118,6 @@
 	if lease := e.lease(); w.fenced && w.failedPolls == 0 && lease > 0 {
 		o.DeadlineMS = w.clock(now) + lease.Milliseconds()
 		w.leaseMS = max(w.leaseMS, o.DeadlineMS)
-		w.leasedAt = now
 	}
 	if probe {
 		w.probing = true
--- a/internal/scheduler/settle_test.go
+++ b/internal/scheduler/settle_test.go
@@ -232,3 +232,20 @@
 		t.Errorf("%d starts, want 2: each task was done once", s.Starts)
 	}
 }
+
+// TestExpiredOwnerPollsAtIntervals guards against an owner that cannot record
+// ends and polls their worker without a pause.
+func TestExpiredOwnerPollsAtIntervals(t *testing.T) {
+	sim := newSimulation(t)
+	sim.addWorker("w1", "p", 2)
+	owner := sim.newOwner()
+	sim.submit(owner, jobOf(1, 1, 2))
+	sim.run(200*time.Millisecond, owner)
+	owner.expired = true
+	sim.run(time.Second, owner)
+	before := owner.Stats().Looks
+	sim.run(5*time.Second, owner)
+	if polls := owner.Stats().Looks - before; polls > 12 {
+		t.Errorf("%d polls in 5 s, want one each %v", polls, unrecordedPollInterval)
+	}
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -60,10 +60,8 @@
 	// clockMS is the worker's clock at clockAt, from its last answer.
 	clockMS int64
 	clockAt time.Duration
-	// leaseMS is the latest lease deadline that was sent, on the worker's
-	// clock. leasedAt is when a poll last renewed the lease.
-	leaseMS  int64
-	leasedAt time.Duration
+	// leaseMS is the latest lease deadline that was sent, on the worker's clock.
+	leaseMS int64
 	// inheritedLeaseEnd is when the last lease that a previous owner can have
 	// granted has expired.
 	inheritedLeaseEnd time.Duration
