node: an answer about changes may be one page of several

Cause: the platform answers the feed of a table in pages of about 500 rows; the version in such an answer is that of its last row, while its time is that of the answer. An owner that caught up after 5 s read one page and claimed in its heartbeat to know all jobs up to now; entries answered with its count as fresh. An entry, too, added only the first page of the newer jobs.

The feed itself was right: it goes on from that version. An answer whose version is above that of its last row, or without rows, is now the end of the changes; any other may be a page. The owner advances the version that it knows with each answer, but the time only at the end of the changes. An entry reads on to the end.

Tests: without the change of read TestNewerJobsAreCountedOnAllPages fails ("1 jobs, error <nil>; want 3"), without that of watchJobs TestOwnerThatReadOnePageDoesNotClaimToKnowAllJobs ("1 pending, all jobs known at 1 after page 1; want 1 and 0"). Four more tests hold what newjobs.go promised before: jobs that began are not counted, a late heartbeat with older counts gets all newer jobs, a failed read is an error and not 0, and all rows are counted where the store has no history.

--- a/internal/node/newjobs.go
+++ b/internal/node/newjobs.go
@@ -36,6 +36,12 @@
 	return &newJobs{node: n, busy: make(chan struct{}, 1), queued: map[string]queuedJob{}}
 }
 
+// mayHaveMore reports whether an answer about changes may be one page of
+// several. The version of such an answer is that of its last row.
+func mayHaveMore(rows []platform.PartRow, stamp platform.Stamp) bool {
+	return len(rows) > 0 && rows[len(rows)-1].Version >= stamp.Version
+}
+
 // count returns how many jobs of a queue were accepted after a version and have
 // not begun. Only the acceptance of a job writes a row that says it is queued.
 func (j *newJobs) count(ctx context.Context, after int64, queue string) (int, error) {
@@ -68,20 +74,24 @@
 	case now-j.readAt < newJobsInterval:
 		return nil
 	}
-	rows, stamp, err := n.Rows.Changes(ctx, progressTable, j.through, 0)
-	if err != nil {
-		return err
+	for more := true; more; {
+		rows, stamp, err := n.Rows.Changes(ctx, progressTable, j.through, 0)
+		if err != nil {
+			return err
+		}
+		n.Clock.ObserveStore(stamp, n.Clock.Now())
+		for _, r := range rows {
+			j.observe(r)
+		}
+		j.through = stamp.Version
+		more = mayHaveMore(rows, stamp)
 	}
-	n.Clock.ObserveStore(stamp, n.Clock.Now())
 	for id, q := range j.queued {
 		if q.version <= after {
 			delete(j.queued, id)
 		}
 	}
-	for _, r := range rows {
-		j.observe(r)
-	}
-	j.after, j.through, j.readAt = after, stamp.Version, now
+	j.after, j.readAt = after, now
 	return nil
 }
 
--- a/internal/node/ownerfeeds.go
+++ b/internal/node/ownerfeeds.go
@@ -14,11 +14,14 @@
 // watchJobs passes new jobs and cancellations to the engine until ctx ends.
 func (o *owner) watchJobs(ctx context.Context, version int64) {
 	n := o.node
-	apply := func(rows []platform.PartRow, stamp platform.Stamp) int64 {
+	apply := func(rows []platform.PartRow, stamp platform.Stamp, more bool) int64 {
 		n.Clock.ObserveStore(stamp, n.Clock.Now())
 		o.post(ctx, func(now time.Duration) {
 			o.addJobs(rows, nil, now)
-			o.jobsRead = stamp
+			o.jobsRead.Version = stamp.Version
+			if !more {
+				o.jobsRead.NowMS = stamp.NowMS
+			}
 		})
 		return stamp.Version
 	}
@@ -33,14 +36,14 @@
 			if err != nil {
 				return 0, err
 			}
-			return apply(withoutNewerProgress(rows, progress), stamp), nil
+			return apply(withoutNewerProgress(rows, progress), stamp, false), nil
 		},
 		readChanges: func(ctx context.Context, after int64) (int64, error) {
 			rows, stamp, err := n.Rows.Changes(ctx, jobTable, after, feedLongPollWait)
 			if err != nil {
 				return 0, err
 			}
-			return apply(rows, stamp), nil
+			return apply(rows, stamp, mayHaveMore(rows, stamp)), nil
 		},
 	}
 	_ = f.run(ctx) // ends with ctx
