scheduler: random histories with pools, starved owners, overtaking answers and vanishing entries

Cause: the simulated histories had one pool, hosts that stay, answers after a fixed delay, discovery entries that never vanish, and a record of workers in use that only grew, while an owner replaces it every second.

Change: four further classes of faults. Queues and hosts move between two pools, hosts under a new id; the answers for an owner wait for up to 3 s and come out of order; orders and answers take up to 400 ms each; entries vanish after an outage of the table service and come back, and owners replace the record. TestNoTaskRunsTwiceInAnyWiderHistory plays random combinations, TestNoTaskRunsTwiceWhenEntriesVanish all four together. The faults of the existing test are as they were. The engine is as it was.

InUse leaves out a worker without an entry whose ends are not recorded yet; it is listed again, still counts as recorded and gets tasks; a successor does not find it in the record, does not wait for its first poll and starts a task again. That the platform plays this history is not shown.

--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	stdcmp "cmp"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -25,6 +27,29 @@
 	})
 }
 
+// TestNoTaskRunsTwiceInAnyWiderHistory adds random combinations of further
+// faults, while late orders reach only the incarnation that they were sent to.
+func TestNoTaskRunsTwiceInAnyWiderHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { playHistory(t, widerFaults(t)).judge(t) })
+}
+
+func widerFaults(t *rapid.T) faultClasses {
+	return faultClasses{
+		poolsChange:     rapid.Bool().Draw(t, "pools change"),
+		ownersStarve:    rapid.Bool().Draw(t, "owners starve"),
+		answersOvertake: rapid.Bool().Draw(t, "answers overtake"),
+		entriesVanish:   rapid.Bool().Draw(t, "entries vanish"),
+		longTasks:       true,
+	}
+}
+
+// An entry that comes back names a worker that may not be recorded any more.
+func TestNoTaskRunsTwiceWhenEntriesVanish(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		playHistory(t, faultClasses{poolsChange: true, ownersStarve: true, answersOvertake: true, entriesVanish: true}).judge(t)
+	})
+}
+
 // Orders without an answer are carried out by the next incarnation too.
 func TestNoTaskRunsTwiceWhenOrdersOutliveAnIncarnation(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) { playHistory(t, faultClasses{ordersOutlive: true}).judge(t) })
@@ -38,7 +63,7 @@
 // TestSeedRepeatsItsHistory guards against a simulation that depends on the
 // order of a map: a failure of such a history cannot be reproduced.
 func TestSeedRepeatsItsHistory(t *testing.T) {
-	for _, classes := range []faultClasses{{}, {ordersOutlive: true, leaseFromArrival: true}} {
+	for _, classes := range []faultClasses{{}, everyFault} {
 		histories := rapid.Custom(func(t *rapid.T) []string {
 			sim := playHistory(t, classes)
 			return append(sim.trace, sim.violation)
@@ -62,6 +87,22 @@
 	ordersOutlive bool
 	// leaseFromArrival lets the leases of late polls count from their arrival.
 	leaseFromArrival bool
+	// poolsChange moves queues and hosts between two pools.
+	poolsChange bool
+	// ownersStarve lets the answers for an owner wait for up to 3 s.
+	ownersStarve bool
+	// answersOvertake lets orders and answers take up to 400 ms each.
+	answersOvertake bool
+	// entriesVanish removes discovery entries after an outage of the table
+	// service and lists them again. Owners replace the record of the workers in
+	// use, instead of adding to it.
+	entriesVanish bool
+	// longTasks adds only what each of the classes adds.
+	longTasks bool
+}
+
+var everyFault = faultClasses{
+	ordersOutlive: true, leaseFromArrival: true, poolsChange: true, ownersStarve: true, answersOvertake: true, entriesVanish: true,
 }
 
 func (c faultClasses) wide() bool { return c != faultClasses{} }
@@ -82,8 +123,9 @@
 	}
 	overcommits := rapid.Bool().Draw(t, "workers start whatever they are told to")
 	stopTakes := time.Duration(draw(0, 200, "stop takes ms")) * time.Millisecond
-	for _, id := range ids {
-		f := sim.addWorker(id, "p", 6)
+	hosts := len(ids)
+	addHost := func(id, pool string) {
+		f := sim.addWorker(id, pool, 6)
 		f.overcommits = overcommits
 		f.stopTakes = stopTakes
 		f.duration = func(task workload.TaskID) (time.Duration, platform.RunEnd) {
@@ -94,6 +136,23 @@
 			return time.Duration(ms) * time.Millisecond, platform.EndDone
 		}
 	}
+	for i, id := range ids {
+		pool := "p"
+		if classes.poolsChange && i%2 == 1 {
+			pool = "other"
+		}
+		addHost(id, pool)
+	}
+	if classes.poolsChange {
+		sim.poolOf["r"] = "other"
+	}
+	sim.replaceRecord = classes.entriesVanish
+	if classes.answersOvertake {
+		sim.requestDelay = func() time.Duration { return time.Duration(draw(1, 400, "request ms")) * time.Millisecond }
+	}
+	if classes.answersOvertake || classes.ownersStarve {
+		sim.answerDelay = func() time.Duration { return time.Duration(draw(1, 400, "answer ms")) * time.Millisecond }
+	}
 	faults := true
 	loss := draw(0, 30, "loss percent")
 	var draws []int
@@ -139,14 +198,28 @@
 	if classes.leaseFromArrival {
 		actions = append(actions, 11, 11, 11, 11, 11, 11)
 	}
+	if classes.poolsChange {
+		actions = append(actions, 8, 8, 12, 12, 13, 13, 13)
+	}
+	if classes.ownersStarve {
+		actions = append(actions, 8, 14, 14, 14, 14, 14)
+	}
+	if classes.entriesVanish {
+		actions = append(actions, 8, 8, 15, 15, 15, 15)
+	}
 	steps := draw(5, 40, "steps")
 	for range steps {
-		f := sim.workers[ids[draw(0, len(ids)-1, "worker")]]
+		host := draw(0, len(ids)-1, "worker")
+		f := sim.workers[ids[host]]
 		switch actions[draw(0, len(actions)-1, "action")] {
 		case 0, 1, 2:
 			jobs++
 			spec := jobOf(jobs%10, 1+jobs%3, 2)
 			spec.ID = spec.ID[:10] + string(rune('a'+jobs/100%26)) + string(rune('a'+jobs/10%10)) + spec.ID[12:]
+			if classes.poolsChange {
+				spec.Queue = []string{"q", "r"}[draw(0, 1, "queue")]
+				spec.Pool = stdcmp.Or(sim.poolOf[spec.Queue], "p")
+			}
 			sim.submit(current, spec)
 		case 3:
 			f.reachable = !f.reachable
@@ -172,6 +245,38 @@
 			// The worker is away for longer than a lease.
 			f.reachable = false
 			sim.after(time.Duration(draw(4500, 7000, "away ms"))*time.Millisecond, func() { f.reachable = true })
+		case 12:
+			queue := []string{"q", "r"}[draw(0, 1, "queue")]
+			sim.poolOf[queue] = []string{"p", "other"}[draw(0, 1, "pool")]
+			sim.catalogVersion++
+			for _, o := range owners {
+				o.SetCatalog(sim.catalog())
+			}
+		case 13:
+			// The host moves and its worker joins the other pool under a new id.
+			f.crash()
+			f.removed, f.unlisted = true, true
+			if draw(0, 1, "host list shows it") == 1 && !current.paused {
+				current.HostRemoved(f.ID, sim.now)
+			}
+			hosts++
+			ids[host] = fmt.Sprintf("w%d", hosts)
+			addHost(ids[host], []string{"p", "other"}[draw(0, 1, "pool")])
+			sim.tracef("%s becomes %s in pool %s", f.ID, ids[host], sim.workers[ids[host]].Pool)
+		case 14:
+			current.starvedUntil = sim.now + time.Duration(draw(200, 3000, "starved ms"))*time.Millisecond
+			sim.tracef("owner %d is starved until %v", current.token, current.starvedUntil)
+		case 15:
+			sim.storeDown = true
+			sim.after(time.Duration(draw(200, 4000, "outage ms"))*time.Millisecond, func() {
+				sim.storeDown = false
+				for _, f := range sorted(sim.workers) {
+					if draw(0, 2, "vanishes") > 0 {
+						f.unlisted = true
+						sim.after(time.Duration(draw(100, 2000, "unlisted ms"))*time.Millisecond, func() { f.unlisted = f.removed })
+					}
+				}
+			})
 		case 10:
 			if f.up {
 				f.crash()
@@ -179,7 +284,9 @@
 				sim.tracef("%s restarts", f.ID)
 			}
 		}
-		current.discover()
+		if !classes.entriesVanish || !sim.storeDown {
+			current.discover()
+		}
 		sim.run(time.Duration(draw(5, 900, "pause"))*time.Millisecond, owners...)
 		if sim.violation != "" {
 			return sim
@@ -188,11 +295,15 @@
 	faults = false
 	sim.storeDown = false
 	for _, f := range sorted(sim.workers) {
-		f.reachable = true
-		if !f.up {
+		f.reachable, f.unlisted = true, f.removed
+		if !f.up && !f.removed {
 			f.restart(sim.now)
 		}
 	}
+	if classes.poolsChange {
+		addHost("last-p", "p") // every pool has a host again
+		addHost("last-other", "other")
+	}
 	for _, o := range owners {
 		o.paused = false
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -412,3 +412,24 @@
 		t.Error("the new incarnation was not told to refuse the start")
 	}
 }
+
+// A worker without a discovery entry leaves the record of workers in use while
+// its ends wait to be recorded, and is listed again.
+func TestWorkerOutsideTheRecordGetsNoTask(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorker("w1", "p", 8)
+	owner := sim.newOwner()
+	sim.submit(owner, jobOf(1, 1, 2))
+	sim.run(200*time.Millisecond, owner)
+	sim.storeDown = true
+	sim.run(300*time.Millisecond, owner)
+	owner.WorkerUnlisted("w1", sim.now)
+	recorded := owner.InUse()
+	owner.Recorded(recorded)
+	owner.WorkerListed(f.Worker, sim.now)
+	sim.submit(owner, jobOf(2, 1, 2))
+	sim.run(100*time.Millisecond, owner)
+	if len(f.running) > 0 && len(recorded) == 0 {
+		t.Errorf("%d tasks started on w1, which a successor does not find in the record", len(f.running))
+	}
+}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -35,6 +35,15 @@
 	storeDown bool
 	// inUse holds the workers that owners recorded as used.
 	inUse map[string]estate.Worker
+	// replaceRecord lets owners replace the record of workers in use every
+	// usedWorkersInterval.
+	replaceRecord bool
+	// catalogVersion counts the catalogs, and poolOf holds the pools of queues
+	// that are not in pool "p".
+	catalogVersion int64
+	poolOf         map[string]string
+	// requestDelay and answerDelay are how long an order and its answer take.
+	requestDelay, answerDelay func() time.Duration
 	// violation describes the first violated invariant.
 	violation string
 	// trace lists the events so far, for the report of a violation.
@@ -95,6 +104,9 @@
 	incarnation int
 	up          bool
 	reachable   bool
+	// unlisted workers have no discovery entry. removed ones have ended for
+	// good.
+	unlisted, removed bool
 	// startedAt is when this incarnation started; its clock counts from there.
 	startedAt time.Duration
 	token     int64
@@ -133,7 +145,10 @@
 const testMaxLease = 6 * time.Second
 
 func newSimulation(t testingT) *simulation {
-	return &simulation{t: t, workers: map[string]*fakeWorker{}, records: map[string]*storedJob{}, inUse: map[string]estate.Worker{}}
+	return &simulation{t: t, workers: map[string]*fakeWorker{}, records: map[string]*storedJob{}, inUse: map[string]estate.Worker{},
+		catalogVersion: 1, poolOf: map[string]string{},
+		requestDelay: func() time.Duration { return orderDelay }, answerDelay: func() time.Duration { return orderDelay },
+	}
 }
 
 func (sim *simulation) after(d time.Duration, fn func()) {
@@ -414,6 +429,12 @@
 	token int64
 	// paused owners neither decide nor get answers.
 	paused bool
+	// starvedUntil is when the owner gets to read the answers that wait for it.
+	starvedUntil time.Duration
+	// recordedAt is when the owner last recorded the workers in use. recording
+	// is set while it does so.
+	recordedAt time.Duration
+	recording  bool
 	// expired owners cannot reach the table service.
 	expired bool
 }
@@ -427,11 +448,16 @@
 )
 
 func (sim *simulation) catalog() *estate.Catalog {
-	return estate.NewCatalog(1, []*estate.Queue{
-		{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", MaxAttempts: 2, Stretch: 1.6, LatencyTarget: 600 * time.Millisecond},
-		{Name: "r", Host: "h", PathPrefix: "/r/", Pool: "p", Priority: 1, MaxAttempts: 2, Stretch: 1.6, LatencyTarget: 600 * time.Millisecond},
+	pools := []*estate.Pool{{Name: "p", RejectsOverload: true}, {Name: "spare", Standby: true}}
+	pool := func(queue string) string { return cmp.Or(sim.poolOf[queue], "p") }
+	if len(sim.poolOf) > 0 {
+		pools = append(pools, &estate.Pool{Name: "other", RejectsOverload: true})
+	}
+	return estate.NewCatalog(sim.catalogVersion, []*estate.Queue{
+		{Name: "q", Host: "h", PathPrefix: "/q/", Pool: pool("q"), MaxAttempts: 2, Stretch: 1.6, LatencyTarget: 600 * time.Millisecond},
+		{Name: "r", Host: "h", PathPrefix: "/r/", Pool: pool("r"), Priority: 1, MaxAttempts: 2, Stretch: 1.6, LatencyTarget: 600 * time.Millisecond},
 		{Name: "advised", Host: "h", PathPrefix: "/a/", Pool: "p", MaxAttempts: 2, Stretch: 1.6, Recommendation: &estate.Recommendation{}},
-	}, []*estate.Pool{{Name: "p", RejectsOverload: true}, {Name: "spare", Standby: true}}, estate.Limits{})
+	}, pools, estate.Limits{})
 }
 
 // newOwner creates an owner, which takes over what is stored.
@@ -475,10 +501,16 @@
 // discover lists the workers whose heartbeats arrive.
 func (owner *testOwner) discover() {
 	for _, f := range sorted(owner.sim.workers) {
-		if f.up && f.reachable {
+		switch {
+		case f.unlisted:
+			owner.WorkerUnlisted(f.ID, owner.sim.now)
+		case f.up && f.reachable:
 			owner.WorkerListed(f.Worker, owner.sim.now)
 		}
 	}
+	if owner.sim.replaceRecord {
+		return
+	}
 	// The record of workers in use is written before they are used.
 	for _, u := range owner.InUse() {
 		owner.sim.inUse[u.ID] = u
@@ -486,6 +518,32 @@
 	owner.Recorded(owner.InUse())
 }
 
+// usedWorkersInterval is the time between two records of the workers in use if
+// there is no new worker.
+const usedWorkersInterval = time.Second
+
+// recordUsedWorkers replaces the record of the workers in use.
+func (owner *testOwner) recordUsedWorkers() {
+	sim := owner.sim
+	if owner.recording || (!owner.Unrecorded() && sim.now-owner.recordedAt < usedWorkersInterval) {
+		return
+	}
+	owner.recording = true
+	list := owner.InUse()
+	sim.after(storeDelay, func() {
+		owner.recording = false
+		if sim.storeDown || owner.ownershipState() != OwnershipValid {
+			return
+		}
+		owner.recordedAt = sim.now
+		sim.inUse = map[string]estate.Worker{}
+		for _, u := range list {
+			sim.inUse[u.ID] = u
+		}
+		owner.Recorded(list)
+	})
+}
+
 // submit stores a job and adds it to the owner's engine, if there is one.
 func (sim *simulation) submit(owner *testOwner, spec *workload.Job) {
 	sim.version++
@@ -512,6 +570,9 @@
 			if owner.paused {
 				continue
 			}
+			if sim.replaceRecord {
+				owner.recordUsedWorkers()
+			}
 			// The engine gives orders in the random order of its maps.
 			orders := owner.Decide(sim.now, owner.ownershipState())
 			slices.SortStableFunc(orders, func(a, b Order) int { return keyOf(a).compare(keyOf(b)) })
@@ -603,14 +664,14 @@
 		sim.after(500*time.Millisecond, func() { owner.answer(o, nil, errNoAnswer) })
 		return
 	}
-	sim.after(orderDelay, func() {
+	sim.after(sim.requestDelay(), func() {
 		if f == nil || !f.up || !f.reachable {
 			sim.after(500*time.Millisecond, func() { owner.answer(o, nil, errNoAnswer) })
 			return
 		}
 		incarnation := f.incarnation
 		sim.applyPoll(f, o, func(a any) {
-			sim.after(orderDelay, func() {
+			sim.after(sim.answerDelay(), func() {
 				if f.incarnation != incarnation || !f.reachable {
 					owner.answer(o, nil, errNoAnswer)
 					return
@@ -692,6 +753,10 @@
 		return
 	}
 	now := owner.sim.now
+	if now < owner.starvedUntil {
+		owner.sim.after(owner.starvedUntil-now+owner.sim.answerDelay(), func() { owner.answer(o, a, err) })
+		return
+	}
 	switch x := o.(type) {
 	case *StartOrder:
 		r, _ := a.(platform.OrderAnswer)
