scheduler: a start that either incarnation may have carried out stays open

Callers saw: nothing yet; a task runs twice on a worker that has come back.

A worker that came back under its id before its owner knew carries the start out; "done" was then taken for the end of a run of the previous incarnation.

Evidence: TestNoTaskRunsTwiceInAnyWiderHistory ("runs twice at 26.525s: run 13001 on w7 and run 13002 on w7").

Why it works: the run stays open until the next incarnation has answered a poll with its own token, which shows the run or keeps it out. Refusals still settle it: one of the two has not carried it out and no other can.

--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -72,9 +72,7 @@
 		return
 	}
 	if w.otherIncarnation(o.Worker.StartedMS) {
-		if a.Outcome == platform.OrderDone {
-			e.loseRun(r, "started by the previous incarnation", now)
-		} else {
+		if a.Outcome != platform.OrderDone { // either incarnation may have carried it out
 			e.refused(r, a, now)
 		}
 		return
