scheduler: a worker outside the record of workers in use gets no task

Cause: a worker whose discovery entry is gone leaves the record of workers in use, which a successor fences and reads, also while it has ends that are not recorded. When its entry is back it still counted as recorded, so it got tasks that no successor would look for.

Why it works: a worker with ends that are not acknowledged stays in the record, and one that is left out of it counts as not recorded from then on.

--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -294,12 +294,15 @@
 }
 
 // InUse returns the workers that a successor has to fence before it may start a
-// task again.
+// task again. A worker that is left out gets no task before it is recorded
+// again.
 func (e *Engine) InUse() []estate.Worker {
 	var list []estate.Worker
 	for _, w := range e.workers {
-		if w.inherited || w.occupied() || (w.listed && !e.standby(w.Pool)) {
+		if w.inherited || w.occupied() || len(w.pendingEnds) > 0 || (w.listed && !e.standby(w.Pool)) {
 			list = append(list, w.Worker)
+		} else {
+			w.recorded = false
 		}
 	}
 	return list
