scheduler: slow workers do not keep the tasks of a lost one

Callers saw: nothing yet; tasks of a worker that is lost are not started again while several other workers answer late.

A dozen workers that always answer late would have kept the tasks of all lost ones; so would an owner that is always a little slow.

Why it works: this process counts as slow by the share of answers that it reads late (over a tenth). And a poll that has had 4 s for its answer is certain, unless this process paused for over 1 s meanwhile.

TestSlowWorkersDoNotKeepTheTasksOfALostOne fails with poll.go and scheduler.go as before (0 runs given up, 13 starts instead of 14) and passes now.

--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -28,6 +28,13 @@
 	// stallThreshold is the time between two decisions from which this process
 	// counts as stalled. It decides at least every 50 ms.
 	stallThreshold = ProbeTimeout / 2
+	// maxLateShare is the share of answers that are read later than
+	// stallThreshold from which this process, and not their workers, counts as
+	// slow.
+	maxLateShare = 0.1
+	// pauseThreshold is the time between two decisions from which even a call
+	// that has timed out may have been answered.
+	pauseThreshold = time.Second
 	// unrecordedPollInterval is the time between polls of a worker whose ends
 	// cannot be recorded or acknowledged yet.
 	unrecordedPollInterval = 500 * time.Millisecond
@@ -172,10 +179,15 @@
 		return // an incarnation that has ended
 	}
 	if o.overdue && err != nil {
-		return // known already
+		// Known already, but now certain: a slow process would have read the
+		// answer by now.
+		if e.pausedAt < o.sentAt && now-e.lastDecide <= pauseThreshold {
+			w.silentAt = max(w.silentAt, o.sentAt)
+		}
+		return
 	}
-	if err == nil && now-o.sentAt-o.Wait > stallThreshold {
-		e.stalledAt = now
+	if err == nil {
+		e.observeDelay(now - o.sentAt - o.Wait)
 	}
 	if err != nil || status.Outcome != platform.OrderDone {
 		e.pollFailed(w, o, status, err, now)
@@ -258,10 +270,20 @@
 }
 
 // stalledSince reports whether this process was slow since a time: it took no
-// step, or needed more than stallThreshold to read an answer. Others may have
-// arrived that it has not read.
+// step, or reads many answers late. Others may have arrived that it has not
+// read.
 func (e *Engine) stalledSince(since, now time.Duration) bool {
-	return e.stalledAt >= since || now-e.lastDecide > stallThreshold
+	return e.stalledAt >= since || now-e.lastDecide > stallThreshold || e.lateShare > maxLateShare
+}
+
+// observeDelay updates the share of answers that are read late. delay is the
+// time from the sending of a poll to its answer, without its wait.
+func (e *Engine) observeDelay(delay time.Duration) {
+	const weight = 0.1 // of one answer
+	e.lateShare -= weight * e.lateShare
+	if delay > stallThreshold {
+		e.lateShare += weight
+	}
 }
 
 // reconcileRuns compares the runs that a worker lists with the expected ones.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -114,9 +114,11 @@
 	opts    Options
 	catalog *estate.Catalog
 	jobs    map[string]*job
-	// lastDecide is when Decide was last called, and stalledAt when this process
-	// was last found to be slow.
-	lastDecide, stalledAt time.Duration
+	// lastDecide is when Decide was last called. stalledAt and pausedAt are when
+	// that was last later than stallThreshold and pauseThreshold.
+	lastDecide, stalledAt, pausedAt time.Duration
+	// lateShare is the moving share of answers that were read late.
+	lateShare float64
 	// nextSweep is the time of the next sweep.
 	nextSweep time.Duration
 	// knownJobs holds the ids of all jobs that were ever added: a feed may
@@ -336,6 +338,9 @@
 	if now-e.lastDecide > stallThreshold {
 		e.stalledAt = now
 	}
+	if now-e.lastDecide > pauseThreshold {
+		e.pausedAt = now
+	}
 	e.lastDecide = now
 	sweep := now >= e.nextSweep
 	if sweep {
--- a/internal/scheduler/settle_test.go
+++ b/internal/scheduler/settle_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -278,3 +279,44 @@
 		t.Errorf("%d starts, %d runs given up; want 1 and none", s.Starts, s.LostRuns)
 	}
 }
+
+// TestSlowWorkersDoNotKeepTheTasksOfALostOne guards against LOST: workers that
+// answer late are taken for a slow process, and no worker is given up.
+func TestSlowWorkersDoNotKeepTheTasksOfALostOne(t *testing.T) {
+	sim := newSimulation(t)
+	lost := sim.addWorker("w1", "p", 2)
+	lost.duration = lasting(time.Hour)
+	owner := sim.newOwner()
+	sim.submit(owner, jobOf(1, 1, 2))
+	const slow = 12
+	for n := range slow {
+		sim.run(100*time.Millisecond, owner)
+		sim.addWorker(fmt.Sprintf("w%d", n+2), "p", 3).duration = lasting(time.Hour)
+		owner.discover()
+		sim.submit(owner, jobOf(n+2, 1, 2))
+	}
+	sim.run(300*time.Millisecond, owner)
+	sim.addWorker("w99", "p", 2)
+	owner.discover()
+	sim.injectFault = func(o Order) orderFault {
+		p, ok := o.(*PollOrder)
+		if !ok {
+			return orderFault{}
+		}
+		f := sim.workers[p.Worker.ID]
+		sim.after(p.Wait+ProbeTimeout, func() { owner.PollOverdue(p, sim.now) })
+		if f == lost {
+			sim.after(p.Wait+4*time.Second, func() { owner.answer(p, nil, errNoAnswer) })
+			return orderFault{handled: true}
+		}
+		sim.applyPoll(f, p, func(a any) {
+			sim.after(350*time.Millisecond, func() { owner.answer(p, a, nil) })
+		})
+		return orderFault{handled: true}
+	}
+	sim.run(15*time.Second, owner)
+	sim.check()
+	if s := owner.Stats(); s.LostRuns != 1 || s.Starts != slow+2 {
+		t.Errorf("%d runs given up, %d starts; want 1 and %d", s.LostRuns, s.Starts, slow+2)
+	}
+}
