scheduler: a run whose end is beyond the listed ones is not lost

Cause: a worker lists at most 500 ends in one answer. While ends cannot be recorded, as without the table service, a run whose end is beyond them is listed neither as running nor as ended, and was given up.

Evidence: TestRunBeyondTheListedEndsIsNotLost fails before (14 starts, 13 runs given up) and passes now.

Why it works: an answer with as many ends as it holds is no evidence about a run that it does not list.

--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -256,6 +256,10 @@
 	Checkpoint string
 }
 
+// MaxListedEnds is the number of ends that a worker lists in one answer; it
+// lists later ones when these are acknowledged.
+const MaxListedEnds = 500
+
 // WorkerStatus is the response to a poll. All fields but Outcome are zero if the
 // worker refused the poll.
 type WorkerStatus struct {
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -215,7 +215,7 @@
 	}
 	e.processEnds(w, status.Ends, now)
 	if !overtaken {
-		e.reconcileRuns(w, o, status.Runs, now)
+		e.reconcileRuns(w, o, status, now)
 	}
 }
 
@@ -287,9 +287,10 @@
 }
 
 // reconcileRuns compares the runs that a worker lists with the expected ones.
-func (e *Engine) reconcileRuns(w *worker, o *PollOrder, list []platform.RunStatus, now time.Duration) {
-	listed := make(map[runKey]struct{}, len(list))
-	for _, s := range list {
+// The end of a missing one may be beyond the ends that one answer holds.
+func (e *Engine) reconcileRuns(w *worker, o *PollOrder, status platform.WorkerStatus, now time.Duration) {
+	listed := make(map[runKey]struct{}, len(status.Runs))
+	for _, s := range status.Runs {
 		key := runKey{s.Task, s.Run}
 		listed[key] = struct{}{}
 		r := w.runs[key]
@@ -304,7 +305,7 @@
 	}
 	w.removeUnlistedOrphans(listed, o.sentAt)
 	for key, r := range w.runs {
-		if _, ok := listed[key]; !ok {
+		if _, ok := listed[key]; !ok && len(status.Ends) < platform.MaxListedEnds {
 			e.reconcileMissingRun(r, o, now)
 		}
 	}
--- a/internal/scheduler/settle_test.go
+++ b/internal/scheduler/settle_test.go
@@ -320,3 +320,34 @@
 		t.Errorf("%d runs given up, %d starts; want 1 and %d", s.LostRuns, s.Starts, slow+2)
 	}
 }
+
+// TestRunBeyondTheListedEndsIsNotLost guards against TWICE: an answer holds the
+// first ends only.
+func TestRunBeyondTheListedEndsIsNotLost(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorker("w1", "p", 2)
+	f.duration = lasting(200 * time.Millisecond)
+	owner := sim.newOwner()
+	sim.run(200*time.Millisecond, owner)
+	for range platform.MaxListedEnds {
+		f.end(&fakeRun{task: workload.TaskID{Job: "00000000000000ff"}, run: 1}, platform.EndStopped, sim.now)
+	}
+	sim.submit(owner, jobOf(1, 1, 2))
+	sim.injectFault = func(o Order) orderFault {
+		p, ok := o.(*PollOrder)
+		if !ok {
+			return orderFault{}
+		}
+		p.Acknowledged = 0 // the ends cannot be recorded yet
+		sim.applyPoll(f, p, func(a any) {
+			s := a.(platform.WorkerStatus)
+			s.Ends = s.Ends[:min(len(s.Ends), platform.MaxListedEnds)]
+			sim.after(orderDelay, func() { owner.answer(p, s, nil) })
+		})
+		return orderFault{handled: true}
+	}
+	sim.run(3*time.Second, owner)
+	if s := owner.Stats(); s.Starts != 1 || s.LostRuns != 0 {
+		t.Errorf("%d starts, %d given up; want 1 and none", s.Starts, s.LostRuns)
+	}
+}
