--- a/internal/scheduler/settle_test.go
+++ b/internal/scheduler/settle_test.go
@@ -351,3 +351,30 @@
 		t.Errorf("%d starts, %d given up; want 1 and none", s.Starts, s.LostRuns)
 	}
 }
+
+// TestNextIncarnationKeepsTheLeaseOfThePreviousOwner guards against TWICE: the
+// record of workers in use names the incarnation before.
+func TestNextIncarnationKeepsTheLeaseOfThePreviousOwner(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorker("w1", "p", 2)
+	f.duration = lasting(20 * time.Second)
+	first := sim.newOwner()
+	sim.run(100*time.Millisecond, first)
+	f.crash()
+	sim.now += testTick
+	old := f.Worker
+	f.restart(sim.now)
+	first.discover()
+	sim.run(100*time.Millisecond, first)
+	sim.submit(first, jobOf(1, 1, 2))
+	sim.run(500*time.Millisecond, first)
+	f.leaseMS = f.clock(sim.now) + testMaxLease.Milliseconds()
+	sim.inUse["w1"] = old
+	successor := sim.newOwnerAfter(0)
+	sim.run(100*time.Millisecond, successor)
+	f.reachable = false
+	sim.addWorker("w2", "p", 2)
+	successor.discover()
+	sim.run(8*time.Second, successor)
+	sim.check()
+}
