scheduler: a slow owner acknowledges ends too

Callers saw: nothing yet; an owner that is slow reads the same ends over and over and becomes slower.

An owner that takes longer from an answer to its next decision acknowledged nothing and polled without a pause.

Evidence: TestSlowDecisionsStillAcknowledgeEnds fails before (end 1 read, 0 acknowledged in 5 s) and passes now.

Why it works: a second is longer than a slow owner takes, and about what a worker needs to restart and to end a task.

--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -20,8 +20,9 @@
 	// up: other tasks of its step may be interrupted only once it is ready.
 	warmingWait = 200 * time.Millisecond
 	// acknowledgeWithin is how long after an answer of a worker its ends are
-	// acknowledged. It is shorter than a restart of the worker and a task.
-	acknowledgeWithin = 100 * time.Millisecond
+	// acknowledged. It is shorter than a restart of the worker and a task, and
+	// longer than a slow owner takes from an answer to a decision.
+	acknowledgeWithin = time.Second
 	// ProbeTimeout is how long the answer to a probe is awaited. A worker
 	// answers within milliseconds.
 	ProbeTimeout = 500 * time.Millisecond
--- a/internal/scheduler/settle_test.go
+++ b/internal/scheduler/settle_test.go
@@ -378,3 +378,21 @@
 	sim.run(8*time.Second, successor)
 	sim.check()
 }
+
+// TestSlowDecisionsStillAcknowledgeEnds guards against ends that a slow owner
+// reads again and again.
+func TestSlowDecisionsStillAcknowledgeEnds(t *testing.T) {
+	sim := newSimulation(t)
+	sim.addWorker("w1", "p", 2)
+	owner := sim.newOwner()
+	sim.run(200*time.Millisecond, owner)
+	sim.submit(owner, jobOf(1, 1, 2))
+	sim.run(100*time.Millisecond, owner)
+	for range 40 {
+		sim.run(120 * time.Millisecond)
+		sim.run(testTick, owner)
+	}
+	if w := owner.workers["w1"]; w.lastAckedEnd != w.lastSeenEnd || w.lastSeenEnd == 0 {
+		t.Errorf("end %d was read, %d acknowledged", w.lastSeenEnd, w.lastAckedEnd)
+	}
+}
