scheduler: only answers show that this process would have read an answer

Callers saw: TWICE, the users' line, if an owner reads no answers for a while.

Cause: a worker was given up after a failed probe unless there were signs that this process was slow: a late answer, a gap between decisions. A process that reads no answer at all shows neither. And any dozen slow workers were such a sign, and kept the tasks of lost ones for as long as a poll may take.

Why it works: the decision needs evidence instead of its absence. When a probe after a worker's lease has failed, another worker is probed; its answer, read within 0.25 s, shows that this process would have read the first one's.

--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -26,16 +26,9 @@
 	// ProbeTimeout is how long the answer to a probe is awaited. A worker
 	// answers within milliseconds.
 	ProbeTimeout = 500 * time.Millisecond
-	// stallThreshold is the time between two decisions from which this process
-	// counts as stalled. It decides at least every 50 ms.
-	stallThreshold = ProbeTimeout / 2
-	// maxLateShare is the share of answers that are read later than
-	// stallThreshold from which this process, and not their workers, counts as
-	// slow.
-	maxLateShare = 0.1
-	// pauseThreshold is the time between two decisions from which even a call
-	// that has timed out may have been answered.
-	pauseThreshold = time.Second
+	// promptAnswer is the time within which this process reads the answer to a
+	// probe while it keeps up.
+	promptAnswer = ProbeTimeout / 2
 	// unrecordedPollInterval is the time between polls of a worker whose ends
 	// cannot be recorded or acknowledged yet.
 	unrecordedPollInterval = 500 * time.Millisecond
@@ -77,6 +70,25 @@
 	}
 }
 
+// probeAnother probes a worker that answers, when another one did not. Its
+// answer shows that this process reads answers, so that it would have read the
+// other's. One such probe is in flight at a time.
+func (e *Engine) probeAnother(silent *worker, now time.Duration) {
+	if now < e.nextProbeOfAnother {
+		return
+	}
+	e.nextProbeOfAnother = now + ProbeTimeout
+	var other *worker
+	for _, w := range e.workers {
+		if w != silent && w.fenced && w.listed && w.failedPolls == 0 && !w.probing && (other == nil || w.ID < other.ID) {
+			other = w
+		}
+	}
+	if other != nil {
+		e.poll(other, true, now)
+	}
+}
+
 // needsProbe reports whether an order without an answer has to be settled
 // before the long poll in flight returns.
 func (w *worker) needsProbe(now time.Duration) bool {
@@ -180,15 +192,10 @@
 		return // an incarnation that has ended
 	}
 	if o.overdue && err != nil {
-		// Known already, but now certain: a slow process would have read the
-		// answer by now.
-		if e.pausedAt < o.sentAt && now-e.lastDecide <= pauseThreshold {
-			w.silentAt = max(w.silentAt, o.sentAt)
-		}
-		return
+		return // known already
 	}
-	if err == nil {
-		e.observeDelay(now - o.sentAt - o.Wait)
+	if err == nil && o.probe && now-o.sentAt <= promptAnswer {
+		e.promptSentAt = max(e.promptSentAt, o.sentAt)
 	}
 	if err != nil || status.Outcome != platform.OrderDone {
 		e.pollFailed(w, o, status, err, now)
@@ -228,6 +235,7 @@
 		w.pool.needsPass = true
 	}
 	w.failedPolls = 0
+	w.silentAt = 0
 	w.nextPoll = 0
 	w.lastContact = now
 	if clockMS > 0 {
@@ -260,8 +268,8 @@
 		event.WorkerSilent.Log(e.opts.Log, zap.String("worker", w.ID), zap.Stringer("outcome", status.Outcome), zap.Error(err),
 			zap.Int("runs", len(w.runs)), zap.Duration("lease_left", w.leaseEnd()-now))
 	}
-	if !e.stalledSince(o.sentAt, now) {
-		w.silentAt = max(w.silentAt, o.sentAt)
+	if w.silentAt == 0 && o.sentAt > w.leaseEnd() {
+		w.silentAt = now
 	}
 	w.failedPolls++
 	w.nextPoll = now + min(pollRetry<<min(w.failedPolls-1, 4), pollRetryMax)
@@ -270,23 +278,6 @@
 	}
 }
 
-// stalledSince reports whether this process was slow since a time: it took no
-// step, or reads many answers late. Others may have arrived that it has not
-// read.
-func (e *Engine) stalledSince(since, now time.Duration) bool {
-	return e.stalledAt >= since || now-e.lastDecide > stallThreshold || e.lateShare > maxLateShare
-}
-
-// observeDelay updates the share of answers that are read late. delay is the
-// time from the sending of a poll to its answer, without its wait.
-func (e *Engine) observeDelay(delay time.Duration) {
-	const weight = 0.1 // of one answer
-	e.lateShare -= weight * e.lateShare
-	if delay > stallThreshold {
-		e.lateShare += weight
-	}
-}
-
 // reconcileRuns compares the runs that a worker lists with the expected ones.
 // The end of a missing one may be beyond the ends that one answer holds.
 func (e *Engine) reconcileRuns(w *worker, o *PollOrder, status platform.WorkerStatus, now time.Duration) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -114,11 +114,11 @@
 	opts    Options
 	catalog *estate.Catalog
 	jobs    map[string]*job
-	// lastDecide is when Decide was last called. stalledAt and pausedAt are when
-	// that was last later than stallThreshold and pauseThreshold.
-	lastDecide, stalledAt, pausedAt time.Duration
-	// lateShare is the moving share of answers that were read late.
-	lateShare float64
+	// promptSentAt is when the latest probe was sent whose answer was read
+	// within promptAnswer.
+	promptSentAt time.Duration
+	// nextProbeOfAnother is the earliest time of the next probeAnother.
+	nextProbeOfAnother time.Duration
 	// nextSweep is the time of the next sweep.
 	nextSweep time.Duration
 	// knownJobs holds the ids of all jobs that were ever added: a feed may
@@ -335,13 +335,6 @@
 // ownership is OwnershipExpired.
 func (e *Engine) Decide(now time.Duration, ownership OwnershipState) []Order {
 	e.ownership = ownership
-	if now-e.lastDecide > stallThreshold {
-		e.stalledAt = now
-	}
-	if now-e.lastDecide > pauseThreshold {
-		e.pausedAt = now
-	}
-	e.lastDecide = now
 	sweep := now >= e.nextSweep
 	if sweep {
 		e.nextSweep = now + sweepInterval
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -54,8 +54,9 @@
 	nextPoll         time.Duration
 	failedPolls      int
 	lastContact      time.Duration
-	// answeredSentAt is when the latest answered poll was sent, and silentAt
-	// when the latest one was that failed for no delay of this process.
+	// answeredSentAt is when the latest answered poll was sent. silentAt is when
+	// the first poll failed that was sent after the worker's lease, 0 if none
+	// did since its last answer.
 	answeredSentAt, silentAt time.Duration
 	// clockMS is the worker's clock at clockAt, from its last answer.
 	clockMS int64
@@ -216,11 +217,16 @@
 }
 
 // expireLeases gives up the runs of workers whose lease has expired and that
-// have not answered a probe since, and drops unlisted workers that have nothing
-// left to settle.
+// have not answered a probe since, though this process reads answers: it has
+// read that of a probe sent later. If there is no such answer, another MaxLease
+// has to pass. It also drops unlisted workers that have nothing left to settle.
 func (e *Engine) expireLeases(now time.Duration) {
 	for _, w := range e.workers {
-		if w.failedPolls > 0 && w.silentAt > w.leaseEnd() {
+		switch {
+		case w.silentAt == 0 || !w.occupied():
+		case e.promptSentAt < w.silentAt && now <= w.leaseEnd()+e.opts.MaxLease:
+			e.probeAnother(w, now)
+		default:
 			for _, r := range w.runs {
 				if !r.sentToPrevious() || r.listed || now > r.sentAt+maxOrderDelay+e.opts.MaxLease {
 					e.loseRun(r, "lease expired", now)
