node: a test that answers to overdue polls are handled

The change of node's poll had no test of its own: with a time-out of 0.45 s instead of 4 s all tests passed. TestAnswerToAnOverduePollIsHandled fails with that and passes now. The set-up of an engine is shared with the test before.

--- a/internal/node/execute_test.go
+++ b/internal/node/execute_test.go
@@ -15,6 +15,32 @@
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
+// testEngine returns an engine with one queue.
+func testEngine() *scheduler.Engine {
+	e := scheduler.New(scheduler.Options{
+		Token: 1, Epoch: 1, MaxLease: 6 * time.Second, Parts: 1, PartOf: func(string) int { return 0 },
+		UnixMS: func(now time.Duration) int64 { return now.Milliseconds() }, Log: zap.NewNop(),
+	})
+	e.SetCatalog(testCatalog(1, "/q/"))
+	return e
+}
+
+// testWorker is a worker with free capacity.
+var testWorker = estate.Worker{ID: "w", Pool: "p", Address: "w:1", StartedMS: 1, Capacity: placement.Resources{Processors: 8, MemoryMB: 1000}}
+
+// startOfTestJob adds a job of one task and returns its start, nil if none is
+// ordered.
+func startOfTestJob(e *scheduler.Engine, now time.Duration) *scheduler.StartOrder {
+	job := &workload.Job{ID: testID, Queue: "q", Pool: "p", Steps: []workload.Step{{Count: 1, Size: placement.Resources{Processors: 1, MemoryMB: 10}}}}
+	e.AddJob(job, &workload.Progress{Queue: "q", State: workload.Queued}, 1, now, false, now)
+	for _, order := range e.Decide(now, scheduler.OwnershipValid) {
+		if s, ok := order.(*scheduler.StartOrder); ok {
+			return s
+		}
+	}
+	return nil
+}
+
 // startCounter is a worker that counts the starts it gets.
 type startCounter struct {
 	platform.Runner
@@ -34,26 +60,14 @@
 	o.node.Runner = counter
 	o.workerCalls = newWorkerCallLimiter(o)
 	o.lease.Renew(o.node.Clock.Now())
-	o.engine = scheduler.New(scheduler.Options{
-		Token: 1, Epoch: 1, MaxLease: 6 * time.Second, Parts: 1, PartOf: func(string) int { return 0 },
-		UnixMS: func(now time.Duration) int64 { return now.Milliseconds() }, Log: zap.NewNop(),
-	})
-	o.engine.SetCatalog(testCatalog(1, "/q/"))
+	o.engine = testEngine()
 	now := o.node.Clock.Now()
-	w := estate.Worker{ID: "w", Pool: "p", Address: "w:1", StartedMS: 1, Capacity: placement.Resources{Processors: 8, MemoryMB: 1000}}
-	o.engine.WorkerListed(w, now)
+	o.engine.WorkerListed(testWorker, now)
 	o.engine.Recorded(o.engine.InUse())
 	for _, order := range o.engine.Decide(now, scheduler.OwnershipValid) {
 		o.engine.Polled(order.(*scheduler.PollOrder), platform.WorkerStatus{ClockMS: 1000, StartedMS: 1}, nil, now)
 	}
-	job := &workload.Job{ID: testID, Queue: "q", Pool: "p", Steps: []workload.Step{{Count: 1, Size: placement.Resources{Processors: 1, MemoryMB: 10}}}}
-	o.engine.AddJob(job, &workload.Progress{Queue: "q", State: workload.Queued}, 1, now, false, now)
-	var start *scheduler.StartOrder
-	for _, order := range o.engine.Decide(now, scheduler.OwnershipValid) {
-		if s, ok := order.(*scheduler.StartOrder); ok {
-			start = s
-		}
-	}
+	start := startOfTestJob(o.engine, now)
 	if start == nil {
 		t.Fatal("the task is not started")
 	}
@@ -68,3 +82,53 @@
 		t.Errorf("%d starts were sent, want none", counter.starts)
 	}
 }
+
+// handleNext handles the next event of the control goroutine.
+func handleNext(t *testing.T, o *owner) {
+	t.Helper()
+	select {
+	case handle := <-o.events:
+		handle(o.node.Clock.Now())
+	case <-time.After(5 * time.Second):
+		t.Fatal("no event")
+	}
+}
+
+// lateReader is a worker whose answers to polls are read late.
+type lateReader struct {
+	platform.Runner
+	delay time.Duration
+}
+
+func (r *lateReader) PollWorker(ctx context.Context, _ *estate.Worker, _ platform.Poll) (platform.WorkerStatus, error) {
+	select {
+	case <-time.After(r.delay):
+		return platform.WorkerStatus{ClockMS: 1000, StartedMS: testWorker.StartedMS}, nil
+	case <-ctx.Done():
+		return platform.WorkerStatus{}, ctx.Err()
+	}
+}
+
+// TestAnswerToAnOverduePollIsHandled guards against TWICE: a slow owner throws
+// answers of sound workers away.
+func TestAnswerToAnOverduePollIsHandled(t *testing.T) {
+	o := testOwner(t, standin.NewRows(), 1)
+	o.node.Runner = &lateReader{delay: scheduler.ProbeTimeout + time.Second}
+	o.engine = testEngine()
+	now := o.node.Clock.Now()
+	o.engine.WorkerListed(testWorker, now)
+	o.engine.Recorded(o.engine.InUse())
+	orders := o.engine.Decide(now, scheduler.OwnershipValid)
+	if len(orders) != 1 {
+		t.Fatalf("%d orders, want one poll", len(orders))
+	}
+	go o.execute(t.Context(), orders[0])
+	handleNext(t, o)
+	if again := o.engine.Decide(o.node.Clock.Now()+time.Second, scheduler.OwnershipValid); len(again) != 1 {
+		t.Errorf("%d orders after the poll is overdue, want another poll", len(again))
+	}
+	handleNext(t, o)
+	if startOfTestJob(o.engine, o.node.Clock.Now()) == nil {
+		t.Error("the worker whose answer was read late gets no task")
+	}
+}
