--- a/internal/node/acquire_test.go
+++ b/internal/node/acquire_test.go
@@ -28,8 +28,7 @@
 	return n
 }
 
-// TestEndedOwnershipIsNotStartedAgain guards against an owner that gives orders
-// again with the token of an ownership that it has lost.
+// The view still shows the record of the ownership that has ended.
 func TestEndedOwnershipIsNotStartedAgain(t *testing.T) {
 	n := acquireUnanswered(t)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -47,8 +46,7 @@
 	}
 }
 
-// TestOwnershipLeaseCountsFromTheSendingOfTheRecord guards against two owners at
-// once: others count from the write, which may be answered late.
+// Others count from the write, which may be answered late.
 func TestOwnershipLeaseCountsFromTheSendingOfTheRecord(t *testing.T) {
 	n := acquireUnanswered(t)
 	time.Sleep(ownership.LeaseDuration)
--- a/internal/node/execute_test.go
+++ b/internal/node/execute_test.go
@@ -52,8 +52,7 @@
 	return platform.OrderAnswer{}, nil
 }
 
-// TestStartOfACancelledJobIsNotSentAfterItsWait guards against a start that
-// waits for other orders to its worker and is sent when nobody wants it any more.
+// The start waits for other orders to its worker.
 func TestStartOfACancelledJobIsNotSentAfterItsWait(t *testing.T) {
 	o := testOwner(t, standin.NewRows(), 1)
 	counter := &startCounter{}
@@ -109,8 +108,7 @@
 	}
 }
 
-// TestAnswerToAnOverduePollIsHandled guards against TWICE: a slow owner throws
-// answers of sound workers away.
+// A slow owner reads the answer of a sound worker late.
 func TestAnswerToAnOverduePollIsHandled(t *testing.T) {
 	o := testOwner(t, standin.NewRows(), 1)
 	o.node.Runner = &lateReader{delay: scheduler.ProbeTimeout + time.Second}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -414,8 +414,7 @@
 	}
 }
 
-// A worker without a discovery entry leaves the record of workers in use while
-// its ends wait to be recorded, and is listed again.
+// Its entry vanishes while its ends wait to be recorded, and comes back.
 func TestWorkerOutsideTheRecordGetsNoTask(t *testing.T) {
 	sim := newSimulation(t)
 	f := sim.addWorker("w1", "p", 8)
--- a/internal/scheduler/settle_test.go
+++ b/internal/scheduler/settle_test.go
@@ -14,8 +14,7 @@
 	return func(workload.TaskID) (time.Duration, platform.RunEnd) { return d, platform.EndDone }
 }
 
-// TestTaskDoneOnASilentWorkerIsNotStartedAgain guards against TWICE: a run that
-// was given up with its lease is listed as done later.
+// A run that was given up with its lease is listed as done later.
 func TestTaskDoneOnASilentWorkerIsNotStartedAgain(t *testing.T) {
 	sim := newSimulation(t)
 	w := sim.addWorker("w1", "p", 2)
@@ -37,8 +36,7 @@
 	}
 }
 
-// TestFailureOnASilentWorkerCounts guards against more runs than a queue
-// permits: a run that was given up with its lease is listed as failed later.
+// A run that was given up with its lease is listed as failed later.
 func TestFailureOnASilentWorkerCounts(t *testing.T) {
 	sim := newSimulation(t)
 	w := sim.addWorker("w1", "p", 2)
@@ -63,8 +61,7 @@
 	owner.Polled(&PollOrder{Worker: w.Worker, worker: w, sentAt: sentAt, probe: true}, status, err, owner.sim.now)
 }
 
-// TestFailureOfAnOlderPollIsNotSilence guards against leases that run out on a
-// worker that answers.
+// A probe is answered while an older long poll times out.
 func TestFailureOfAnOlderPollIsNotSilence(t *testing.T) {
 	sim := newSimulation(t)
 	f := sim.addWorker("w1", "p", 2)
@@ -79,8 +76,7 @@
 	}
 }
 
-// TestOlderAnswerDoesNotReviveAnEndedRun guards against runs that are adopted
-// from an answer that a later one has overtaken.
+// A later answer has overtaken the one that lists the run.
 func TestOlderAnswerDoesNotReviveAnEndedRun(t *testing.T) {
 	sim := newSimulation(t)
 	f := sim.addWorker("w1", "p", 2)
@@ -104,8 +100,7 @@
 	}
 }
 
-// TestAdoptedRunKeepsTheLeaseOfItsPreviousOwner guards against TWICE: an owner
-// near the end of its ownership grants longer leases than its successor.
+// An owner near the end of its ownership grants longer leases than its successor.
 func TestAdoptedRunKeepsTheLeaseOfItsPreviousOwner(t *testing.T) {
 	sim := newSimulation(t)
 	f := sim.addWorker("w1", "p", 2)
@@ -140,8 +135,7 @@
 	return owner, f
 }
 
-// TestWorkerIsProbedOnceMoreAfterItsLease guards against TWICE: a worker that
-// answers again by the end of its lease is given up unread.
+// The worker answers again by the end of its lease.
 func TestWorkerIsProbedOnceMoreAfterItsLease(t *testing.T) {
 	sim := newSimulation(t)
 	owner, f := doneWhileSilent(sim)
@@ -155,8 +149,7 @@
 	}
 }
 
-// TestOwnStallIsNotTakenForSilence guards against TWICE: a poll times out because
-// this process did not run, and its worker is given up.
+// The poll of a sound worker times out because this process did not run.
 func TestOwnStallIsNotTakenForSilence(t *testing.T) {
 	sim := newSimulation(t)
 	owner, f := doneWhileSilent(sim)
@@ -186,9 +179,7 @@
 	}
 }
 
-// TestAnswerToThePreviousIncarnationDoesNotEndTheNext guards against TWICE: a
-// start for the previous incarnation is refused at its old address, and the
-// runs of the next one are given up.
+// A start for the previous incarnation is refused at its old address.
 func TestAnswerToThePreviousIncarnationDoesNotEndTheNext(t *testing.T) {
 	sim := newSimulation(t)
 	f := sim.addWorker("w1", "p", 4)
@@ -215,8 +206,7 @@
 	}
 }
 
-// TestEndsOfAnUnknownIncarnationAreNotAcknowledged guards against TWICE: a poll
-// for the previous incarnation discards ends that nobody has read.
+// A late poll for the previous incarnation reaches the next one.
 func TestEndsOfAnUnknownIncarnationAreNotAcknowledged(t *testing.T) {
 	sim := newSimulation(t)
 	f := sim.addWorker("w1", "p", 4)
@@ -244,8 +234,7 @@
 	}
 }
 
-// TestExpiredOwnerPollsAtIntervals guards against an owner that cannot record
-// ends and polls their worker without a pause.
+// An owner without its lease can neither record ends nor renew leases.
 func TestExpiredOwnerPollsAtIntervals(t *testing.T) {
 	sim := newSimulation(t)
 	sim.addWorker("w1", "p", 2)
@@ -261,8 +250,7 @@
 	}
 }
 
-// TestAnswerThatIsReadLateKeepsAWorkersRuns guards against TWICE: a slow process
-// discards answers that arrived in time, and gives their workers up.
+// A slow process reads answers after their time-out.
 func TestAnswerThatIsReadLateKeepsAWorkersRuns(t *testing.T) {
 	sim := newSimulation(t)
 	f := sim.addWorker("w1", "p", 2)
@@ -290,8 +278,7 @@
 	}
 }
 
-// TestSlowWorkersDoNotKeepTheTasksOfALostOne guards against LOST: workers that
-// answer late are taken for a slow process, and no worker is given up.
+// Late answers of workers are not slowness of this process.
 func TestSlowWorkersDoNotKeepTheTasksOfALostOne(t *testing.T) {
 	sim := newSimulation(t)
 	lost := sim.addWorker("w1", "p", 2)
@@ -331,8 +318,7 @@
 	}
 }
 
-// TestUnreadAnswersAreNotSilence guards against TWICE: a process that reads no
-// answers for a while gives a sound worker up.
+// This process reads no answers for a while, though its decisions are in time.
 func TestUnreadAnswersAreNotSilence(t *testing.T) {
 	sim := newSimulation(t)
 	f := sim.addWorker("w1", "p", 2)
@@ -367,8 +353,7 @@
 	}
 }
 
-// TestSlowDecisionsStillAcknowledgeEnds guards against ends that a slow owner
-// reads again and again.
+// The owner takes 120 ms from an answer to its next decision.
 func TestSlowDecisionsStillAcknowledgeEnds(t *testing.T) {
 	sim := newSimulation(t)
 	sim.addWorker("w1", "p", 2)
@@ -385,8 +370,7 @@
 	}
 }
 
-// TestRunBeyondTheListedEndsIsNotLost guards against TWICE: an answer holds the
-// first ends only.
+// An answer holds the first ends only.
 func TestRunBeyondTheListedEndsIsNotLost(t *testing.T) {
 	sim := newSimulation(t)
 	f := sim.addWorker("w1", "p", 2)
@@ -416,8 +400,7 @@
 	}
 }
 
-// TestNextIncarnationKeepsTheLeaseOfThePreviousOwner guards against TWICE: the
-// record of workers in use names the incarnation before.
+// The record of workers in use names the incarnation before.
 func TestNextIncarnationKeepsTheLeaseOfThePreviousOwner(t *testing.T) {
 	sim := newSimulation(t)
 	f := sim.addWorker("w1", "p", 2)
