scheduler, node: say why a long-running task has no run

Change: event 941, one line a step and second, with the run that the owner still counts on or the reason for each worker of the pool; events 711 and 712 for reservations; counters TasksWithoutRun and LongestWithoutRunMS. usable() and the log share the list of reasons. No decision changes.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -98,6 +98,7 @@
 	RecommendationFailed = New(938, zapcore.WarnLevel, "no recommendation")
 	PollUnanswered       = New(939, zapcore.WarnLevel, "poll not answered")
 	EndIgnored           = New(940, zapcore.WarnLevel, "end ignored")
+	TaskWithoutRun       = New(941, zapcore.WarnLevel, "long-running task has no run")
 	RecoveryEnded        = New(933, zapcore.InfoLevel, "recovery ended")
 )
 
@@ -128,6 +129,8 @@
 var (
 	HostMoveOrdered        = New(710, zapcore.InfoLevel, "host ordered to another pool")
 	HostMaintenanceOrdered = New(810, zapcore.InfoLevel, "host maintenance ordered")
+	WorkerReserved         = New(711, zapcore.InfoLevel, "worker gets no new tasks")
+	WorkerReopened         = New(712, zapcore.InfoLevel, "worker gets tasks again")
 	HostEvacuation         = New(812, zapcore.InfoLevel, "host evacuation for maintenance started")
 	WaveReported           = New(811, zapcore.InfoLevel, "wave reported as completed")
 )
--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -179,12 +179,12 @@
 			if !o.engine.Reserved(dec.Worker) {
 				event.HostEvacuation.Log(o.node.Log, zap.String("host", dec.Host), zap.String("worker", dec.Worker), zap.Int64("wave", dec.Wave))
 			}
-			o.engine.Reserve(dec.Worker, true)
+			f.reserve(dec, "evacuation")
 			o.engine.Evacuate(dec.Worker, now)
 		case fleetplan.Drain:
-			o.engine.Reserve(dec.Worker, true)
+			f.reserve(dec, "drain")
 		case fleetplan.Open:
-			o.engine.Reserve(dec.Worker, false)
+			f.reopen(dec, dec.Reason)
 		case fleetplan.Resize:
 			event.PoolSized.Log(o.node.Log, zap.String("pool", dec.To), zap.Any("sizing", dec.Sizing))
 		case fleetplan.Complete:
@@ -196,14 +196,32 @@
 	f.recordWaves(ctx)
 }
 
+// reserve excludes the worker of a decision from new tasks.
+func (f *fleetController) reserve(dec fleetplan.Decision, reason string) {
+	if engine := f.owner.engine; !engine.Reserved(dec.Worker) {
+		engine.Reserve(dec.Worker, true)
+		if engine.Reserved(dec.Worker) {
+			event.WorkerReserved.Log(f.owner.node.Log, zap.String("worker", dec.Worker), zap.String("host", dec.Host), zap.String("reason", reason))
+		}
+	}
+}
+
+// reopen admits the worker of a decision to new tasks again.
+func (f *fleetController) reopen(dec fleetplan.Decision, reason string) {
+	if engine := f.owner.engine; engine.Reserved(dec.Worker) {
+		engine.Reserve(dec.Worker, false)
+		event.WorkerReopened.Log(f.owner.node.Log, zap.String("worker", dec.Worker), zap.String("host", dec.Host), zap.String("reason", reason))
+	}
+}
+
 // orderHost orders the move or maintenance of a host, provided that its worker,
 // if it has one, is idle.
 func (f *fleetController) orderHost(ctx context.Context, dec fleetplan.Decision) {
 	o := f.owner
 	if dec.Worker != "" {
-		o.engine.Reserve(dec.Worker, true)
+		f.reserve(dec, "order")
 		if !o.engine.IsIdle(dec.Worker) {
-			o.engine.Reserve(dec.Worker, false)
+			f.reopen(dec, "not idle")
 			f.planner.Refused(dec)
 			return
 		}
@@ -252,7 +270,7 @@
 		}
 	default:
 		f.planner.Refused(dec)
-		o.engine.Reserve(dec.Worker, false)
+		f.reopen(dec, "order refused or not sent")
 	}
 }
 
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -80,6 +80,9 @@
 	step  *step
 	index int
 	done  bool
+	// listedAt is when a worker last listed a run of the task that is not being
+	// stopped, or when the task could first be started.
+	listedAt time.Duration
 	// lastRun is the highest known run number.
 	lastRun  int
 	failures int
@@ -107,6 +110,10 @@
 	runStopping
 )
 
+func (p runPhase) String() string {
+	return [...]string{"sent", "uncertain", "confirmed", "stopping"}[p]
+}
+
 // run is an execution of a task on a worker.
 type run struct {
 	task   *task
@@ -168,7 +175,7 @@
 	p := e.pool(spec.Pool)
 	p.observeJob(spec)
 	if spec.Schedule == nil {
-		e.createOccurrence(j, now)
+		e.createOccurrence(j, now, now)
 	} else {
 		e.createJobOccurrences(j, now)
 	}
@@ -210,13 +217,13 @@
 		if unix < due {
 			return
 		}
-		e.createOccurrence(j, now-time.Duration(unix-due)*time.Millisecond)
+		e.createOccurrence(j, now-time.Duration(unix-due)*time.Millisecond, now)
 	}
 }
 
 // createOccurrence creates the steps of the next occurrence and applies the
 // recorded progress.
-func (e *Engine) createOccurrence(j *job, due time.Duration) {
+func (e *Engine) createOccurrence(j *job, due, now time.Duration) {
 	o := &occurrence{number: j.nextOccurrence, due: due, left: len(j.Steps)}
 	j.nextOccurrence++
 	j.occurrences[o.number] = o
@@ -224,7 +231,7 @@
 		spec := &j.Steps[i]
 		s := &step{Step: spec, job: j, occ: o, index: i, waitsFor: len(slices.Compact(slices.Sorted(slices.Values(spec.After)))), left: spec.Count}
 		for n := range spec.Count {
-			s.tasks = append(s.tasks, &task{step: s, index: n})
+			s.tasks = append(s.tasks, &task{step: s, index: n, listedAt: now})
 		}
 		s.idle = spec.Count
 		o.steps = append(o.steps, s)
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -227,6 +227,9 @@
 	}
 	r.confirmedAt = max(r.confirmedAt, now)
 	r.listed = true
+	if r.phase == runConfirmed {
+		r.task.listedAt = now
+	}
 	e.begin(r.task.step.job, now)
 	if s.Checkpoint != "" {
 		r.task.checkpoint = s.Checkpoint
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -119,8 +119,9 @@
 	promptSentAt time.Duration
 	// nextProbeOfAnother is the earliest time of the next probeAnother.
 	nextProbeOfAnother time.Duration
-	// nextSweep is the time of the next sweep.
-	nextSweep time.Duration
+	// nextSweep is the time of the next sweep, and nextOutageCheck that of the
+	// next check for outages of long-running tasks.
+	nextSweep, nextOutageCheck time.Duration
 	// knownJobs holds the ids of all jobs that were ever added: a feed may
 	// repeat a job that has ended and was dropped.
 	knownJobs map[string]struct{}
@@ -174,6 +175,10 @@
 	// acknowledged ends, and EndsIgnored ends that were acknowledged without a
 	// record.
 	UnansweredPolls, EndsIgnored int64
+	// TasksWithoutRun is how many long-running tasks no worker listed for 2 s or
+	// more at the last check, and LongestWithoutRunMS the longest such time of
+	// any task so far, in milliseconds.
+	TasksWithoutRun, LongestWithoutRunMS int64
 	// OrphansStopped counts the stop orders for listed runs that no job needs.
 	OrphansStopped int64
 }
@@ -343,6 +348,7 @@
 		e.finishRecovery(now)
 		e.checkRuns(now)
 		e.stopStalledRuns(now)
+		e.reportOutages(now)
 	}
 	if ownership != OwnershipExpired {
 		for _, p := range e.pools {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -264,8 +264,27 @@
 }
 
 // usable reports whether the worker may get new tasks.
-func (w *worker) usable(now time.Duration) bool {
-	return w.listed && w.fenced && w.recorded && !w.Draining && !w.reserved && w.failedPolls == 0 && !w.setAside(now)
+func (w *worker) usable(now time.Duration) bool { return w.unusable(now) == "" }
+
+// unusable returns why the worker gets no new tasks, "" if it does.
+func (w *worker) unusable(now time.Duration) string {
+	switch {
+	case !w.listed:
+		return "not listed"
+	case w.Draining:
+		return "draining"
+	case w.failedPolls > 0:
+		return "does not answer"
+	case !w.fenced:
+		return "not fenced"
+	case !w.recorded:
+		return "not recorded"
+	case w.reserved:
+		return "reserved"
+	case w.setAside(now):
+		return "set aside"
+	}
+	return ""
 }
 
 // free returns the resources that the worker has left.
