fleetplan, scheduler: a reservation is the state of a plan

Cause: a worker was reserved by one decision of a plan and opened by another, which named the worker that the host list showed by then. Change: the planner says which workers are reserved, and for what, after each plan; the engine takes the whole set. Drain and Open are no decisions any more. Nothing else changes yet: emptying and ordered workers both get no task.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -129,8 +129,7 @@
 var (
 	HostMoveOrdered        = New(710, zapcore.InfoLevel, "host ordered to another pool")
 	HostMaintenanceOrdered = New(810, zapcore.InfoLevel, "host maintenance ordered")
-	WorkerReserved         = New(711, zapcore.InfoLevel, "worker gets no new tasks")
-	WorkerReopened         = New(712, zapcore.InfoLevel, "worker gets tasks again")
+	WorkerReserved         = New(711, zapcore.InfoLevel, "worker reservation changed")
 	HostEvacuation         = New(812, zapcore.InfoLevel, "host evacuation for maintenance started")
 	WaveReported           = New(811, zapcore.InfoLevel, "wave reported as completed")
 )
--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -73,13 +73,9 @@
 	Move Kind = iota
 	// Maintain orders a host to be taken down for a maintenance wave.
 	Maintain
-	// Evacuate stops placing tasks on a worker and moves its long-running tasks
-	// to other workers.
+	// Evacuate moves the long-running tasks of a worker to other workers. It is
+	// repeated until the worker is idle.
 	Evacuate
-	// Drain stops placing tasks on a worker and lets its tasks finish.
-	Drain
-	// Open allows tasks to be placed on a worker again.
-	Open
 	// Complete reports that the maintenance of every host of a wave that is
 	// still in the estate has started.
 	Complete
@@ -94,15 +90,36 @@
 	Kind   Kind
 	Host   string
 	Worker string
-	// From and To are the pools of a Move. From is set for Maintain and Drain
-	// too, and To for Resize.
+	// From and To are the pools of a Move. From is set for Maintain too, and To
+	// for Resize.
 	From, To string
 	Wave     int64
 	Reason   string
+	// First is set for the first Evacuate of a worker.
+	First bool
 	// Sizing explains the new size of a Resize.
 	Sizing Sizing
 }
 
+// Reservation is what a worker is reserved for. Reserved workers get no new
+// tasks.
+type Reservation int
+
+const (
+	// Unreserved workers get tasks.
+	Unreserved Reservation = iota
+	// Emptying workers are to become idle, so that their hosts can be moved or
+	// maintained.
+	Emptying
+	// Ordered workers are about to end: there is an order about their hosts
+	// whose outcome is not known yet.
+	Ordered
+)
+
+func (r Reservation) String() string {
+	return [...]string{"unreserved", "emptying", "ordered"}[r]
+}
+
 // Sizing is the number of workers that a pool needs, with the figures from
 // which it is computed. It is logged under its field names.
 type Sizing struct {
@@ -144,9 +161,9 @@
 	// evacuating maps hosts to the ids of their workers that are being
 	// evacuated.
 	evacuating map[string]string
-	// draining holds the hosts that get no new tasks because their pool is too
-	// large.
-	draining map[string]bool
+	// draining maps hosts to the ids of their workers that get no new tasks
+	// because their pool is too large.
+	draining map[string]string
 	// anyPoolShort is whether a pool lacked workers at the last plan, and
 	// shortfall how many were still missing after all spare hosts were
 	// assigned.
@@ -159,7 +176,10 @@
 // order is an order to the fleet service that the host list has not confirmed
 // yet.
 type order struct {
-	kind      Kind
+	kind Kind
+	// worker is the id of the host's worker, empty for none or once the order
+	// was carried out.
+	worker    string
 	to        string
 	orderedAt time.Duration
 	// answeredAt is when the order was answered or given up, zero before.
@@ -175,7 +195,7 @@
 func New(migration time.Duration, maintenanceStarted map[int64][]string, surges []Surge, waveFirstSeen map[int64]time.Duration) *Planner {
 	p := &Planner{
 		migration: migration, demands: map[string]*demand{}, orders: map[string]order{}, maintenanceStarted: map[int64]map[string]bool{},
-		evacuating: map[string]string{}, draining: map[string]bool{}, completed: map[int64]bool{}, waveFirstSeen: map[int64]time.Duration{},
+		evacuating: map[string]string{}, draining: map[string]string{}, completed: map[int64]bool{}, waveFirstSeen: map[int64]time.Duration{},
 	}
 	p.forecast.surges = surges
 	maps.Copy(p.waveFirstSeen, waveFirstSeen)
@@ -233,10 +253,29 @@
 	return pendingRemoval
 }
 
+// Reservations returns the reserved workers by id. A worker is reserved only as
+// long as the plan that needs it is in force.
+func (p *Planner) Reservations() map[string]Reservation {
+	reservations := make(map[string]Reservation, len(p.evacuating)+len(p.draining)+len(p.orders))
+	for _, worker := range p.evacuating {
+		reservations[worker] = Emptying
+	}
+	for _, worker := range p.draining {
+		reservations[worker] = Emptying
+	}
+	for _, o := range p.orders {
+		if o.worker != "" {
+			reservations[o.worker] = Ordered
+		}
+	}
+	return reservations
+}
+
 // Done records that an order was carried out.
 func (p *Planner) Done(d Decision, now time.Duration) {
 	o := p.orders[d.Host]
 	o.answeredAt = now
+	o.worker = ""
 	p.orders[d.Host] = o
 	delete(p.evacuating, d.Host)
 	delete(p.draining, d.Host)
@@ -341,7 +380,7 @@
 }
 
 // expireOrder drops the order about a host once the host list shows the host up
-// again or orderTimeout has passed, and reopens the host's worker.
+// again or orderTimeout has passed.
 func (v *view) expireOrder(h *estate.Host) {
 	o, ok := v.orders[h.Name]
 	if !ok {
@@ -353,7 +392,6 @@
 	}
 	delete(v.orders, h.Name)
 	delete(v.draining, h.Name)
-	v.decide(Decision{Kind: Open, Host: h.Name, Worker: h.WorkerID, Reason: "order completed or timed out"})
 }
 
 // available reports whether a host is up and no order about it is unconfirmed.
@@ -384,6 +422,6 @@
 	}
 	v.decisions = append(v.decisions, d)
 	if d.Kind == Move || d.Kind == Maintain {
-		v.orders[d.Host] = order{kind: d.Kind, to: d.To, orderedAt: v.Now, wave: d.Wave}
+		v.orders[d.Host] = order{kind: d.Kind, worker: d.Worker, to: d.To, orderedAt: v.Now, wave: d.Wave}
 	}
 }
--- a/internal/fleetplan/fleetplan_test.go
+++ b/internal/fleetplan/fleetplan_test.go
@@ -149,7 +149,12 @@
 		p := f.pools[name]
 		s.Pools = append(s.Pools, Pool{Name: name, Standby: p.standby, Workers: members[name], Waiting: p.waiting, Arrived: p.arrived, Jobs: p.jobs, Spread: p.spread})
 	}
-	for _, d := range f.planner.Plan(s) {
+	decisions := f.planner.Plan(s)
+	reservations := f.planner.Reservations()
+	for id, h := range byWorker {
+		h.reserved = reservations[id] != Unreserved
+	}
+	for _, d := range decisions {
 		f.apply(d, byName[d.Host], byWorker[d.Worker])
 	}
 }
@@ -163,16 +168,9 @@
 				f.fail("wave completed, but %s was not maintained", name)
 			}
 		}
-	case Evacuate, Drain:
-		if w != nil {
-			w.reserved = true
-			if d.Kind == Evacuate {
-				w.longRunning = 0
-			}
-		}
-	case Open:
+	case Evacuate:
 		if w != nil {
-			w.reserved = false
+			w.longRunning = 0
 		}
 	case Move, Maintain:
 		f.order(d, h)
@@ -194,7 +192,6 @@
 			f.fail("%s goes down while %d hosts are down, the maximum of the wave", h.name, down)
 		}
 	}
-	h.reserved = false
 	if d.Kind == Move {
 		f.moves++
 		h.pool, h.state, h.backAt = d.To, estate.HostMoving, f.now+testMigration
--- a/internal/fleetplan/move.go
+++ b/internal/fleetplan/move.go
@@ -104,10 +104,9 @@
 	for _, h := range list {
 		worker := v.workers[h.WorkerID]
 		switch {
-		case over > 0 && worker.Open && !v.draining[h.Name]:
+		case over > 0 && worker.Open && v.draining[h.Name] == "":
 			over--
-			v.draining[h.Name] = true
-			v.decide(Decision{Kind: Drain, Host: h.Name, Worker: h.WorkerID, From: h.Pool})
+			v.draining[h.Name] = h.WorkerID
 		case over > 0 && worker.Idle:
 			over--
 		}
@@ -120,7 +119,7 @@
 	var list []*estate.Host
 	for i := range v.Hosts {
 		h := &v.Hosts[i]
-		if h.Pool == need.pool.Name && v.draining[h.Name] && v.available(h) && v.workers[h.WorkerID] != nil {
+		if h.Pool == need.pool.Name && v.draining[h.Name] != "" && v.available(h) && v.workers[h.WorkerID] != nil {
 			list = append(list, h)
 		}
 	}
@@ -137,7 +136,6 @@
 		}
 		need.serving++
 		delete(v.draining, h.Name)
-		v.decide(Decision{Kind: Open, Host: h.Name, Worker: h.WorkerID, Reason: "pool needs the worker again"})
 	}
 }
 
@@ -199,7 +197,7 @@
 		return false
 	}
 	w := v.workers[h.WorkerID]
-	return w == nil || w.Open || (w.Idle && !v.draining[h.Name])
+	return w == nil || w.Open || (w.Idle && v.draining[h.Name] == "")
 }
 
 // size returns how many workers a pool needs that has the given number of them.
@@ -275,7 +273,7 @@
 		if v.workers[h.WorkerID] == nil {
 			continue
 		}
-		if !v.draining[h.Name] {
+		if v.draining[h.Name] == "" {
 			if over[h.Pool] <= 0 {
 				continue
 			}
--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -18,10 +18,9 @@
 			v.maintainWave(w, selected)
 		}
 	}
-	for host, worker := range v.evacuating {
+	for host := range v.evacuating {
 		if _, ordered := v.orders[host]; !selected[host] && !ordered {
 			delete(v.evacuating, host)
-			v.decide(Decision{Kind: Open, Host: host, Worker: worker, Reason: "no longer selected for maintenance"})
 		}
 	}
 }
@@ -75,8 +74,9 @@
 		}
 		if v.mayEvacuate(h, selected, behindSchedule) {
 			selected[h.Name] = true
+			first := v.evacuating[h.Name] != h.WorkerID
 			v.evacuating[h.Name] = h.WorkerID
-			v.decide(Decision{Kind: Evacuate, Host: h.Name, Worker: h.WorkerID, Wave: w.Number})
+			v.decide(Decision{Kind: Evacuate, Host: h.Name, Worker: h.WorkerID, Wave: w.Number, First: first})
 		}
 	}
 }
--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -173,18 +173,14 @@
 	}
 	decisions := f.planner.Plan(state)
 	o.engine.SetPendingRemoval(f.planner.PendingRemoval(state))
+	o.engine.SetReservations(f.planner.Reservations())
 	for _, dec := range decisions {
 		switch dec.Kind {
 		case fleetplan.Evacuate:
-			if !o.engine.Reserved(dec.Worker) {
+			if dec.First {
 				event.HostEvacuation.Log(o.node.Log, zap.String("host", dec.Host), zap.String("worker", dec.Worker), zap.Int64("wave", dec.Wave))
 			}
-			f.reserve(dec, "evacuation")
 			o.engine.Evacuate(dec.Worker, now)
-		case fleetplan.Drain:
-			f.reserve(dec, "drain")
-		case fleetplan.Open:
-			f.reopen(dec, dec.Reason)
 		case fleetplan.Resize:
 			event.PoolSized.Log(o.node.Log, zap.String("pool", dec.To), zap.Any("sizing", dec.Sizing))
 		case fleetplan.Complete:
@@ -196,35 +192,13 @@
 	f.recordWaves(ctx)
 }
 
-// reserve excludes the worker of a decision from new tasks.
-func (f *fleetController) reserve(dec fleetplan.Decision, reason string) {
-	if engine := f.owner.engine; !engine.Reserved(dec.Worker) {
-		engine.Reserve(dec.Worker, true)
-		if engine.Reserved(dec.Worker) {
-			event.WorkerReserved.Log(f.owner.node.Log, zap.String("worker", dec.Worker), zap.String("host", dec.Host), zap.String("reason", reason))
-		}
-	}
-}
-
-// reopen admits the worker of a decision to new tasks again.
-func (f *fleetController) reopen(dec fleetplan.Decision, reason string) {
-	if engine := f.owner.engine; engine.Reserved(dec.Worker) {
-		engine.Reserve(dec.Worker, false)
-		event.WorkerReopened.Log(f.owner.node.Log, zap.String("worker", dec.Worker), zap.String("host", dec.Host), zap.String("reason", reason))
-	}
-}
-
 // orderHost orders the move or maintenance of a host, provided that its worker,
 // if it has one, is idle.
 func (f *fleetController) orderHost(ctx context.Context, dec fleetplan.Decision) {
 	o := f.owner
-	if dec.Worker != "" {
-		f.reserve(dec, "order")
-		if !o.engine.IsIdle(dec.Worker) {
-			f.reopen(dec, "not idle")
-			f.planner.Refused(dec)
-			return
-		}
+	if dec.Worker != "" && !o.engine.IsIdle(dec.Worker) {
+		f.planner.Refused(dec)
+		return
 	}
 	go func() {
 		outcome, err := f.sendOrder(ctx, dec)
@@ -270,7 +244,6 @@
 		}
 	default:
 		f.planner.Refused(dec)
-		f.reopen(dec, "order refused or not sent")
 	}
 }
 
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -4,6 +4,9 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/egretpitch/egretpitch/internal/event"
 	"github.com/egretpitch/egretpitch/internal/fleetplan"
 )
 
@@ -97,20 +100,19 @@
 	return n
 }
 
-// Reserve excludes a worker from new tasks, or admits it again.
-func (e *Engine) Reserve(id string, reserved bool) {
-	if w := e.workers[id]; w != nil && w.reserved != reserved {
-		w.reserved = reserved
-		w.pool.needsPass = true
+// SetReservations replaces the reservations of workers, by id. Reserved workers
+// get no new tasks.
+func (e *Engine) SetReservations(reservations map[string]fleetplan.Reservation) {
+	for id, w := range e.workers {
+		if r := reservations[id]; r != w.reservation {
+			event.WorkerReserved.Log(e.opts.Log, zap.String("worker", id), zap.String("pool", w.pool.name),
+				zap.Stringer("reservation", r), zap.Stringer("before", w.reservation), zap.Int("runs", len(w.runs)))
+			w.reservation = r
+			w.pool.needsPass = true
+		}
 	}
 }
 
-// Reserved reports whether a worker is excluded from new tasks.
-func (e *Engine) Reserved(id string) bool {
-	w := e.workers[id]
-	return w != nil && w.reserved
-}
-
 // SetPendingRemoval sets the workers whose hosts are to be maintained or moved
 // soon. Long-running tasks are placed there only if no other worker is
 // suitable.
@@ -120,11 +122,11 @@
 	}
 }
 
-// IsIdle reports whether a reserved worker has no runs, so that its host may be
-// moved or maintained. An unknown worker is idle.
+// IsIdle reports whether a worker is reserved for an order and has no runs, so
+// that its host may be moved or maintained. An unknown worker is idle.
 func (e *Engine) IsIdle(id string) bool {
 	w := e.workers[id]
-	return w == nil || (!w.inherited && w.reserved && !w.occupied())
+	return w == nil || (!w.inherited && w.reservation == fleetplan.Ordered && !w.occupied())
 }
 
 // HostRemoved handles the move or maintenance of a worker's host, which ended
--- a/internal/scheduler/terms_test.go
+++ b/internal/scheduler/terms_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/egretpitch/egretpitch/internal/fleetplan"
 	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/workload"
@@ -175,7 +176,7 @@
 	job.Steps[0].LongRunning, job.Steps[0].MaxUnavailable = true, 1
 	sim.submit(owner, job)
 	sim.run(2*time.Second, owner)
-	owner.Reserve("w1", true)
+	owner.SetReservations(map[string]fleetplan.Reservation{"w1": fleetplan.Emptying})
 	worst := 0
 	for range 600 {
 		owner.Evacuate("w1", sim.now)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -10,6 +10,7 @@
 
 	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/event"
+	"github.com/egretpitch/egretpitch/internal/fleetplan"
 	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
@@ -33,9 +34,8 @@
 	// inherited is set while the worker may have undiscovered runs of a
 	// previous owner.
 	inherited bool
-	// reserved workers get no new tasks, because their hosts are to be moved or
-	// maintained.
-	reserved bool
+	// reservation is set if the worker's host is to be moved or maintained.
+	reservation fleetplan.Reservation
 	// pendingRemoval is set if the worker's host is to be maintained or moved
 	// soon.
 	pendingRemoval bool
@@ -279,8 +279,8 @@
 		return "not fenced"
 	case !w.recorded:
 		return "not recorded"
-	case w.reserved:
-		return "reserved"
+	case w.reservation != fleetplan.Unreserved:
+		return w.reservation.String()
 	case w.setAside(now):
 		return "set aside"
 	}
