--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -48,6 +48,10 @@
 	// long-running tasks need because of their MaxPerWorker bounds, 0 for no
 	// such step.
 	Spread int
+	// LongRunningShortfall is how many workers the pool lacks for long-running
+	// tasks that have no run, or whose workers are leaving, emptying or silent,
+	// and that fit on none of its open workers.
+	LongRunningShortfall int
 	// Arrived is the total work in core-seconds that was accepted so far, and
 	// Jobs the total number of jobs.
 	Arrived float64
