scheduler: a simulation of planner and engine together

Nothing ran the planner and the engine together, and nothing asserted that a long-running task gets a run in time. The simulation of the engine gets hosts, a fleet service that can be away, slow or lose answers, discovery entries that come late, and the control loop of the fleet controller. The check is the users' rule: from 6 s after its last run, a task must not wait for 3 s while the workers of its pool have capacity for two of it, unless a crash, an outage of the fleet service or a change of owner was less than 4 s before.

In the first, a worker leaves with its tasks and a wave starts just before their runs are given up; the engine passes over the last worker with capacity because it is being emptied. In the second, a wave goes on emptying workers while the fleet service is away. There, outages do not excuse and workers with an order in flight do not count as capacity. A history without events keeps all tasks running.

--- /dev/null
+++ b/internal/scheduler/liveness_test.go
@@ -0,0 +1,271 @@
+package scheduler
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"github.com/egretpitch/egretpitch/internal/fleetplan"
+	"github.com/egretpitch/egretpitch/internal/placement"
+	"github.com/egretpitch/egretpitch/internal/workload"
+)
+
+const (
+	// restartTime is how long a long-running task may be without a run for any
+	// reason, and outageBound how long after that while there is capacity for
+	// it.
+	restartTime = 6 * time.Second
+	outageBound = 3 * time.Second
+	// settlingTime is how long after a disruption the bound does not hold.
+	settlingTime = 4 * time.Second
+)
+
+// livenessCheck checks that long-running tasks have runs.
+type livenessCheck struct {
+	watched map[workload.TaskID]*watchedTask
+	// disruptedAt is the time of the last crash, outage of the fleet service or
+	// change of owner. With ignoreDisruptions the bound holds all the same, but
+	// workers with an order about their hosts do not count.
+	disruptedAt       time.Duration
+	ignoreDisruptions bool
+	// longest is the longest time that a task was without a run.
+	longest     time.Duration
+	longestTask workload.TaskID
+	// broken describes the first task without a run for too long.
+	broken string
+}
+
+// watchedTask is a long-running task. ranAt is when it last had a run, or when
+// it was submitted, and dueSince the time since which it must get one.
+type watchedTask struct{ ranAt, dueSince time.Duration }
+
+func (c *estateSimulation) disrupted() { c.disruptedAt = c.now }
+
+// checkLongRunning fails the simulation if a task has had no run for
+// outageBound, though its pool has had the capacity for two such tasks.
+func (s *estateSimulation) checkLongRunning() {
+	running := map[workload.TaskID]bool{}
+	for _, f := range s.workers {
+		for key := range f.running {
+			running[key.task] = true
+		}
+	}
+	calm := s.ignoreDisruptions || s.now-s.disruptedAt >= settlingTime
+	for _, task := range slices.SortedFunc(maps.Keys(s.watched), compareTasks) {
+		w := s.watched[task]
+		switch {
+		case running[task]:
+			w.ranAt, w.dueSince = s.now, s.now
+			continue
+		case s.now-w.ranAt < restartTime || !calm || s.copiesThatFit(task) < 2:
+			w.dueSince = s.now
+		case s.now-w.dueSince >= outageBound && s.broken == "":
+			s.broken = s.describeOutage(task)
+		}
+		if without := s.now - w.ranAt; without > s.longest {
+			s.longest, s.longestTask = without, task
+		}
+	}
+}
+
+// copiesThatFit returns how many more runs of a task fit on the workers of its
+// pool that are not draining.
+func (s *estateSimulation) copiesThatFit(task workload.TaskID) int {
+	spec := s.records[task.Job].spec
+	step := spec.Steps[task.Step]
+	var reservations map[string]fleetplan.Reservation
+	if s.ignoreDisruptions {
+		reservations = s.planner.Reservations()
+	}
+	copies := 0
+	for _, f := range s.workers {
+		if !f.up || f.Draining || f.Pool != spec.Pool || reservations[f.ID] == fleetplan.Ordered {
+			continue
+		}
+		fits, free := 0, s.freeOn(f)
+		for ; step.Requests().Fits(free) && fits < 2; fits++ {
+			free = free.Sub(step.Requests())
+		}
+		if step.MaxPerWorker > 0 {
+			allowed := step.MaxPerWorker
+			for key := range f.running {
+				if key.task.StepName() == task.StepName() {
+					allowed--
+				}
+			}
+			fits = max(0, min(fits, allowed))
+		}
+		copies += fits
+	}
+	return copies
+}
+
+// loggedEvent is an event of an engine or of the estate.
+type loggedEvent struct {
+	at      time.Duration
+	message string
+	fields  []zapcore.Field
+}
+
+func (s *estateSimulation) notef(format string, args ...any) {
+	s.events = append(s.events, loggedEvent{at: s.now, message: fmt.Sprintf(format, args...)})
+}
+
+// eventLog keeps the events that engines log.
+type eventLog struct {
+	zapcore.LevelEnabler
+	sim *estateSimulation
+}
+
+func (l eventLog) With([]zapcore.Field) zapcore.Core { return l }
+func (l eventLog) Sync() error                       { return nil }
+func (l eventLog) Check(e zapcore.Entry, ce *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	return ce.AddCore(e, l)
+}
+
+func (l eventLog) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	l.sim.events = append(l.sim.events, loggedEvent{l.sim.now, e.Message, fields})
+	return nil
+}
+
+func (e loggedEvent) String() string {
+	text := fmt.Sprintf("%v %s", e.at, e.message)
+	if len(e.fields) == 0 {
+		return text
+	}
+	line, err := zapcore.NewJSONEncoder(zapcore.EncoderConfig{SkipLineEnding: true}).EncodeEntry(zapcore.Entry{}, e.fields)
+	if err != nil {
+		return text
+	}
+	return text + " " + line.String()
+}
+
+// describeOutage reports a task without a run, with the last events of the task
+// and of its pool's workers.
+func (s *estateSimulation) describeOutage(task workload.TaskID) string {
+	const shown = 60
+	pool := s.records[task.Job].spec.Pool
+	var lines []string
+	for _, e := range slices.Backward(s.events) {
+		if len(lines) == shown {
+			break
+		}
+		line := e.String()
+		ofPool := strings.Contains(line, "pool "+pool) || strings.Contains(line, `"pool":"`+pool+`"`) || strings.Contains(line, "wave ")
+		if strings.Contains(line, task.String()) || (ofPool && !strings.Contains(line, `"task":`)) {
+			lines = append(lines, line)
+		}
+	}
+	slices.Reverse(lines)
+	return fmt.Sprintf("task %v of pool %s has no run at %v, the last one ended at %v; %d more would fit; longest time without a run so far: %v (%v)\n%s",
+		task, pool, s.now, s.watched[task].ranAt, s.copiesThatFit(task), s.longest, s.longestTask, strings.Join(lines, "\n"))
+}
+
+// verify fails the test if an invariant or the bound was violated.
+func (s *estateSimulation) verify() {
+	s.t.Helper()
+	s.check()
+	if s.broken != "" {
+		s.t.Fatal(s.broken)
+	}
+}
+
+func (s *estateSimulation) workerOf(pool string, most bool) *fakeHost {
+	var best *fakeHost
+	for _, h := range s.poolHosts(pool) {
+		if h.worker != nil && (best == nil || (len(h.worker.running) > len(best.worker.running)) == most) {
+			best = h
+		}
+	}
+	return best
+}
+
+// estateWithPackedWorker returns an estate in which one worker of pool a, on
+// the returned host, runs the eight tasks of two jobs.
+func estateWithPackedWorker(t testingT) (*estateSimulation, *fakeHost) {
+	s := newEstate(t, 1, map[string]int{"a": 4, "b": 4, "c": 4, "d": 4, standbyPool: 1})
+	s.advance(time.Second)
+	s.submitTasks("a", longRunningStep(4, 1.75, 3<<10, 0))
+	s.submitTasks("a", longRunningStep(4, 1.75, 3<<10, 0))
+	s.advance(time.Second)
+	s.submitTasks("a", longRunningStep(6, 1.5, 3<<10, 2))
+	s.advance(4 * time.Second)
+	s.verify()
+	return s, s.workerOf("a", true)
+}
+
+// surge submits batch jobs to a pool for the given time.
+func (s *estateSimulation) surge(pool string, jobsPerSecond int, d time.Duration) {
+	for at := time.Duration(0); at < d; at += time.Second / time.Duration(jobsPerSecond) {
+		s.after(at, func() {
+			s.submitTasks(pool, workload.Step{
+				Count: s.draw(2, 8), Size: placement.Resources{Processors: float64(s.draw(2, 10)) / 4, MemoryMB: s.draw(1, 4) << 10}, Estimate: s.millis(600, 1500),
+			})
+		})
+	}
+}
+
+// hostNames returns the names of a pool's hosts.
+func (s *estateSimulation) hostNames(pool string) []string {
+	var names []string
+	for _, h := range s.poolHosts(pool) {
+		names = append(names, h.name)
+	}
+	return names
+}
+
+// A wave reserves the last open worker just before the runs are given up, while
+// other pools surge.
+func TestTasksOfALeavingWorkerRunWhenAWaveStarts(t *testing.T) {
+	s, leaving := estateWithPackedWorker(t)
+	if n := len(leaving.worker.running); n < 8 {
+		t.Fatalf("the worker runs %d tasks, want at least 8", n)
+	}
+	s.leave(leaving, 9*time.Second)
+	s.advance(12 * time.Second)
+	for _, pool := range []string{"b", "c", "d"} {
+		s.surge(pool, 40, 8*time.Second)
+	}
+	s.advance(time.Second)
+	for _, h := range s.poolHosts("a") {
+		if h.worker != nil && h != s.workerOf("a", true) {
+			s.leave(h, 6*time.Second)
+			break
+		}
+	}
+	s.advance(300 * time.Millisecond)
+	s.startWave(s.hostNames("a"), 8*time.Second, 4)
+	s.advance(25 * time.Second)
+	s.verify()
+}
+
+// Workers that are emptied for a wave keep free capacity that tasks wait for.
+func TestWaveHoldsNoWorkersWhileTheFleetServiceIsAway(t *testing.T) {
+	s, _ := estateWithPackedWorker(t)
+	s.ignoreDisruptions = true
+	s.submitTasks("a", longRunningStep(6, 2, 4<<10, 2))
+	s.submitTasks("a", longRunningStep(5, 2, 4<<10, 0))
+	s.advance(2 * time.Second)
+	s.startWave(s.hostNames("a"), 15*time.Second, 4)
+	s.advance(2500 * time.Millisecond)
+	s.service = serviceSilent
+	s.advance(18 * time.Second)
+	s.service = serviceUp
+	s.advance(15 * time.Second)
+	s.verify()
+}
+
+func TestLongRunningTasksKeepRunningWithoutEvents(t *testing.T) {
+	s, _ := estateWithPackedWorker(t)
+	s.longest = 0
+	s.advance(30 * time.Second)
+	s.verify()
+	if s.longest > 0 {
+		t.Errorf("task %v was without a run for %v", s.longestTask, s.longest)
+	}
+}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -42,6 +42,9 @@
 	// that are not in pool "p".
 	catalogVersion int64
 	poolOf         map[string]string
+	// estateCatalog replaces the catalog of catalogVersion, if set.
+	estateCatalog *estate.Catalog
+	log           *zap.Logger
 	// requestDelay and answerDelay are how long an order and its answer take.
 	requestDelay, answerDelay func() time.Duration
 	// violation describes the first violated invariant.
@@ -148,7 +151,7 @@
 
 func newSimulation(t testingT) *simulation {
 	return &simulation{t: t, workers: map[string]*fakeWorker{}, records: map[string]*storedJob{}, inUse: map[string]estate.Worker{},
-		catalogVersion: 1, poolOf: map[string]string{},
+		catalogVersion: 1, poolOf: map[string]string{}, log: zap.NewNop(),
 		requestDelay: func() time.Duration { return orderDelay }, answerDelay: func() time.Duration { return orderDelay },
 	}
 }
@@ -450,6 +453,9 @@
 )
 
 func (sim *simulation) catalog() *estate.Catalog {
+	if sim.estateCatalog != nil {
+		return sim.estateCatalog
+	}
 	pools := []*estate.Pool{{Name: "p", RejectsOverload: true}, {Name: "spare", Standby: true}}
 	pool := func(queue string) string { return cmp.Or(sim.poolOf[queue], "p") }
 	if len(sim.poolOf) > 0 {
@@ -474,7 +480,7 @@
 	e := New(Options{
 		Token: sim.fence, Epoch: epoch, MaxLease: testMaxLease, StopGrace: 100 * time.Millisecond,
 		Parts: 2, PartOf: func(job string) int { return int(job[15]) % 2 },
-		UnixMS: func(now time.Duration) int64 { return now.Milliseconds() }, Log: zap.NewNop(),
+		UnixMS: func(now time.Duration) int64 { return now.Milliseconds() }, Log: sim.log,
 	})
 	owner := &testOwner{Engine: e, sim: sim, token: sim.fence}
 	e.SetCatalog(sim.catalog())
