scheduler: evacuate a task only if another worker can take it

Cause: Evacuate stopped every long-running task that MaxUnavailable allowed and left it to the next pass to find a worker. Before that, the long-running tasks that wait, that are being stopped, or whose worker has left or is silent get their places, so that one place is not counted for two tasks. Tickets are requested before the stop. Workers that do not answer are not evacuated: whether the stop was carried out would be unknown. A task of an inherited job is not stopped while recovery would hold its next start. MaxUnavailable holds as before. Why it works: the capacity for a task is known before its run is interrupted. It is not held while the run is being stopped: another task may still take it.

--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -137,17 +137,55 @@
 	}
 }
 
-// Evacuate stops long-running tasks on a worker as far as the MaxUnavailable of
-// their steps allows. They are started again elsewhere.
-func (e *Engine) Evacuate(id string, now time.Duration) {
-	w := e.workers[id]
-	if w == nil {
-		return
+// Evacuate requests that the long-running tasks of a worker move to other
+// workers. The next sweep stops those that another worker can take, as far as
+// the MaxUnavailable of their steps allows.
+func (e *Engine) Evacuate(id string, _ time.Duration) {
+	if w := e.workers[id]; w != nil {
+		w.evacuating = true
 	}
-	for _, r := range w.runs {
-		s := r.task.step
-		if s.LongRunning && r.phase == runConfirmed && e.mayInterrupt(r) {
-			e.stop(r, "worker is being evacuated", now)
+}
+
+// evacuate stops the long-running tasks of the workers that are to be
+// evacuated.
+func (e *Engine) evacuate(now time.Duration) {
+	for _, p := range e.pools {
+		e.evacuatePool(p, now)
+		for _, w := range p.workers {
+			w.evacuating = false
+		}
+	}
+}
+
+// evacuatePool stops the long-running tasks of the pool's workers that are to
+// be evacuated, as far as other workers can take them and the MaxUnavailable of
+// their steps allows.
+func (e *Engine) evacuatePool(p *pool, now time.Duration) {
+	var open []*worker
+	var free *places
+	for _, w := range p.workers {
+		if !w.evacuating || w.failedPolls > 0 {
+			continue
+		}
+		for _, r := range w.sortedRuns() {
+			s := r.task.step
+			if !s.LongRunning || r.phase != runConfirmed || e.blockedByRecovery(s.job) || !e.mayInterrupt(r) {
+				continue
+			}
+			if free == nil {
+				open = slices.DeleteFunc(p.usableWorkers(now), func(w *worker) bool { return w.evacuating })
+				free = newPlaces(open)
+				for _, t := range p.displacedTasks() {
+					free.assign(t.step, func(*worker) bool { return true })
+				}
+			}
+			hasTicket := func(w *worker) bool {
+				_, ok := e.ticket(s, w, now)
+				return ok
+			}
+			if e.ensureTickets(s, open, now) && free.assign(s, hasTicket) {
+				e.stop(r, "worker is being evacuated", now)
+			}
 		}
 	}
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -156,6 +157,12 @@
 	return workload.TaskID{Job: t.step.job.ID, Occurrence: t.step.occ.number, Step: t.step.index, Index: t.index}
 }
 
+// compare orders the tasks of all jobs.
+func (t *task) compare(o *task) int {
+	a, b := t.id(), o.id()
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+}
+
 // startable reports whether the task is not done and has no run.
 func (t *task) startable() bool { return !t.done && len(t.runs) == 0 }
 
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -145,10 +145,12 @@
 // allows reports whether the placement constraints of the step permit the
 // worker.
 func (s *step) allows(w *worker) bool {
-	if s.Requires != "" && !slices.Contains(w.Labels, s.Requires) {
-		return false
-	}
-	return s.MaxPerWorker == 0 || s.runsOn(w) < s.MaxPerWorker
+	return s.hasLabel(w) && (s.MaxPerWorker == 0 || s.runsOn(w) < s.MaxPerWorker)
+}
+
+// hasLabel reports whether the worker has the label that the step requires.
+func (s *step) hasLabel(w *worker) bool {
+	return s.Requires == "" || slices.Contains(w.Labels, s.Requires)
 }
 
 // runsOn counts the step's runs on a worker.
@@ -266,7 +268,7 @@
 			if s.MaxPerWorker > 0 && n >= s.MaxPerWorker {
 				break
 			}
-			if s.Requires != "" && !slices.Contains(w.Labels, s.Requires) {
+			if !s.hasLabel(w) {
 				break
 			}
 			chosen = append(chosen, w)
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -116,6 +117,19 @@
 	e.endRun(r, now)
 }
 
+// sortedRuns returns the runs on the worker in a fixed order, so that a
+// simulation can be repeated.
+func (w *worker) sortedRuns() []*run {
+	list := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *run) int {
+		return cmp.Or(a.task.compare(b.task), cmp.Compare(a.number, b.number))
+	})
+	return list
+}
+
 // endRun removes a run that is over. Its task can be started again, unless it
 // is done.
 func (e *Engine) endRun(r *run, now time.Duration) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -349,6 +349,9 @@
 		e.checkRuns(now)
 		e.stopStalledRuns(now)
 		e.reportOutages(now)
+		if e.catalog != nil && ownership != OwnershipExpired {
+			e.evacuate(now)
+		}
 	}
 	if ownership != OwnershipExpired {
 		for _, p := range e.pools {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -36,6 +36,9 @@
 	inherited bool
 	// reservation is set if the worker's host is to be moved or maintained.
 	reservation fleetplan.Reservation
+	// evacuating is set if the long-running tasks of the worker are to move to
+	// other workers at the next sweep.
+	evacuating bool
 	// pendingRemoval is set if the worker's host is to be maintained or moved
 	// soon.
 	pendingRemoval bool
