scheduler: long-running tasks start on emptying workers as a last resort

Cause: a reserved worker took no task, whatever waited, and a worker that was set aside for failures took none for up to 8 s. Both run tasks as well as any other worker. Change: a long-running task that fits on no usable worker may start on one that is being emptied or is set aside, if nothing else closes that worker. Ordered, draining, silent, unfenced and unrecorded workers stay closed, and so do the short pauses after a refusal or an unanswered order, which now have a field of their own (health.pausedUntil). A worker that is set aside takes no task that failed on it itself: otherwise a long-running task that fails at once would be started again without end (18 starts in 1 s in the test without this rule), so failures of long-running tasks are now noted in failedOn too. Gangs are left as they were. The log of tasks without a run (event 941) gives "no capacity" and the like for such a worker instead of "emptying" or "set aside", and "paused" for the short pauses. Evidence: without the choice of such workers, or without them in the filter by free capacity, TestLongRunningTaskStartsOnAnEmptyingWorkerIfItFitsNowhereElse and TestTaskOnAnEmptyingWorkerIsNotStoppedAtOnce fail; with pauses and set-aside workers treated alike the former fails; without the rule on own failures TestTaskThatSetItsWorkerAsideWaitsForIt fails; with the old reasons TestTaskWithoutRunNamesNoReservationThatItMayIgnore fails. Why it works: the evacuation does not stop such a task again until another worker can take it.

--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -101,7 +101,8 @@
 }
 
 // SetReservations replaces the reservations of workers, by id. Reserved workers
-// get no new tasks.
+// get no new tasks, except that emptying ones get long-running tasks that fit on
+// no usable worker.
 func (e *Engine) SetReservations(reservations map[string]fleetplan.Reservation) {
 	for id, w := range e.workers {
 		if r := reservations[id]; r != w.reservation {
@@ -173,7 +174,8 @@
 				continue
 			}
 			if free == nil {
-				open = slices.DeleteFunc(p.usableWorkers(now), func(w *worker) bool { return w.evacuating })
+				open, _ = p.openWorkers(now)
+				open = slices.DeleteFunc(open, func(w *worker) bool { return w.evacuating })
 				free = newPlaces(open)
 				for _, t := range p.displacedTasks() {
 					free.assign(t.step, func(*worker) bool { return true })
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,15 +24,25 @@
 	// failedJobs holds the jobs whose tasks failed on the worker since its last
 	// success.
 	failedJobs map[string]struct{}
-	// setAsideUntil is when the worker may get new tasks again. setAsideFor is
-	// how long it was last set aside for failures.
+	// setAsideUntil is when a worker that was set aside for failures is usable
+	// again, and setAsideFor for how long it was last set aside.
 	setAsideUntil time.Duration
 	setAsideFor   time.Duration
+	// pausedUntil is when the worker may get tasks again after it refused a
+	// start or left an order unanswered.
+	pausedUntil time.Duration
 	// onProbation is set if the worker was set aside and has had no success
 	// since.
 	onProbation bool
 }
 
+// failedAt notes that a run of the task failed or stalled on a worker.
+func (t *task) failedAt(w *worker) {
+	if !slices.Contains(t.failedOn, w.ID) {
+		t.failedOn = append(t.failedOn, w.ID)
+	}
+}
+
 // penalize counts a failed run against its worker. Failures of a single job do
 // not set a worker aside unless it is on probation: the fault may be the job's.
 func (e *Engine) penalize(w *worker, t *task, now time.Duration) {
@@ -52,23 +63,27 @@
 }
 
 // succeeded clears the failures and ends the time for which the worker is set
-// aside.
+// aside or paused.
 func (h *health) succeeded(now time.Duration) {
 	h.failedJobs = nil
 	h.onProbation = false
 	h.setAsideFor = 0
 	h.setAsideUntil = min(h.setAsideUntil, now)
+	h.pausedUntil = min(h.pausedUntil, now)
 }
 
-// pauseUntil sets the worker aside until a time, if it is not set aside for
-// longer already.
-func (h *health) pauseUntil(at time.Duration) { h.setAsideUntil = max(h.setAsideUntil, at) }
+// pauseUntil keeps all new tasks from the worker until a time, if it is not
+// paused for longer already.
+func (h *health) pauseUntil(at time.Duration) { h.pausedUntil = max(h.pausedUntil, at) }
 
-// pauseAfterUnanswered sets the worker aside for a while after an order without
-// an answer.
+// pauseAfterUnanswered pauses the worker after an order without an answer.
 func (h *health) pauseAfterUnanswered(now time.Duration) {
 	h.pauseUntil(now + refusalPause)
 }
 
-// setAside reports whether the worker gets no new tasks at present.
+// paused reports whether the worker gets no new tasks at present because of an
+// order that it refused or left unanswered.
+func (h *health) paused(now time.Duration) bool { return now < h.pausedUntil }
+
+// setAside reports whether the worker is set aside for failures at present.
 func (h *health) setAside(now time.Duration) bool { return now < h.setAsideUntil }
--- a/internal/scheduler/longrunning_test.go
+++ b/internal/scheduler/longrunning_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/egretpitch/egretpitch/internal/fleetplan"
+	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
@@ -130,3 +131,122 @@
 		t.Errorf("%d stops, %d starts; want none and 2", s.Stops, s.Starts)
 	}
 }
+
+func TestLongRunningTaskStartsOnAnEmptyingWorkerIfItFitsNowhereElse(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		close  func(owner *testOwner, w *worker)
+		starts bool
+	}{
+		{"emptying", func(owner *testOwner, w *worker) { w.reservation = fleetplan.Emptying }, true},
+		{"ordered", func(owner *testOwner, w *worker) { w.reservation = fleetplan.Ordered }, false},
+		{"set aside", func(owner *testOwner, w *worker) { w.setAsideUntil = time.Hour }, true},
+		{"emptying and set aside", func(owner *testOwner, w *worker) {
+			w.reservation, w.setAsideUntil = fleetplan.Emptying, time.Hour
+		}, true},
+		{"paused", func(owner *testOwner, w *worker) { w.pauseUntil(time.Hour) }, false},
+		{"emptying and paused", func(owner *testOwner, w *worker) {
+			w.reservation = fleetplan.Emptying
+			w.pauseUntil(time.Hour)
+		}, false},
+		{"emptying and draining", func(owner *testOwner, w *worker) { w.reservation, w.Draining = fleetplan.Emptying, true }, false},
+		{"emptying and not listed", func(owner *testOwner, w *worker) {
+			w.reservation = fleetplan.Emptying
+			owner.WorkerUnlisted(w.ID, owner.sim.now)
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sim := newSimulation(t)
+			full := sim.addWorkerFor(nil, "w1", 1)
+			w2 := sim.addWorkerFor(nil, "w2", 8)
+			owner := sim.newOwner()
+			sim.run(200*time.Millisecond, owner)
+			c.close(owner, owner.workers["w2"])
+			sim.submit(owner, longRunningJob(1, 2, 2))
+			sim.submit(owner, jobOf(2, 1, 2))
+			sim.run(time.Second, owner)
+			want := 0
+			if c.starts {
+				want = 2
+			}
+			if len(w2.running) != want || len(full.running) != 0 {
+				t.Errorf("%d tasks run, want %d", len(w2.running), want)
+			}
+			for _, r := range w2.running {
+				if r.task.Job != longRunningJob(1, 2, 2).ID {
+					t.Errorf("task %v runs, which is not long-running", r.task)
+				}
+			}
+		})
+	}
+}
+
+func TestLongRunningTaskPrefersAUsableWorker(t *testing.T) {
+	sim := newSimulation(t)
+	w1 := sim.addWorkerFor(nil, "w1", 2)
+	w2 := sim.addWorkerFor(nil, "w2", 8)
+	owner := sim.newOwner()
+	sim.run(200*time.Millisecond, owner)
+	owner.SetReservations(map[string]fleetplan.Reservation{"w1": fleetplan.Emptying})
+	sim.submit(owner, longRunningJob(1, 1, 2))
+	sim.run(time.Second, owner)
+	if len(w1.running) != 0 || len(w2.running) != 1 {
+		t.Errorf("%d tasks on the emptying worker, %d on the usable one; want 0 and 1", len(w1.running), len(w2.running))
+	}
+}
+
+// The task is not stopped again until another worker can take it.
+func TestTaskOnAnEmptyingWorkerIsNotStoppedAtOnce(t *testing.T) {
+	sim := newSimulation(t)
+	w1 := sim.addWorkerFor(nil, "w1", 8)
+	owner := sim.newOwner()
+	sim.run(200*time.Millisecond, owner)
+	owner.SetReservations(map[string]fleetplan.Reservation{"w1": fleetplan.Emptying})
+	sim.submit(owner, longRunningJob(1, 1, 2))
+	sim.evacuateFor(2*time.Second, owner, "w1")
+	if s := owner.Stats(); s.Starts != 1 || s.Stops != 0 {
+		t.Fatalf("%d starts, %d stops; want 1 and none", s.Starts, s.Stops)
+	}
+	w2 := sim.addWorkerFor(owner, "w2", 8)
+	sim.evacuateFor(time.Second, owner, "w1")
+	if len(w1.running) != 0 || len(w2.running) != 1 {
+		t.Errorf("%d tasks left, %d on the new worker; want 0 and 1", len(w1.running), len(w2.running))
+	}
+}
+
+func TestTaskThatSetItsWorkerAsideWaitsForIt(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorker("w1", "p", 8)
+	f.duration = func(workload.TaskID) (time.Duration, platform.RunEnd) {
+		return 100 * time.Millisecond, platform.EndFailed
+	}
+	owner := sim.newOwner()
+	for n := range failedJobsToSetAside {
+		sim.submit(owner, longRunningJob(1+n, 1, 2))
+	}
+	sim.run(300*time.Millisecond, owner)
+	if owner.Stats().WorkersSetAside == 0 {
+		t.Fatal("the worker is not set aside")
+	}
+	starts := owner.Stats().Starts
+	sim.run(time.Second, owner)
+	if got := owner.Stats().Starts - starts; got != 0 {
+		t.Errorf("%d starts on the worker that was set aside for failures of the same tasks", got)
+	}
+}
+
+func TestTaskWithoutRunNamesNoReservationThatItMayIgnore(t *testing.T) {
+	sim := newSimulation(t)
+	sim.addWorkerFor(nil, "w1", 1)
+	owner := sim.newOwner()
+	sim.run(200*time.Millisecond, owner)
+	owner.SetReservations(map[string]fleetplan.Reservation{"w1": fleetplan.Emptying})
+	sim.submit(owner, longRunningJob(1, 1, 2))
+	sim.submit(owner, jobOf(2, 1, 2))
+	sim.run(200*time.Millisecond, owner)
+	for id, want := range map[string]string{longRunningJob(1, 1, 2).ID: "no capacity", jobOf(2, 1, 2).ID: "emptying"} {
+		if got := owner.passedOver(owner.jobs[id].find(0, 0, 0), owner.workers["w1"], sim.now); got != want {
+			t.Errorf("job %s: passed over for %q, want %q", id, got, want)
+		}
+	}
+}
--- a/internal/scheduler/outage.go
+++ b/internal/scheduler/outage.go
@@ -113,7 +113,7 @@
 // passedOver returns why a worker does not get a task, "" if it could.
 func (e *Engine) passedOver(t *task, w *worker, now time.Duration) string {
 	s := t.step
-	if reason := w.unusable(now); reason != "" {
+	if reason := w.unusable(now); reason != "" && (w.closed(now) != "" || len(t.lastResort([]*worker{w}, now)) == 0) {
 		return reason
 	}
 	switch {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -34,29 +34,33 @@
 	if e.catalog == nil || (len(p.ready) == 0 && !p.speculative()) {
 		return
 	}
-	open := p.usableWorkers(now)
+	open, lastResort := p.openWorkers(now)
 	// During a surge most passes find hundreds of steps and free capacity for
 	// few of them. Only those that may fit are ranked.
-	most := maxFree(open)
+	most, mostLastResort := maxFree(open), maxFree(lastResort)
+	mayFit := func(s *step) bool {
+		size := s.Requests()
+		return size.Fits(most) || (s.hasLastResort() && size.Fits(mostLastResort))
+	}
 	list := make([]candidate, 0, len(p.ready))
 	for s := range p.ready {
-		if s.Requests().Fits(most) && !e.blockedByRecovery(s.job) {
+		if mayFit(s) && !e.blockedByRecovery(s.job) {
 			list = append(list, candidate{s, e.rank(s, now)})
 		}
 	}
 	slices.SortFunc(list, candidate.compare)
 	for _, c := range list {
-		if !c.Requests().Fits(most) {
+		if !mayFit(c.step) {
 			continue
 		}
 		started := e.stats.Starts
 		if c.Gang {
 			e.placeGang(c.step, open, now)
 		} else {
-			e.placeStep(c.step, open, now)
+			e.placeStep(c.step, open, lastResort, now)
 		}
 		if e.stats.Starts > started {
-			most = maxFree(open)
+			most, mostLastResort = maxFree(open), maxFree(lastResort)
 		}
 	}
 	if now >= p.nextCopySearch {
@@ -86,21 +90,45 @@
 	return slices.ContainsFunc(p.workers, func(w *worker) bool { return w.speculative > 0 })
 }
 
-// usableWorkers returns the workers that may get tasks, in the order of their
-// ids.
-func (p *pool) usableWorkers(now time.Duration) []*worker {
-	open := make([]*worker, 0, len(p.workers))
+// openWorkers returns the workers that may get tasks, and those that are the
+// last resort of long-running tasks, both in the order of their ids.
+func (p *pool) openWorkers(now time.Duration) (usable, lastResort []*worker) {
+	usable = make([]*worker, 0, len(p.workers))
 	for _, w := range p.workers {
-		if w.usable(now) {
-			open = append(open, w)
+		switch {
+		case w.usable(now):
+			usable = append(usable, w)
+		case w.closed(now) == "":
+			lastResort = append(lastResort, w)
 		}
 	}
-	return open
+	return usable, lastResort
+}
+
+// hasLastResort reports whether tasks of the step that fit on no usable worker
+// may start on one that is being emptied or is set aside: a long-running task
+// is useful all the time, also on a worker that it has to leave later.
+func (s *step) hasLastResort() bool { return s.LongRunning && !s.Gang }
+
+// lastResort returns the workers of a list that the task may start on if it fits
+// on no usable worker. Where it failed itself, it waits until the worker is not
+// set aside any more.
+func (t *task) lastResort(workers []*worker, now time.Duration) []*worker {
+	if !t.step.hasLastResort() {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool {
+		return w.setAside(now) && slices.Contains(t.failedOn, w.ID)
+	})
 }
 
 // placeStep starts the idle tasks of a step as far as there is free capacity.
-func (e *Engine) placeStep(s *step, open []*worker, now time.Duration) {
-	if !e.ensureTickets(s, open, now) {
+func (e *Engine) placeStep(s *step, open, lastResort []*worker, now time.Duration) {
+	asked := open
+	if s.hasLastResort() && len(lastResort) > 0 && !slices.ContainsFunc(open, s.fitsOn) {
+		asked = lastResort
+	}
+	if !e.ensureTickets(s, asked, now) {
 		return
 	}
 	for _, t := range s.tasks {
@@ -112,9 +140,14 @@
 		}
 		w, ticket := e.chooseWorker(t, open, now)
 		if w == nil {
-			return
+			w, ticket = e.chooseWorker(t, t.lastResort(lastResort, now), now)
+		}
+		switch {
+		case w != nil:
+			e.start(t, w, e.nextRun(t), ticket, now)
+		case !s.hasLastResort() || len(t.failedOn) == 0:
+			return // no worker takes any other task of the step
 		}
-		e.start(t, w, e.nextRun(t), ticket, now)
 	}
 }
 
@@ -127,7 +160,7 @@
 	var bestFit fit
 	var bestTicket string
 	for _, w := range open {
-		if !size.Fits(w.free()) || !s.allows(w) {
+		if !s.fitsOn(w) {
 			continue
 		}
 		ticket, ok := e.ticket(s, w, now)
@@ -142,6 +175,10 @@
 	return best, bestTicket
 }
 
+// fitsOn reports whether the worker has the capacity for a task of the step and
+// the placement constraints permit it.
+func (s *step) fitsOn(w *worker) bool { return s.Requests().Fits(w.free()) && s.allows(w) }
+
 // allows reports whether the placement constraints of the step permit the
 // worker.
 func (s *step) allows(w *worker) bool {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -304,6 +304,7 @@
 		e.taskFailed(t, w, end.Run, now)
 		changed = j
 	case end.End == platform.EndFailed:
+		t.failedAt(w)
 		e.penalize(w, t, now)
 	case end.End == platform.EndAlone:
 		t.step.gangRetry = now + refusalPause
@@ -365,7 +366,7 @@
 	j.progress.Failures = append(j.progress.Failures, record)
 	t.failures++
 	t.notBefore = now + failurePause
-	t.failedOn = append(t.failedOn, w.ID)
+	t.failedAt(w)
 	e.penalize(w, t, now)
 	e.markDirty(j, true, now)
 	if t.failures >= e.maxAttempts(j) {
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -36,7 +36,7 @@
 				e.stats.StuckRuns++
 				event.TaskStalled.Log(e.opts.Log, zap.Stringer("task", r.task.id()), zap.Int("run", r.number), zap.String("worker", w.ID),
 					zap.Float64("percent", r.percent), zap.Duration("still", now-r.progressAt))
-				r.task.failedOn = append(r.task.failedOn, w.ID)
+				r.task.failedAt(w)
 				e.penalize(w, r.task, now)
 				e.stop(r, "no progress", now)
 			}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -269,8 +269,25 @@
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(now time.Duration) bool { return w.unusable(now) == "" }
 
-// unusable returns why the worker gets no new tasks, "" if it does.
+// unusable returns why the worker gets no new tasks, "" if it does. A worker
+// that is only being emptied or set aside is the last resort of long-running
+// tasks.
 func (w *worker) unusable(now time.Duration) string {
+	if reason := w.closed(now); reason != "" {
+		return reason
+	}
+	switch {
+	case w.reservation != fleetplan.Unreserved:
+		return w.reservation.String()
+	case w.setAside(now):
+		return "set aside"
+	}
+	return ""
+}
+
+// closed returns why the worker may not get any task, "" if it is usable or a
+// last resort.
+func (w *worker) closed(now time.Duration) string {
 	switch {
 	case !w.listed:
 		return "not listed"
@@ -282,10 +299,10 @@
 		return "not fenced"
 	case !w.recorded:
 		return "not recorded"
-	case w.reservation != fleetplan.Unreserved:
+	case w.reservation == fleetplan.Ordered:
 		return w.reservation.String()
-	case w.setAside(now):
-		return "set aside"
+	case w.paused(now):
+		return "paused"
 	}
 	return ""
 }
