scheduler: long-running tasks leave a worker before its announced end

Cause: a draining worker got no new tasks, but nothing moved those that it had. From leaveMargin before the announced end on, MaxUnavailable no longer holds tasks back, since they would all end with the worker. The time is counted from the arrival of the latest entry; a worker that announces none stays within the bound. The reason in the log is "worker leaves". An owner whose ownership lease has expired stops nothing, since it could not start the tasks again. Why it works: a run that is stopped has a known end, so its task starts at once. A task that fits nowhere else stays until the worker ends, as before.

--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -147,7 +147,12 @@
 	}
 }
 
-// evacuate stops the long-running tasks of the workers that are to be
+// leaveMargin is the remaining time of a worker that leaves from which the
+// MaxUnavailable of their steps no longer keeps its long-running tasks there:
+// they would all end with the worker.
+const leaveMargin = 2 * time.Second
+
+// evacuate stops the long-running tasks of the workers that leave or are to be
 // evacuated.
 func (e *Engine) evacuate(now time.Duration) {
 	for _, p := range e.pools {
@@ -158,38 +163,78 @@
 	}
 }
 
-// evacuatePool stops the long-running tasks of the pool's workers that are to
-// be evacuated, as far as other workers can take them and the MaxUnavailable of
-// their steps allows.
+// evacuatePool stops the long-running tasks of the pool's workers that leave or
+// are to be evacuated, as far as other workers can take them and the
+// MaxUnavailable of their steps allows. Workers that leave come first.
 func (e *Engine) evacuatePool(p *pool, now time.Duration) {
-	var open []*worker
-	var free *places
+	v := evacuation{Engine: e, pool: p, now: now}
+	for _, w := range p.workers {
+		if w.leaving() {
+			v.stopRuns(w, "worker leaves")
+		}
+	}
 	for _, w := range p.workers {
-		if !w.evacuating || w.failedPolls > 0 {
+		if w.evacuating && !w.leaving() {
+			v.stopRuns(w, "worker is being evacuated")
+		}
+	}
+}
+
+// evacuation is one call of evacuatePool.
+type evacuation struct {
+	*Engine
+	pool *pool
+	now  time.Duration
+	// open are the workers that can take tasks, and free is their capacity. It
+	// is nil until the first run that may be stopped.
+	open []*worker
+	free *places
+}
+
+// stopRuns stops the long-running tasks of a worker that another worker can
+// take.
+func (v *evacuation) stopRuns(w *worker, reason string) {
+	if w.failedPolls > 0 {
+		return // the outcome of a stop would be unknown
+	}
+	for _, r := range w.sortedRuns() {
+		s := r.task.step
+		if !s.LongRunning || r.phase != runConfirmed || v.blockedByRecovery(s.job) {
 			continue
 		}
-		for _, r := range w.sortedRuns() {
-			s := r.task.step
-			if !s.LongRunning || r.phase != runConfirmed || e.blockedByRecovery(s.job) || !e.mayInterrupt(r) {
-				continue
-			}
-			if free == nil {
-				open, _ = p.openWorkers(now)
-				open = slices.DeleteFunc(open, func(w *worker) bool { return w.evacuating })
-				free = newPlaces(open)
-				for _, t := range p.displacedTasks() {
-					free.assign(t.step, func(*worker) bool { return true })
-				}
-			}
-			hasTicket := func(w *worker) bool {
-				_, ok := e.ticket(s, w, now)
-				return ok
-			}
-			if e.ensureTickets(s, open, now) && free.assign(s, hasTicket) {
-				e.stop(r, "worker is being evacuated", now)
-			}
+		if (v.mayInterrupt(r) || w.endsSoon(v.now)) && v.assign(s) {
+			v.stop(r, reason, v.now)
+		}
+	}
+}
+
+// assign gives a task of a step a place on another worker. Tasks that need a
+// place already come first.
+func (v *evacuation) assign(s *step) bool {
+	if v.free == nil {
+		v.open, _ = v.pool.openWorkers(v.now)
+		v.open = slices.DeleteFunc(v.open, func(w *worker) bool { return w.evacuating })
+		v.free = newPlaces(v.open)
+		for _, t := range v.pool.displacedTasks() {
+			v.free.assign(t.step, func(*worker) bool { return true })
 		}
 	}
+	if !v.ensureTickets(s, v.open, v.now) {
+		return false
+	}
+	return v.free.assign(s, func(w *worker) bool {
+		_, ok := v.ticket(s, w, v.now)
+		return ok
+	})
+}
+
+// leaving reports whether the worker has announced that it ends.
+func (w *worker) leaving() bool { return w.listed && w.Draining }
+
+// endsSoon reports whether the time for which the worker announced to stay is
+// nearly over.
+func (w *worker) endsSoon(now time.Duration) bool {
+	return w.leavesAt > 0 && w.leavesAt-now <= leaveMargin
 }
 
 // mayInterrupt reports whether the engine may end a run. The other tasks of its
--- a/internal/scheduler/longrunning_test.go
+++ b/internal/scheduler/longrunning_test.go
@@ -250,3 +250,115 @@
 		}
 	}
 }
+
+// leave lets a worker announce that it ends, repeats its entry and ends it. It
+// calls check after each step.
+func (sim *simulation) leave(f *fakeWorker, after time.Duration, owner *testOwner, check func(remaining time.Duration)) {
+	const heartbeat = 250 * time.Millisecond
+	f.Draining = true
+	for f.Remaining = after; f.Remaining > 0; f.Remaining -= heartbeat {
+		owner.discover()
+		for left := f.Remaining; left > f.Remaining-heartbeat; left -= testTick {
+			sim.run(testTick, owner)
+			check(left)
+		}
+	}
+	f.crash()
+	f.unlisted = true
+	owner.discover()
+}
+
+// notReady counts the tasks of a job of one step that are not at work.
+func (sim *simulation) notReady(job *workload.Job) int {
+	n := job.Steps[0].Count
+	for _, f := range sim.workers {
+		for _, r := range f.running {
+			if r.task.Job == job.ID && f.percent(r, sim.now) >= 100 {
+				n--
+			}
+		}
+	}
+	return n
+}
+
+func TestLongRunningTasksAreNotLostWithAWorkerThatLeaves(t *testing.T) {
+	for _, maxUnavailable := range []int{0, 1} {
+		sim := newSimulation(t)
+		w1 := sim.addWorkerFor(nil, "w1", 16)
+		owner := sim.newOwner()
+		job := longRunningJob(1, 8, 2)
+		job.Steps[0].MaxUnavailable = maxUnavailable
+		sim.submit(owner, job)
+		sim.run(2*time.Second, owner)
+		w2 := sim.addWorkerFor(owner, "w2", 16)
+		sim.run(200*time.Millisecond, owner)
+		worst, left := 0, 0
+		sim.leave(w1, 6*time.Second, owner, func(remaining time.Duration) {
+			if remaining > leaveMargin+200*time.Millisecond {
+				worst = max(worst, sim.notReady(job))
+			}
+			left = len(w1.running)
+		})
+		sim.run(time.Second, owner)
+		sim.check()
+		if s := owner.Stats(); left != 0 || len(w2.running) != 8 || s.LostRuns != 0 {
+			t.Errorf("MaxUnavailable %d: %d tasks left at the end of the worker, %d on the other one, %d lost; want 0, 8 and 0", maxUnavailable, left, len(w2.running), s.LostRuns)
+		}
+		if maxUnavailable > 0 && worst > maxUnavailable {
+			t.Errorf("up to %d tasks are unavailable at once while there is time, want at most %d", worst, maxUnavailable)
+		}
+	}
+}
+
+func TestTaskStaysOnAWorkerThatLeavesWhileItFitsNowhereElse(t *testing.T) {
+	sim := newSimulation(t)
+	w1 := sim.addWorkerFor(nil, "w1", 8)
+	sim.addWorkerFor(nil, "w2", 1)
+	owner := sim.newOwner()
+	sim.submit(owner, longRunningJob(1, 1, 2))
+	sim.run(time.Second, owner)
+	left := 0
+	sim.leave(w1, 4*time.Second, owner, func(time.Duration) { left = len(w1.running) })
+	if s := owner.Stats(); left != 1 || s.Stops != 0 {
+		t.Errorf("%d tasks left, %d stops; want 1 and none", left, s.Stops)
+	}
+}
+
+// A worker that announces no remaining time may stay for long.
+func TestTasksLeaveWithinTheirBoundIfTheEndIsUnknown(t *testing.T) {
+	sim := newSimulation(t)
+	w1 := sim.addWorkerFor(nil, "w1", 8)
+	owner := sim.newOwner()
+	job := longRunningJob(1, 4, 2)
+	job.Steps[0].MaxUnavailable = 1
+	sim.submit(owner, job)
+	sim.run(2*time.Second, owner)
+	w2 := sim.addWorkerFor(owner, "w2", 8)
+	sim.run(200*time.Millisecond, owner)
+	w1.Draining = true
+	worst := 0
+	for range 40 {
+		owner.discover()
+		sim.run(200*time.Millisecond, owner)
+		worst = max(worst, sim.notReady(job))
+	}
+	if worst > 1 || len(w2.running) != 4 {
+		t.Errorf("up to %d tasks unavailable at once, %d moved; want at most 1 and 4", worst, len(w2.running))
+	}
+}
+
+func TestOwnerWithoutALeaseStopsNoTaskOfAWorkerThatLeaves(t *testing.T) {
+	sim := newSimulation(t)
+	w1 := sim.addWorkerFor(nil, "w1", 8)
+	sim.addWorkerFor(nil, "w2", 8)
+	owner := sim.newOwner()
+	sim.submit(owner, longRunningJob(1, 1, 2))
+	sim.run(time.Second, owner)
+	owner.expired = true
+	w1.Draining, w1.Remaining = true, 9*time.Second
+	owner.discover()
+	sim.run(2*time.Second, owner)
+	if s := owner.Stats(); s.Stops != 0 {
+		t.Errorf("%d stops by an owner that may start nothing", s.Stops)
+	}
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -34,6 +34,9 @@
 	// inherited is set while the worker may have undiscovered runs of a
 	// previous owner.
 	inherited bool
+	// leavesAt is the earliest time at which a draining worker ends, 0 if it
+	// has not announced one.
+	leavesAt time.Duration
 	// reservation is set if the worker's host is to be moved or maintained.
 	reservation fleetplan.Reservation
 	// evacuating is set if the long-running tasks of the worker are to move to
@@ -114,6 +117,12 @@
 	if entry.Draining && !w.Draining {
 		event.WorkerDraining.Log(e.opts.Log, zap.String("worker", w.ID), zap.String("pool", w.Pool), zap.Duration("remaining", entry.Remaining))
 	}
+	switch {
+	case !entry.Draining:
+		w.leavesAt = 0
+	case entry.Remaining > 0 || w.leavesAt > 0:
+		w.leavesAt = now + entry.Remaining
+	}
 	w.Worker = entry
 }
 
