scheduler: the load of a pool counts long-running tasks that need a place

Cause: the runs of workers that are not listed were in no figure of their pool, and what the others lacked was told in cores alone. Memory, and capacity on workers that leave, are silent or are being emptied, hid that tasks fit nowhere. Change: LongRunningCores includes the runs of workers that are not listed. LongRunningShortfall is filled: the further workers needed by the long-running tasks that have no run or whose run is being stopped or is on a worker that drains, has left, is silent or reserved, after first fit on the other workers of the pool; capacity, labels and MaxPerWorker count. Workers that are not fenced or recorded yet, and paused ones, count as places, so that no host is requested for what is about to be usable. A further worker is expected to have the mean capacity of the pool's workers and the labels that half of them have; a task that it cannot hold adds nothing, so a request cannot go on for ever. The code that gives tasks their places is that of the evacuation. Spread, which told the same for MaxPerWorker alone, is no longer computed. TestWaitingTasksReportTheWorkersTheyNeed checks the same number of workers by the shortfall. Evidence: TestLoadCountsTasksWhoseWorkerHasLeft fails with the old order of the check (0 cores instead of 6). The cases of TestShortfallCountsTheWorkersThatTasksNeed fail one by one with its parts taken out: reserved and draining workers (3 cases), stopping, unlisted and silent (4), MaxPerWorker (2), workers not fenced yet (1), labels (1), tasks that no worker holds (2).

--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -22,10 +22,10 @@
 		p := e.pool(name)
 		out := fleetplan.Pool{Name: name, Standby: e.standby(name), Arrived: p.arrived, Jobs: p.arrivedJobs}
 		for _, w := range p.workers {
+			out.LongRunningCores += w.longRunningCores()
 			if !w.listed {
 				continue
 			}
-			out.LongRunningCores += w.longRunningCores()
 			out.Workers = append(out.Workers, fleetplan.Worker{
 				ID: w.ID, Cores: w.Capacity.Processors, Used: w.used.Processors, Late: e.lateCores(w, now), LongRunningTasks: w.longRunningTasks(),
 				Idle: !w.inherited && !w.occupied() && len(w.pendingEnds) == 0 && !w.Draining && w.failedPolls == 0,
@@ -38,25 +38,18 @@
 			case s.LongRunning:
 				out.Waiting += cores
 				out.LongRunningCores += cores
-				out.Spread = max(out.Spread, s.minWorkers())
 			case e.timeliness(s.job, s.occ, now) == onTime:
 				out.Waiting += cores
 			}
 		}
+		if !out.Standby {
+			out.LongRunningShortfall = e.longRunningShortfall(p, now)
+		}
 		list = append(list, out)
 	}
 	return list
 }
 
-// minWorkers returns how many workers the step needs because of its
-// MaxPerWorker, 0 if it has no such bound.
-func (s *step) minWorkers() int {
-	if s.MaxPerWorker == 0 {
-		return 0
-	}
-	return (s.Count + s.MaxPerWorker - 1) / s.MaxPerWorker
-}
-
 // lateCores returns how many cores of a worker are held by tasks whose jobs
 // cannot meet their objective any more.
 func (e *Engine) lateCores(w *worker, now time.Duration) float64 {
@@ -215,8 +208,8 @@
 		v.open, _ = v.pool.openWorkers(v.now)
 		v.open = slices.DeleteFunc(v.open, func(w *worker) bool { return w.evacuating })
 		v.free = newPlaces(v.open)
-		for _, t := range v.pool.displacedTasks() {
-			v.free.assign(t.step, func(*worker) bool { return true })
+		for _, t := range v.pool.tasksToPlace((*run).displaced) {
+			v.free.assign(t.step, anyWorker)
 		}
 	}
 	if !v.ensureTickets(s, v.open, v.now) {
--- a/internal/scheduler/longrunning_test.go
+++ b/internal/scheduler/longrunning_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/egretpitch/egretpitch/internal/fleetplan"
+	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
@@ -362,3 +363,120 @@
 		t.Errorf("%d stops by an owner that may start nothing", s.Stops)
 	}
 }
+
+// load returns the load of a pool.
+func (owner *testOwner) load(pool string) fleetplan.Pool {
+	for _, p := range owner.Pools(owner.sim.now) {
+		if p.Name == pool {
+			return p
+		}
+	}
+	return fleetplan.Pool{}
+}
+
+func TestLoadCountsTasksWhoseWorkerHasLeft(t *testing.T) {
+	sim := newSimulation(t)
+	w1 := sim.addWorkerFor(nil, "w1", 8)
+	owner := sim.newOwner()
+	sim.submit(owner, longRunningJob(1, 3, 2))
+	sim.run(time.Second, owner)
+	w2 := sim.addWorkerFor(owner, "w2", 4)
+	w1.crash()
+	w1.unlisted = true
+	owner.discover()
+	for range 40 {
+		if got := owner.load("p"); got.LongRunningCores != 6 {
+			t.Fatalf("the load is %v cores at %v, want 6", got.LongRunningCores, sim.now)
+		}
+		sim.run(200*time.Millisecond, owner)
+	}
+	if len(w2.running) != 2 {
+		t.Errorf("%d tasks are placed again, want 2", len(w2.running))
+	}
+}
+
+func TestShortfallCountsTheWorkersThatTasksNeed(t *testing.T) {
+	reserve := func(r fleetplan.Reservation) func(*testOwner) {
+		return func(owner *testOwner) { owner.workers["w1"].reservation = r }
+	}
+	for _, c := range []struct {
+		name string
+		// free is the capacity of a second worker, 0 for none.
+		free   float64
+		job    func(job *workload.Job)
+		change func(owner *testOwner)
+		want   int
+	}{
+		{name: "all tasks run"},
+		{name: "draining", change: func(owner *testOwner) { owner.workers["w1"].Draining = true }, want: 1},
+		{name: "draining, capacity elsewhere", free: 8, change: func(owner *testOwner) { owner.workers["w1"].Draining = true }},
+		{name: "draining, capacity for some elsewhere", free: 5, change: func(owner *testOwner) { owner.workers["w1"].Draining = true }, want: 1},
+		{name: "emptying", change: reserve(fleetplan.Emptying), want: 1},
+		{name: "emptying, capacity elsewhere", free: 8, change: reserve(fleetplan.Emptying)},
+		{name: "silent", change: func(owner *testOwner) { owner.workers["w1"].failedPolls = 1 }, want: 1},
+		{name: "unlisted, pool is empty", change: func(owner *testOwner) { owner.WorkerUnlisted("w1", owner.sim.now) }, want: 1},
+		{name: "unlisted, other capacity does not answer", free: 8, change: func(owner *testOwner) {
+			owner.WorkerUnlisted("w1", owner.sim.now)
+			owner.workers["w2"].failedPolls = 1
+		}, want: 1},
+		{name: "being stopped", change: func(owner *testOwner) {
+			for _, r := range owner.workers["w1"].runs {
+				r.phase = runStopping
+			}
+		}, want: 1},
+		{name: "set aside worker keeps its tasks", change: func(owner *testOwner) { owner.workers["w1"].setAsideUntil = time.Hour }},
+		{name: "no run", job: func(job *workload.Job) { job.Steps[0].Count = 6 }, want: 1},
+		{name: "no run, two workers needed", job: func(job *workload.Job) { job.Steps[0].Count = 9 }, want: 2},
+		{name: "memory", job: func(job *workload.Job) { job.Steps[0].Size = placement.Resources{Processors: 0.1, MemoryMB: 1 << 19} }, want: 1},
+		{name: "bound on tasks of a worker", job: func(job *workload.Job) { job.Steps[0].MaxPerWorker = 1 }, want: 3},
+		{name: "bound on tasks of a worker, capacity elsewhere", free: 8, job: func(job *workload.Job) { job.Steps[0].MaxPerWorker = 1 }, want: 2},
+		{name: "more than a worker has", job: func(job *workload.Job) { job.Steps[0].Size.Processors = 9 }},
+		{name: "label that few workers have", free: 8, job: func(job *workload.Job) { job.Steps[0].Requires = "c" }},
+		{name: "label that most workers have", job: func(job *workload.Job) { job.Steps[0].Requires, job.Steps[0].Count = "a", 6 }, want: 1},
+		{name: "label that the free worker lacks", free: 8, job: func(job *workload.Job) { job.Steps[0].Requires, job.Steps[0].Count = "b", 5 }, want: 1},
+		{name: "new worker is not fenced", free: 8, change: func(owner *testOwner) {
+			owner.workers["w1"].Draining = true
+			owner.workers["w2"].fenced = false
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sim := newSimulation(t)
+			sim.addWorkerFor(nil, "w1", 8).Labels = []string{"a", "b", "rack"}
+			owner := sim.newOwner()
+			job := longRunningJob(1, 4, 2)
+			if c.job != nil {
+				c.job(job)
+			}
+			sim.submit(owner, job)
+			sim.run(time.Second, owner)
+			if c.free > 0 {
+				sim.addWorkerFor(owner, "w2", c.free)
+				sim.run(300*time.Millisecond, owner)
+			}
+			if c.change != nil {
+				c.change(owner)
+			}
+			if got := owner.load("p").LongRunningShortfall; got != c.want {
+				t.Errorf("the pool needs %d further workers, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// The only worker of the estate is in another pool.
+func TestShortfallOfAPoolWithoutWorkers(t *testing.T) {
+	sim := newSimulation(t)
+	sim.poolOf["r"] = "other"
+	sim.addWorkerFor(nil, "w1", 4)
+	owner := sim.newOwner()
+	job := longRunningJob(1, 3, 2)
+	job.Queue, job.Pool = "r", "other"
+	sim.submit(owner, job)
+	sim.run(300*time.Millisecond, owner)
+	if got := owner.load("other").LongRunningShortfall; got != 2 {
+		t.Errorf("the pool needs %d further workers, want 2", got)
+	}
+	if got := owner.load("p").LongRunningShortfall; got != 0 {
+		t.Errorf("the other pool needs %d further workers, want none", got)
+	}
+}
--- a/internal/scheduler/places.go
+++ b/internal/scheduler/places.go
@@ -31,11 +31,17 @@
 func newPlaces(workers []*worker) *places {
 	p := &places{list: make([]place, 0, len(workers)), cursors: map[*step]*placeCursor{}}
 	for _, w := range workers {
-		p.list = append(p.list, place{worker: w, free: w.free()})
+		p.add(w)
 	}
 	return p
 }
 
+// add appends the free capacity of a worker.
+func (p *places) add(w *worker) { p.list = append(p.list, place{worker: w, free: w.free()}) }
+
+// anyWorker permits every worker.
+func anyWorker(*worker) bool { return true }
+
 // assign gives one more task of a step a place on a permitted worker. It
 // reports false if there is none.
 func (p *places) assign(s *step, permitted func(*worker) bool) bool {
@@ -64,10 +70,9 @@
 	return s.MaxPerWorker == 0 || s.runsOn(at.worker)+assigned < s.MaxPerWorker
 }
 
-// displacedTasks returns the long-running tasks of a pool that need another
-// place: those without a run, and those whose run is being stopped or is on a
-// worker that has left or does not answer. Large tasks come first.
-func (p *pool) displacedTasks() []*task {
+// tasksToPlace returns the long-running tasks of a pool that need a place: those
+// without a run, and those whose only run is displaced. Large tasks come first.
+func (p *pool) tasksToPlace(displaced func(*run) bool) []*task {
 	var list []*task
 	for s := range p.ready {
 		if !s.LongRunning {
@@ -81,8 +86,9 @@
 	}
 	for _, w := range p.workers {
 		for _, r := range w.runs {
-			if r.displaced() {
-				list = append(list, r.task)
+			t := r.task
+			if t.step.LongRunning && !t.done && !t.step.job.ended() && len(t.runs) == 1 && displaced(r) {
+				list = append(list, t)
 			}
 		}
 	}
@@ -93,12 +99,8 @@
 	return list
 }
 
-// displaced reports whether the run is the only one of a long-running task and
-// will not last.
+// displaced reports whether the run is being stopped or its worker has left or
+// does not answer.
 func (r *run) displaced() bool {
-	t := r.task
-	if !t.step.LongRunning || t.done || t.step.job.ended() || len(t.runs) > 1 {
-		return false
-	}
 	return r.phase == runStopping || !r.worker.listed || r.worker.failedPolls > 0
 }
--- /dev/null
+++ b/internal/scheduler/shortfall.go
@@ -0,0 +1,87 @@
+package scheduler
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/egretpitch/egretpitch/internal/estate"
+	"github.com/egretpitch/egretpitch/internal/fleetplan"
+	"github.com/egretpitch/egretpitch/internal/placement"
+)
+
+// longRunningShortfall returns how many further workers the pool needs for its
+// long-running tasks that have no run or whose run will not last where it is.
+// Tasks that a further worker cannot hold are left out.
+func (e *Engine) longRunningShortfall(p *pool, now time.Duration) int {
+	tasks := p.tasksToPlace(func(r *run) bool {
+		return r.displaced() || r.worker.Draining || r.worker.reservation != fleetplan.Unreserved
+	})
+	if len(tasks) == 0 {
+		return 0
+	}
+	var serving []*worker
+	for _, w := range p.workers {
+		if w.serving(now) {
+			serving = append(serving, w)
+		}
+	}
+	free := newPlaces(serving)
+	further := e.furtherWorker(p)
+	n := 0
+	for _, t := range tasks {
+		if free.assign(t.step, anyWorker) || !t.step.fitsOn(further) {
+			continue
+		}
+		n++
+		free.add(further)
+		free.assign(t.step, anyWorker)
+	}
+	return n
+}
+
+// serving reports whether the worker is to get new tasks, now or as soon as it
+// is fenced and recorded and its pause is over.
+func (w *worker) serving(now time.Duration) bool {
+	return w.listed && !w.Draining && w.failedPolls == 0 && w.reservation == fleetplan.Unreserved && !w.setAside(now)
+}
+
+// furtherWorker returns what can be expected of another worker of the pool: the
+// mean capacity of its workers, and the labels that at least half of them have.
+// For a pool without workers it is the largest known worker, with the labels of
+// at least half of all workers.
+func (e *Engine) furtherWorker(p *pool) *worker {
+	var largest, sum placement.Resources
+	labels, allLabels := map[string]int{}, map[string]int{}
+	count, allCount := 0, 0
+	for _, w := range e.workers {
+		if w.pool == p && w.listed {
+			count++
+			sum = sum.Add(w.Capacity)
+			countLabels(labels, w)
+		}
+		allCount++
+		countLabels(allLabels, w)
+		if c := w.Capacity; cmp.Or(cmp.Compare(c.Processors, largest.Processors), cmp.Compare(c.MemoryMB, largest.MemoryMB), cmp.Compare(c.Accelerators, largest.Accelerators)) > 0 {
+			largest = c
+		}
+	}
+	capacity := largest
+	if count > 0 {
+		capacity = placement.Resources{Processors: sum.Processors / float64(count), MemoryMB: sum.MemoryMB / count, Accelerators: sum.Accelerators / count}
+	} else {
+		labels, count = allLabels, allCount
+	}
+	further := &worker{Worker: estate.Worker{Capacity: capacity}}
+	for label, n := range labels {
+		if 2*n >= count {
+			further.Labels = append(further.Labels, label)
+		}
+	}
+	return further
+}
+
+func countLabels(counts map[string]int, w *worker) {
+	for _, label := range w.Labels {
+		counts[label]++
+	}
+}
--- a/internal/scheduler/terms_test.go
+++ b/internal/scheduler/terms_test.go
@@ -208,8 +208,8 @@
 	sim.submit(owner, job)
 	sim.run(300*time.Millisecond, owner)
 	for _, p := range owner.Pools(sim.now) {
-		if p.Name == "p" && p.Spread != 3 {
-			t.Errorf("tasks need %d workers, want 3: five tasks, at most two per worker", p.Spread)
+		if got := len(p.Workers) + p.LongRunningShortfall; p.Name == "p" && got != 3 {
+			t.Errorf("tasks need %d workers, want 3: five tasks, at most two per worker", got)
 		}
 	}
 }
