--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -22,10 +22,10 @@
 		p := e.pool(name)
 		out := fleetplan.Pool{Name: name, Standby: e.standby(name), Arrived: p.arrived, Jobs: p.arrivedJobs}
 		for _, w := range p.workers {
+			out.LongRunningCores += w.longRunningCores()
 			if !w.listed {
 				continue
 			}
-			out.LongRunningCores += w.longRunningCores()
 			out.Workers = append(out.Workers, fleetplan.Worker{
 				ID: w.ID, Cores: w.Capacity.Processors, Used: w.used.Processors, Late: e.lateCores(w, now), LongRunningTasks: w.longRunningTasks(),
 				Idle: !w.inherited && !w.occupied() && len(w.pendingEnds) == 0 && !w.Draining && w.failedPolls == 0,
@@ -38,25 +38,18 @@
 			case s.LongRunning:
 				out.Waiting += cores
 				out.LongRunningCores += cores
-				out.Spread = max(out.Spread, s.minWorkers())
 			case e.timeliness(s.job, s.occ, now) == onTime:
 				out.Waiting += cores
 			}
 		}
+		if !out.Standby {
+			out.LongRunningShortfall = e.longRunningShortfall(p, now)
+		}
 		list = append(list, out)
 	}
 	return list
 }
 
-// minWorkers returns how many workers the step needs because of its
-// MaxPerWorker, 0 if it has no such bound.
-func (s *step) minWorkers() int {
-	if s.MaxPerWorker == 0 {
-		return 0
-	}
-	return (s.Count + s.MaxPerWorker - 1) / s.MaxPerWorker
-}
-
 // lateCores returns how many cores of a worker are held by tasks whose jobs
 // cannot meet their objective any more.
 func (e *Engine) lateCores(w *worker, now time.Duration) float64 {
@@ -101,7 +94,8 @@
 }
 
 // SetReservations replaces the reservations of workers, by id. Reserved workers
-// get no new tasks.
+// get no new tasks, except that emptying ones get long-running tasks that fit on
+// no usable worker.
 func (e *Engine) SetReservations(reservations map[string]fleetplan.Reservation) {
 	for id, w := range e.workers {
 		if r := reservations[id]; r != w.reservation {
@@ -137,21 +131,105 @@
 	}
 }
 
-// Evacuate stops long-running tasks on a worker as far as the MaxUnavailable of
-// their steps allows. They are started again elsewhere.
-func (e *Engine) Evacuate(id string, now time.Duration) {
-	w := e.workers[id]
-	if w == nil {
-		return
+// Evacuate requests that the long-running tasks of a worker move to other
+// workers. The next sweep stops those that another worker can take, as far as
+// the MaxUnavailable of their steps allows.
+func (e *Engine) Evacuate(id string, _ time.Duration) {
+	if w := e.workers[id]; w != nil {
+		w.evacuating = true
 	}
-	for _, r := range w.runs {
+}
+
+// leaveMargin is the remaining time of a worker that leaves from which the
+// MaxUnavailable of their steps no longer keeps its long-running tasks there:
+// they would all end with the worker.
+const leaveMargin = 2 * time.Second
+
+// evacuate stops the long-running tasks of the workers that leave or are to be
+// evacuated.
+func (e *Engine) evacuate(now time.Duration) {
+	for _, p := range e.pools {
+		e.evacuatePool(p, now)
+		for _, w := range p.workers {
+			w.evacuating = false
+		}
+	}
+}
+
+// evacuatePool stops the long-running tasks of the pool's workers that leave or
+// are to be evacuated, as far as other workers can take them and the
+// MaxUnavailable of their steps allows. Workers that leave come first.
+func (e *Engine) evacuatePool(p *pool, now time.Duration) {
+	v := evacuation{Engine: e, pool: p, now: now}
+	for _, w := range p.workers {
+		if w.leaving() {
+			v.stopRuns(w, "worker leaves")
+		}
+	}
+	for _, w := range p.workers {
+		if w.evacuating && !w.leaving() {
+			v.stopRuns(w, "worker is being evacuated")
+		}
+	}
+}
+
+// evacuation is one call of evacuatePool.
+type evacuation struct {
+	*Engine
+	pool *pool
+	now  time.Duration
+	// open are the workers that can take tasks, and free is their capacity. It
+	// is nil until the first run that may be stopped.
+	open []*worker
+	free *places
+}
+
+// stopRuns stops the long-running tasks of a worker that another worker can
+// take.
+func (v *evacuation) stopRuns(w *worker, reason string) {
+	if w.failedPolls > 0 {
+		return // the outcome of a stop would be unknown
+	}
+	for _, r := range w.sortedRuns() {
 		s := r.task.step
-		if s.LongRunning && r.phase == runConfirmed && e.mayInterrupt(r) {
-			e.stop(r, "worker is being evacuated", now)
+		if !s.LongRunning || r.phase != runConfirmed || v.blockedByRecovery(s.job) {
+			continue
+		}
+		if (v.mayInterrupt(r) || w.endsSoon(v.now)) && v.assign(s) {
+			v.stop(r, reason, v.now)
 		}
 	}
 }
 
+// assign gives a task of a step a place on another worker. Tasks that need a
+// place already come first.
+func (v *evacuation) assign(s *step) bool {
+	if v.free == nil {
+		v.open, _ = v.pool.openWorkers(v.now)
+		v.open = slices.DeleteFunc(v.open, func(w *worker) bool { return w.evacuating })
+		v.free = newPlaces(v.open)
+		for _, t := range v.pool.tasksToPlace((*run).displaced) {
+			v.free.assign(t.step, anyWorker)
+		}
+	}
+	if !v.ensureTickets(s, v.open, v.now) {
+		return false
+	}
+	return v.free.assign(s, func(w *worker) bool {
+		_, ok := v.ticket(s, w, v.now)
+		return ok
+	})
+}
+
+// leaving reports whether the worker has announced that it ends.
+func (w *worker) leaving() bool { return w.listed && w.Draining }
+
+// endsSoon reports whether the time for which the worker announced to stay is
+// nearly over.
+func (w *worker) endsSoon(now time.Duration) bool {
+	return w.leavesAt > 0 && w.leavesAt-now <= leaveMargin
+}
+
 // mayInterrupt reports whether the engine may end a run. The other tasks of its
 // step that are not ready must be fewer than MaxUnavailable.
 func (e *Engine) mayInterrupt(r *run) bool {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -116,6 +117,19 @@
 	e.endRun(r, now)
 }
 
+// sortedRuns returns the runs on the worker in a fixed order, so that a
+// simulation can be repeated.
+func (w *worker) sortedRuns() []*run {
+	list := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *run) int {
+		return cmp.Or(a.task.compare(b.task), cmp.Compare(a.number, b.number))
+	})
+	return list
+}
+
 // endRun removes a run that is over. Its task can be started again, unless it
 // is done.
 func (e *Engine) endRun(r *run, now time.Duration) {
@@ -290,6 +304,7 @@
 		e.taskFailed(t, w, end.Run, now)
 		changed = j
 	case end.End == platform.EndFailed:
+		t.failedAt(w)
 		e.penalize(w, t, now)
 	case end.End == platform.EndAlone:
 		t.step.gangRetry = now + refusalPause
@@ -351,7 +366,7 @@
 	j.progress.Failures = append(j.progress.Failures, record)
 	t.failures++
 	t.notBefore = now + failurePause
-	t.failedOn = append(t.failedOn, w.ID)
+	t.failedAt(w)
 	e.penalize(w, t, now)
 	e.markDirty(j, true, now)
 	if t.failures >= e.maxAttempts(j) {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -34,8 +34,14 @@
 	// inherited is set while the worker may have undiscovered runs of a
 	// previous owner.
 	inherited bool
+	// leavesAt is the earliest time at which a draining worker ends, 0 if it
+	// has not announced one.
+	leavesAt time.Duration
 	// reservation is set if the worker's host is to be moved or maintained.
 	reservation fleetplan.Reservation
+	// evacuating is set if the long-running tasks of the worker are to move to
+	// other workers at the next sweep.
+	evacuating bool
 	// pendingRemoval is set if the worker's host is to be maintained or moved
 	// soon.
 	pendingRemoval bool
@@ -111,6 +117,12 @@
 	if entry.Draining && !w.Draining {
 		event.WorkerDraining.Log(e.opts.Log, zap.String("worker", w.ID), zap.String("pool", w.Pool), zap.Duration("remaining", entry.Remaining))
 	}
+	switch {
+	case !entry.Draining:
+		w.leavesAt = 0
+	case entry.Remaining > 0 || w.leavesAt > 0:
+		w.leavesAt = now + entry.Remaining
+	}
 	w.Worker = entry
 }
 
@@ -266,8 +278,25 @@
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(now time.Duration) bool { return w.unusable(now) == "" }
 
-// unusable returns why the worker gets no new tasks, "" if it does.
+// unusable returns why the worker gets no new tasks, "" if it does. A worker
+// that is only being emptied or set aside is the last resort of long-running
+// tasks.
 func (w *worker) unusable(now time.Duration) string {
+	if reason := w.closed(now); reason != "" {
+		return reason
+	}
+	switch {
+	case w.reservation != fleetplan.Unreserved:
+		return w.reservation.String()
+	case w.setAside(now):
+		return "set aside"
+	}
+	return ""
+}
+
+// closed returns why the worker may not get any task, "" if it is usable or a
+// last resort.
+func (w *worker) closed(now time.Duration) string {
 	switch {
 	case !w.listed:
 		return "not listed"
@@ -279,10 +308,10 @@
 		return "not fenced"
 	case !w.recorded:
 		return "not recorded"
-	case w.reservation != fleetplan.Unreserved:
+	case w.reservation == fleetplan.Ordered:
 		return w.reservation.String()
-	case w.setAside(now):
-		return "set aside"
+	case w.paused(now):
+		return "paused"
 	}
 	return ""
 }
