fleetplan: a pool gets the workers that its long-running tasks lack

Cause: pools were sized in cores alone. Spread, which told what MaxPerWorker asks for, is no longer computed since the engine reports the shortfall of workers (Pool.LongRunningShortfall). Change: the size of a pool covers that shortfall beyond the hosts that are on their way to the pool or are to come back from maintenance. Sizing.Lacking tells it in the log. Why it works: the shortfall counts capacity, labels and MaxPerWorker on workers that take tasks; a host on its way is not asked for twice.

--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -44,10 +44,6 @@
 	Waiting float64
 	// LongRunningCores is how many cores long-running tasks hold or wait for.
 	LongRunningCores float64
-	// Spread is the minimum number of workers that the waiting steps of
-	// long-running tasks need because of their MaxPerWorker bounds, 0 for no
-	// such step.
-	Spread int
 	// LongRunningShortfall is how many workers the pool lacks for long-running
 	// tasks that have no run, or whose workers are leaving, emptying or silent,
 	// and that fit on none of its open workers.
@@ -137,6 +133,9 @@
 	// Expected is the number of workers for a surge that is forecast to start
 	// about now, 0 for none.
 	Expected int
+	// Lacking is how many further workers the pool needs for long-running tasks,
+	// beyond those that are about to serve it.
+	Lacking int
 }
 
 const (
--- a/internal/fleetplan/fleetplan_test.go
+++ b/internal/fleetplan/fleetplan_test.go
@@ -64,7 +64,7 @@
 	// work leaves.
 	backlog float64
 	jobs    int
-	// spread is how many workers its waiting long-running tasks need.
+	// spread is how many open workers its long-running tasks need.
 	spread int
 }
 
@@ -147,7 +147,15 @@
 	}
 	for _, name := range []string{"a", "b", "c", "spare"} {
 		p := f.pools[name]
-		s.Pools = append(s.Pools, Pool{Name: name, Standby: p.standby, Workers: members[name], Waiting: p.waiting, Arrived: p.arrived, Jobs: p.jobs, Spread: p.spread})
+		shortfall := p.spread
+		for _, w := range members[name] {
+			if w.Open {
+				shortfall--
+			}
+		}
+		s.Pools = append(s.Pools, Pool{
+			Name: name, Standby: p.standby, Workers: members[name], Waiting: p.waiting, Arrived: p.arrived, Jobs: p.jobs, LongRunningShortfall: max(0, shortfall),
+		})
 	}
 	decisions := f.planner.Plan(s)
 	reservations := f.planner.Reservations()
--- a/internal/fleetplan/move.go
+++ b/internal/fleetplan/move.go
@@ -142,12 +142,15 @@
 // poolNeeds computes how many workers each pool except standby ones needs and
 // has.
 func (v *view) poolNeeds() []poolNeed {
-	serving, members := map[string]int{}, map[string]int{}
+	serving, arriving, members := map[string]int{}, map[string]int{}, map[string]int{}
 	for i := range v.Hosts {
 		h := &v.Hosts[i]
 		members[h.Pool]++
 		if v.serves(h) {
 			serving[v.targetPool(h)]++
+			if v.arriving(h) {
+				arriving[v.targetPool(h)]++
+			}
 		}
 	}
 	var names []string
@@ -167,7 +170,7 @@
 		if pool.Standby {
 			continue
 		}
-		s := v.size(pool, serving[pool.Name])
+		s := v.size(pool, serving[pool.Name], arriving[pool.Name])
 		poolNeeds = append(poolNeeds, poolNeed{pool: pool, size: s.Size, keep: s.Keep, serving: s.Have})
 		if s.Size != d.reportedSize {
 			d.reportedSize = s.Size
@@ -200,8 +203,15 @@
 	return w == nil || w.Open || (w.Idle && v.draining[h.Name] == "")
 }
 
-// size returns how many workers a pool needs that has the given number of them.
-func (v *view) size(pool *Pool, have int) Sizing {
+// arriving reports whether a host that serves its pool has no worker yet that
+// takes tasks.
+func (v *view) arriving(h *estate.Host) bool {
+	return !v.available(h) || v.workers[h.WorkerID] == nil || v.evacuating[h.Name] != ""
+}
+
+// size returns how many workers a pool needs. It has the given number of them,
+// of which some are arriving.
+func (v *view) size(pool *Pool, have, arriving int) Sizing {
 	d := v.demands[pool.Name]
 	cores := pool.workerCores()
 	if cores == 0 {
@@ -212,6 +222,7 @@
 	}
 	s := Sizing{
 		Have: have, Rate: d.rate, Waiting: pool.Waiting, Steady: pool.LongRunningCores, Used: pool.usedCores(), Late: pool.lateCores(),
+		Lacking: max(0, pool.LongRunningShortfall-arriving),
 	}
 	currentCores := s.Used - s.Late + waitingShare*pool.Waiting
 	arrivingCores := rateHeadroom*d.rate + pool.LongRunningCores
@@ -225,7 +236,10 @@
 		}
 		need = max(need, min(have, keep))
 	}
-	need = max(need, minWorkers, pool.Spread)
+	need = max(need, minWorkers)
+	if s.Lacking > 0 {
+		need = max(need, have+s.Lacking)
+	}
 	s.Expected = v.expected[pool.Name]
 	need = max(need, min(have, s.Expected))
 	s.Size = need
