fleetplan: hosts go first to pools whose long-running tasks lack them

Cause: spare hosts were given out by the number of missing workers, so a pool in a surge, which lacks many, took all of them. Change: the workers that long-running tasks lack are given out before those for demand. Surges get the rest as before. Evidence: TestLongRunningTasksWaitForNoSurge fails without it (3 hosts, want 4); go test ./internal/fleetplan. Why it works: a surge outlasts any single host that it gets, whereas one host ends the outage of the tasks that fit nowhere.

--- a/internal/fleetplan/fleetplan_test.go
+++ b/internal/fleetplan/fleetplan_test.go
@@ -423,3 +423,18 @@
 		t.Errorf("the pool has %d hosts, want at least 5, which its tasks need", got)
 	}
 }
+
+func TestLongRunningTasksWaitForNoSurge(t *testing.T) {
+	f := newFleet(map[string]int{"a": 3, "b": 3, "c": 3})
+	for _, h := range f.hosts {
+		h.longRunning = 1
+	}
+	f.pools["a"].demand = surge(20*testCores, 0, time.Minute)
+	f.run(time.Second)
+	f.hosts = append(f.hosts, &fakeHost{name: "spare-00", pool: "spare", state: estate.HostUp})
+	f.pools["b"].spread = 4
+	f.run(time.Second)
+	if got := f.size("b"); got != 4 {
+		t.Errorf("the pool has %d hosts, want 4, which its long-running tasks need", got)
+	}
+}
--- a/internal/fleetplan/move.go
+++ b/internal/fleetplan/move.go
@@ -40,6 +40,8 @@
 	size, keep int
 	// serving is the number of workers that serve the pool or soon will.
 	serving int
+	// lacking is how many workers long-running tasks lack. They come first.
+	lacking int
 }
 
 // move moves hosts from pools with too many workers to pools that lack some, to
@@ -51,6 +53,12 @@
 		v.reopen(&poolNeeds[i])
 	}
 	spare := v.spareHosts(poolNeeds)
+	for i := range poolNeeds {
+		need := &poolNeeds[i]
+		before := len(spare)
+		spare = v.assignSpare(need.pool, min(need.lacking, need.size-need.serving), spare, "long-running tasks")
+		need.serving += before - len(spare)
+	}
 	v.shortfall = 0
 	for _, need := range poolNeeds {
 		missing := max(0, need.size-need.serving)
@@ -171,7 +179,7 @@
 			continue
 		}
 		s := v.size(pool, serving[pool.Name], arriving[pool.Name])
-		poolNeeds = append(poolNeeds, poolNeed{pool: pool, size: s.Size, keep: s.Keep, serving: s.Have})
+		poolNeeds = append(poolNeeds, poolNeed{pool: pool, size: s.Size, keep: s.Keep, serving: s.Have, lacking: s.Lacking})
 		if s.Size != d.reportedSize {
 			d.reportedSize = s.Size
 			v.decide(Decision{Kind: Resize, To: pool.Name, Sizing: s})
