fleetplan: waves leave the hosts that long-running tasks need

Cause: behind schedule, a wave took every idle host and evacuated pools that lacked workers already. Change: an idle host whose pool lacks workers for long-running tasks is not taken down, nor are the last idle hosts of the estate as long as any pool lacks such workers; the evacuation of another worker of such a pool does not begin. Evidence: both cases of TestLateWaveTakesNoIdleHostThatLongRunningTasksNeed fail without it; go test ./internal/fleetplan. Why it works: the shortfall ends with the next host that is moved or released, and the wave goes on then. Where no host can be found at all, the wave waits.

--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -335,6 +335,9 @@
 	decisions []Decision
 	// unanswered counts the orders in flight.
 	unanswered int
+	// idleToMaintain is how many idle hosts may be taken down for maintenance:
+	// the others are for long-running tasks that lack workers.
+	idleToMaintain int
 }
 
 // mayOrder reports whether the bound on orders in flight allows one more.
--- a/internal/fleetplan/fleetplan_test.go
+++ b/internal/fleetplan/fleetplan_test.go
@@ -438,3 +438,27 @@
 		t.Errorf("the pool has %d hosts, want 4, which its long-running tasks need", got)
 	}
 }
+
+func TestLateWaveTakesNoIdleHostThatLongRunningTasksNeed(t *testing.T) {
+	for idle, sizes := range map[string]map[string]int{
+		"spare-00": {"a": 3, "b": 3, "c": 3, "spare": 1},
+		"a-00":     {"a": 4, "b": 3, "c": 3},
+	} {
+		t.Run(idle, func(t *testing.T) {
+			f := newFleet(sizes)
+			for _, h := range f.hosts {
+				if h.name != idle {
+					h.longRunning = 1
+				}
+			}
+			f.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, Hosts: []string{idle}}}
+			f.run(6 * time.Second)
+			f.waves[0].MaxDown = 1
+			f.pools["a"].spread = 5
+			f.run(time.Second)
+			if f.maintained[idle] > 0 {
+				t.Error("the host is taken down while long-running tasks need it")
+			}
+		})
+	}
+}
--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -13,6 +13,12 @@
 	waves := slices.Clone(v.Waves)
 	slices.SortFunc(waves, func(a, b estate.Wave) int { return cmp.Compare(a.Number, b.Number) })
 	selected := map[string]bool{}
+	v.idleToMaintain = -v.lackingWorkers()
+	for i := range v.Hosts {
+		if h := &v.Hosts[i]; v.available(h) && v.idle(h) {
+			v.idleToMaintain++
+		}
+	}
 	for _, w := range waves {
 		if !v.completed[w.Number] {
 			v.maintainWave(w, selected)
@@ -65,10 +71,11 @@
 			return
 		}
 		slots--
-		if v.idle(h) && missingWorkers > 0 && !behindSchedule {
+		if v.idle(h) && (v.lacking(h.Pool) > 0 || v.idleToMaintain <= 0 || (missingWorkers > 0 && !behindSchedule)) {
 			continue // a pool that lacks workers can use the idle host
 		}
 		if v.idle(h) {
+			v.idleToMaintain--
 			v.decide(Decision{Kind: Maintain, Host: h.Name, Worker: h.WorkerID, From: h.Pool, Wave: w.Number})
 			continue
 		}
@@ -90,6 +97,26 @@
 	return n
 }
 
+// lackingWorkers returns how many workers the long-running tasks of all pools
+// together lack.
+func (v *view) lackingWorkers() int {
+	n := 0
+	for _, need := range v.needs {
+		n += need.lacking
+	}
+	return n
+}
+
+// lacking returns how many workers the long-running tasks of a pool lack.
+func (v *view) lacking(pool string) int {
+	for _, need := range v.needs {
+		if need.pool.Name == pool {
+			return need.lacking
+		}
+	}
+	return 0
+}
+
 // maintenanceCost ranks the hosts of a wave by how much their maintenance costs
 // their pool, in the order: standby hosts, idle hosts, hosts that are being
 // evacuated, hosts with few long-running tasks in pools with a low load.
@@ -147,7 +174,7 @@
 	if v.evacuating[h.Name] != "" {
 		return true
 	}
-	if v.load(h.Pool) > busyLoad && !behindSchedule {
+	if v.lacking(h.Pool) > 0 || (v.load(h.Pool) > busyLoad && !behindSchedule) {
 		return false
 	}
 	evacuating := 0
