scheduler: random histories of planner and engine

Add two random tests. TestLongRunningTasksRunInAnyHistory mixes surges, overlapping waves, hosts that leave, cancellations, crashes, outages of the fleet service and changes of owner; TestLongRunningTasksRunDuring- PlannedWork leaves the faults out and logs the longest time without a run. Both fail by the same check as the scenarios.

--- a/internal/scheduler/estate_simulation_test.go
+++ b/internal/scheduler/estate_simulation_test.go
@@ -42,6 +42,8 @@
 	hosts  map[string]*fakeHost
 	// service is how the fleet service handles calls.
 	service serviceState
+	// outages counts the outages of the fleet service so far.
+	outages int
 	waves   []estate.Wave
 	// maintained holds the hosts whose maintenance has started, by wave.
 	maintained map[int64]map[string]bool
--- a/internal/scheduler/liveness_test.go
+++ b/internal/scheduler/liveness_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"flag"
 	"fmt"
 	"maps"
 	"slices"
@@ -9,6 +10,7 @@
 	"time"
 
 	"go.uber.org/zap/zapcore"
+	"pgregory.net/rapid"
 
 	"github.com/egretpitch/egretpitch/internal/fleetplan"
 	"github.com/egretpitch/egretpitch/internal/placement"
@@ -36,13 +38,18 @@
 	// longest is the longest time that a task was without a run.
 	longest     time.Duration
 	longestTask workload.TaskID
+	// interruption is the longest time between two runs of a task.
+	interruption time.Duration
 	// broken describes the first task without a run for too long.
 	broken string
 }
 
 // watchedTask is a long-running task. ranAt is when it last had a run, or when
 // it was submitted, and dueSince the time since which it must get one.
-type watchedTask struct{ ranAt, dueSince time.Duration }
+type watchedTask struct {
+	ranAt, dueSince time.Duration
+	hasRun          bool
+}
 
 func (c *estateSimulation) disrupted() { c.disruptedAt = c.now }
 
@@ -60,7 +67,7 @@
 		w := s.watched[task]
 		switch {
 		case running[task]:
-			w.ranAt, w.dueSince = s.now, s.now
+			w.ranAt, w.dueSince, w.hasRun = s.now, s.now, true
 			continue
 		case s.now-w.ranAt < restartTime || !calm || s.copiesThatFit(task) < 2:
 			w.dueSince = s.now
@@ -70,6 +77,9 @@
 		if without := s.now - w.ranAt; without > s.longest {
 			s.longest, s.longestTask = without, task
 		}
+		if w.hasRun {
+			s.interruption = max(s.interruption, s.now-w.ranAt)
+		}
 	}
 }
 
@@ -269,3 +279,196 @@
 		t.Errorf("task %v was without a run for %v", s.longestTask, s.longest)
 	}
 }
+
+// TestLongRunningTasksRunInAnyHistory simulates random histories of an estate:
+// surges by turns, waves that overlap, hosts that leave or crash, outages of
+// the fleet service, changes of owner. A long-running task for which there is
+// capacity must have a run within the bound.
+func TestLongRunningTasksRunInAnyHistory(t *testing.T) {
+	checkHistories(t, 4, func(t *rapid.T) { playEstate(t, true).verify() })
+}
+
+// TestLongRunningTasksRunDuringPlannedWork leaves out all faults, and logs the
+// longest time that a task was without a run.
+func TestLongRunningTasksRunDuringPlannedWork(t *testing.T) {
+	var longest, interruption time.Duration
+	histories := 0
+	checkHistories(t, 4, func(t *rapid.T) {
+		s := playEstate(t, false)
+		s.verify()
+		histories++
+		longest, interruption = max(longest, s.longest), max(interruption, s.interruption)
+	})
+	t.Logf("%d histories: the longest time without a run is %v, %v of a task that had run", histories, longest, interruption)
+}
+
+// checkHistories checks a property with the given number of histories, or with
+// as many as the flag -rapid.checks requests.
+func checkHistories(t *testing.T, histories int, property func(*rapid.T)) {
+	const name = "rapid.checks"
+	requested := false
+	flag.Visit(func(f *flag.Flag) { requested = requested || f.Name == name })
+	if !requested {
+		number := flag.Lookup(name)
+		before := number.Value.String()
+		if err := number.Value.Set(fmt.Sprint(histories)); err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = number.Value.Set(before) }()
+	}
+	rapid.Check(t, property)
+}
+
+// uniform draws an integer uniformly, unlike rapid.IntRange, and shrinks
+// towards from.
+func uniform(t *rapid.T, from, to int, label string) int {
+	const bits = 12
+	return rapid.Custom(func(t *rapid.T) int {
+		drawn := 0
+		for range bits {
+			drawn *= 2
+			if rapid.Bool().Draw(t, "bit") {
+				drawn++
+			}
+		}
+		return from + drawn*(to-from+1)>>bits
+	}).Draw(t, label)
+}
+
+func uniformMillis(t *rapid.T, from, to int, label string) time.Duration {
+	return time.Duration(uniform(t, from, to, label)) * time.Millisecond
+}
+
+// playEstate plays a random history to its end or to the first violation.
+func playEstate(t *rapid.T, faults bool) *estateSimulation {
+	sizes := map[string]int{standbyPool: uniform(t, 0, 4, "standby hosts")}
+	hosts := 0
+	for _, pool := range simPools {
+		sizes[pool] = uniform(t, 2, 7, "hosts of "+pool)
+		hosts += sizes[pool]
+	}
+	s := newEstate(t, rapid.Uint64().Draw(t, "seed"), sizes)
+	s.setStopTakes(uniformMillis(t, 0, 250, "stop takes ms"))
+	s.discoveryDelay = uniformMillis(t, 50, 900, "discovery ms")
+	s.advance(time.Second)
+	for range uniform(t, 2, hosts/3, "long-running jobs") {
+		s.submitLongRunning(t)
+		s.advance(uniformMillis(t, 0, 500, "pause ms"))
+	}
+	s.advance(8 * time.Second)
+	kinds := []string{"surge", "surge", "surge", "wave", "wave", "leave", "leave", "leave", "submit", "cancel"}
+	if faults {
+		kinds = append(kinds, "crash", "crash", "outage", "outage", "owner")
+	}
+	for range uniform(t, 2, 14, "actions") {
+		kind := kinds[uniform(t, 0, len(kinds)-1, "kind")]
+		s.act(t, kind, hosts)
+		pause := uniformMillis(t, 50, 2500, "pause ms")
+		if uniform(t, 0, 2, "rest") == 0 {
+			pause += uniformMillis(t, 3000, 12000, "rest ms")
+		}
+		s.advance(pause)
+		if s.broken != "" || s.violation != "" {
+			return s
+		}
+	}
+	s.advance(25 * time.Second)
+	return s
+}
+
+// act starts one event of a history in an estate that began with the given
+// number of hosts.
+func (s *estateSimulation) act(t *rapid.T, kind string, initialHosts int) {
+	pool := simPools[uniform(t, 0, len(simPools)-1, "pool")]
+	switch kind {
+	case "surge":
+		s.surge(pool, uniform(t, 5, 40, "jobs per second"), uniformMillis(t, 1000, 8000, "surge ms"))
+	case "wave":
+		share := uniform(t, 20, 100, "percent of the hosts")
+		var hosts []string
+		for _, h := range s.sortedHosts() {
+			if uniform(t, 1, 100, h.name) <= share {
+				hosts = append(hosts, h.name)
+			}
+		}
+		if len(hosts) > 0 {
+			s.startWave(hosts, uniformMillis(t, 5000, 25000, "wave ms"), uniform(t, 1, max(1, len(hosts)/3), "down"))
+		}
+	case "leave":
+		if h := s.drawHost(t, initialHosts); h != nil {
+			s.leave(h, uniformMillis(t, 2000, 10000, "remaining ms"))
+		}
+	case "submit":
+		s.submitLongRunning(t)
+	case "cancel":
+		s.cancelLongRunning(t)
+	case "crash":
+		if h := s.drawHost(t, initialHosts); h != nil {
+			s.crashHost(h, uniformMillis(t, 0, 1, "comes back")*uniformMillis(t, 1000, 6000, "back ms")/time.Millisecond)
+		}
+	case "outage":
+		s.service = serviceState(uniform(t, int(serviceSilent), int(serviceLosingAnswers), "fleet service"))
+		s.notef("the fleet service is %v", s.service)
+		s.outages++
+		outage := s.outages
+		s.after(uniformMillis(t, 1000, 9000, "outage ms"), func() {
+			if s.outages == outage {
+				s.service = serviceUp
+			}
+		})
+	case "owner":
+		if s.owner != nil {
+			s.changeOwner(uniformMillis(t, 100, 4000, "vacant ms"))
+		}
+	}
+}
+
+// drawHost draws a host that is to leave or crash. It returns nil while few
+// hosts are left.
+func (s *estateSimulation) drawHost(t *rapid.T, initialHosts int) *fakeHost {
+	var up []*fakeHost
+	for _, h := range s.sortedHosts() {
+		if h.worker != nil && !h.leaving {
+			up = append(up, h)
+		}
+	}
+	if len(up) <= initialHosts*2/3 {
+		return nil
+	}
+	return up[uniform(t, 0, len(up)-1, "host")]
+}
+
+func (s *estateSimulation) submitLongRunning(t *rapid.T) {
+	step := longRunningStep(uniform(t, 4, 8, "tasks"), float64(uniform(t, 4, 8, "quarter cores"))/4, uniform(t, 4, 20, "quarter GB")<<8,
+		[]int{0, 0, 1, 2}[uniform(t, 0, 3, "per worker")])
+	s.submitTasks(simPools[uniform(t, 0, len(simPools)-1, "pool")], step)
+}
+
+// cancelLongRunning cancels a long-running job that has not been cancelled.
+func (s *estateSimulation) cancelLongRunning(t *rapid.T) {
+	var jobs []string
+	for task := range s.watched {
+		if !slices.Contains(jobs, task.Job) {
+			jobs = append(jobs, task.Job)
+		}
+	}
+	if len(jobs) == 0 {
+		return
+	}
+	slices.Sort(jobs)
+	job := jobs[uniform(t, 0, len(jobs)-1, "job")]
+	s.records[job].cancelled = true
+	if s.owner != nil {
+		s.owner.Cancel(job, s.now)
+	}
+	s.notef("job %s is cancelled", job)
+	maps.DeleteFunc(s.watched, func(task workload.TaskID, _ *watchedTask) bool { return task.Job == job })
+}
+
+// setStopTakes sets how long stopped runs go on, on all workers.
+func (s *estateSimulation) setStopTakes(d time.Duration) {
+	s.stopTakes = d
+	for _, f := range s.workers {
+		f.stopTakes = d
+	}
+}
