fleetplan: no worker stays reserved while no plan can be carried out

Cause: reservations were taken back only by a later plan. Change: without a plan, no worker is emptied; an order loses its hold on its worker after orderTimeout also if no host list comes. An order about a host that left the estate no longer stays for good. Evidence: TestNoWorkerIsEmptiedWhileTheFleetServiceIsAway and TestOrderReservesItsWorkerForLimitedTime fail without it; go test ./internal/fleetplan. Why it works: emptying serves an order that cannot be given at that time. The first plan with a fresh host list begins the evacuations again.

--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -302,16 +302,19 @@
 
 // Plan returns the decisions for the state s. It decides nothing while the host
 // list is missing or too old, and gives no orders while half of the hosts or
-// more are not up.
+// more are not up. No worker is emptied then.
 func (p *Planner) Plan(s State) []Decision {
 	for i := range s.Pools {
 		p.observe(&s.Pools[i], s.Now)
 	}
+	p.expireOrders(s.Now)
 	if s.HostsAt == 0 || s.Now-s.HostsAt > maxHostListAge {
+		p.releaseEmptying()
 		return nil
 	}
 	v := p.view(s)
 	if !v.mostHostsUp() {
+		p.releaseEmptying()
 		return v.decisions
 	}
 	v.needs = v.poolNeeds()
@@ -355,7 +358,7 @@
 		if h.WorkerID != "" {
 			v.byWorker[h.WorkerID] = h
 		}
-		v.expireOrder(h)
+		v.confirmOrder(h)
 	}
 	for _, o := range p.orders {
 		if o.answeredAt == 0 {
@@ -385,19 +388,32 @@
 	return 2*up > len(v.Hosts)
 }
 
-// expireOrder drops the order about a host once the host list shows the host up
-// again or orderTimeout has passed.
-func (v *view) expireOrder(h *estate.Host) {
-	o, ok := v.orders[h.Name]
-	if !ok {
-		return
+// expireOrders drops the orders that orderTimeout has passed.
+func (p *Planner) expireOrders(now time.Duration) {
+	for host, o := range p.orders {
+		if now-o.orderedAt > orderTimeout {
+			p.dropOrder(host)
+		}
 	}
-	confirmed := o.answeredAt > 0 && v.HostsAt > o.answeredAt && h.State == estate.HostUp
-	if !confirmed && v.Now-o.orderedAt <= orderTimeout {
-		return
+}
+
+// confirmOrder drops the order about a host once a later host list shows the
+// host up again.
+func (v *view) confirmOrder(h *estate.Host) {
+	if o, ok := v.orders[h.Name]; ok && o.answeredAt > 0 && v.HostsAt > o.answeredAt && h.State == estate.HostUp {
+		v.dropOrder(h.Name)
 	}
-	delete(v.orders, h.Name)
-	delete(v.draining, h.Name)
+}
+
+func (p *Planner) dropOrder(host string) {
+	delete(p.orders, host)
+	delete(p.draining, host)
+}
+
+// releaseEmptying reopens the workers that are being emptied for orders.
+func (p *Planner) releaseEmptying() {
+	clear(p.evacuating)
+	clear(p.draining)
 }
 
 // available reports whether a host is up and no order about it is unconfirmed.
--- a/internal/fleetplan/fleetplan_test.go
+++ b/internal/fleetplan/fleetplan_test.go
@@ -1,6 +1,7 @@
 package fleetplan
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -40,6 +41,9 @@
 	loseAnswer func() bool
 	silent     bool
 	late       []Decision
+	// hostsAt is the time of the host list while the service lists none, 0
+	// while it does.
+	hostsAt time.Duration
 }
 
 type fakeHost struct {
@@ -128,7 +132,7 @@
 }
 
 func (f *fakeFleet) plan() {
-	s := State{Now: f.now, HostsAt: f.now, Waves: f.waves}
+	s := State{Now: f.now, HostsAt: cmp.Or(f.hostsAt, f.now), Waves: f.waves}
 	byName := map[string]*fakeHost{}
 	byWorker := map[string]*fakeHost{}
 	members := map[string][]Worker{}
@@ -462,3 +466,40 @@
 		})
 	}
 }
+
+func TestNoWorkerIsEmptiedWhileTheFleetServiceIsAway(t *testing.T) {
+	f := newFleet(map[string]int{"a": 3, "b": 3, "c": 3})
+	for _, h := range f.hosts {
+		h.longRunning, h.used, h.busyUntil = 1, 1, time.Minute
+	}
+	f.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 2, Hosts: []string{"a-00", "b-00"}}}
+	f.run(time.Second)
+	if len(f.planner.Reservations()) == 0 {
+		t.Fatal("no worker is emptied for the wave")
+	}
+	f.hostsAt = f.now
+	f.run(maxHostListAge + time.Second)
+	if got := f.planner.Reservations(); len(got) > 0 {
+		t.Errorf("workers are reserved for orders that cannot be given: %v", got)
+	}
+}
+
+// The outcome of an order is not known when the fleet service goes away.
+func TestOrderReservesItsWorkerForLimitedTime(t *testing.T) {
+	f := newFleet(map[string]int{"a": 3, "b": 3, "c": 3})
+	for _, h := range f.hosts {
+		h.longRunning = 1
+	}
+	f.hosts[0].longRunning = 0
+	f.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"a-00"}}}
+	f.loseAnswer = func() bool { return true }
+	f.run(tick)
+	if len(f.planner.Reservations()) == 0 {
+		t.Fatal("no order is in flight")
+	}
+	f.hostsAt = f.now
+	f.run(orderTimeout + time.Second)
+	if got := f.planner.Reservations(); len(got) > 0 {
+		t.Errorf("workers are reserved %v after the order: %v", orderTimeout, got)
+	}
+}
