fleetplan, scheduler: a worker stays for the tasks that are about to use it

Cause: the shortfall of workers ends when the worker is there. While the tasks still wait for the end of a lease, nothing told that they need it: the pool, sized in cores, had one worker too many, and the idle one was emptied, moved or maintained. Then the pool lacked one again. Change: the engine tells for each worker whether long-running tasks that lack a place have one there (Worker.Needed). Such a worker is not spare, not taken down while idle, and is not emptied for another pool or a wave.

--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -32,6 +32,9 @@
 	LongRunningTasks int
 	// Open means that the worker may be given new tasks.
 	Open bool
+	// Needed means that long-running tasks that lack a place are about to get
+	// one on the worker.
+	Needed bool
 }
 
 // Pool is the planner's input about one pool.
@@ -428,13 +431,14 @@
 	return pool != nil && pool.Standby
 }
 
-// idle reports whether nothing runs on a host. Standby hosts are always idle.
+// idle reports whether nothing runs on a host and no long-running task needs it.
+// Standby hosts are always idle.
 func (v *view) idle(h *estate.Host) bool {
 	if v.standby(h) {
 		return true
 	}
 	w := v.workers[h.WorkerID]
-	return w != nil && w.Idle
+	return w != nil && w.Idle && !w.Needed
 }
 
 // decide adds a decision to the plan and registers it if it is an order.
--- a/internal/fleetplan/fleetplan_test.go
+++ b/internal/fleetplan/fleetplan_test.go
@@ -53,6 +53,8 @@
 	incarnation int
 	reserved    bool
 	longRunning int
+	// needed is set while long-running tasks are about to be placed on it.
+	needed bool
 	// used is how many cores its tasks hold until busyUntil, late the part held
 	// by late work.
 	used, late float64
@@ -144,7 +146,7 @@
 			byWorker[h.worker()] = h
 			members[h.pool] = append(members[h.pool], Worker{
 				ID: h.worker(), Cores: testCores, Used: h.used, Late: h.late, LongRunningTasks: h.longRunning,
-				Idle: h.used == 0 && h.longRunning == 0, Open: !h.reserved,
+				Idle: h.used == 0 && h.longRunning == 0, Open: !h.reserved, Needed: h.needed,
 			})
 		}
 		s.Hosts = append(s.Hosts, listed)
@@ -503,3 +505,17 @@
 		t.Errorf("workers are reserved %v after the order: %v", orderTimeout, got)
 	}
 }
+
+func TestHostStaysForTheTasksThatAreAboutToUseIt(t *testing.T) {
+	f := newFleet(map[string]int{"a": 4, "b": 3, "c": 3})
+	for _, h := range f.hosts[1:] {
+		h.longRunning = 1
+	}
+	f.hosts[0].needed = true
+	f.pools["b"].demand = surge(20*testCores, 0, time.Minute)
+	f.waves = []estate.Wave{{Number: 1, Duration: time.Second, MaxDown: 1, Hosts: []string{"a-00"}}}
+	f.run(3 * time.Second)
+	if f.size("a") != 4 || f.maintained["a-00"] > 0 || len(f.planner.Reservations()) > 0 {
+		t.Errorf("the pool has %d hosts, %d were maintained, reserved are %v; want 4 and none", f.size("a"), f.maintained["a-00"], f.planner.Reservations())
+	}
+}
--- a/internal/fleetplan/move.go
+++ b/internal/fleetplan/move.go
@@ -100,7 +100,7 @@
 	for i := range v.Hosts {
 		h := &v.Hosts[i]
 		worker := v.workers[h.WorkerID]
-		if h.Pool != need.pool.Name || !v.available(h) || worker == nil || v.evacuating[h.Name] != "" || worker.LongRunningTasks > 0 {
+		if h.Pool != need.pool.Name || !v.available(h) || worker == nil || v.evacuating[h.Name] != "" || worker.LongRunningTasks > 0 || worker.Needed {
 			continue
 		}
 		list = append(list, h)
--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -174,7 +174,7 @@
 	if v.evacuating[h.Name] != "" {
 		return true
 	}
-	if v.lacking(h.Pool) > 0 || (v.load(h.Pool) > busyLoad && !behindSchedule) {
+	if v.lacking(h.Pool) > 0 || v.workers[h.WorkerID].Needed || (v.load(h.Pool) > busyLoad && !behindSchedule) {
 		return false
 	}
 	evacuating := 0
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -21,6 +21,10 @@
 	for _, name := range names {
 		p := e.pool(name)
 		out := fleetplan.Pool{Name: name, Standby: e.standby(name), Arrived: p.arrived, Jobs: p.arrivedJobs}
+		var needed map[*worker]bool
+		if !out.Standby {
+			out.LongRunningShortfall, needed = e.longRunningShortfall(p, now)
+		}
 		for _, w := range p.workers {
 			out.LongRunningCores += w.longRunningCores()
 			if !w.listed {
@@ -29,7 +33,7 @@
 			out.Workers = append(out.Workers, fleetplan.Worker{
 				ID: w.ID, Cores: w.Capacity.Processors, Used: w.used.Processors, Late: e.lateCores(w, now), LongRunningTasks: w.longRunningTasks(),
 				Idle: !w.inherited && !w.occupied() && len(w.pendingEnds) == 0 && !w.Draining && w.failedPolls == 0,
-				Open: w.usable(now),
+				Open: w.usable(now), Needed: needed[w],
 			})
 		}
 		for s := range p.ready {
@@ -42,9 +46,6 @@
 				out.Waiting += cores
 			}
 		}
-		if !out.Standby {
-			out.LongRunningShortfall = e.longRunningShortfall(p, now)
-		}
 		list = append(list, out)
 	}
 	return list
--- a/internal/scheduler/shortfall.go
+++ b/internal/scheduler/shortfall.go
@@ -10,14 +10,15 @@
 )
 
 // longRunningShortfall returns how many further workers the pool needs for its
-// long-running tasks that have no run or whose run will not last where it is.
-// Tasks that a further worker cannot hold are left out.
-func (e *Engine) longRunningShortfall(p *pool, now time.Duration) int {
+// long-running tasks that have no run or whose run will not last where it is,
+// and the workers of the pool that have the capacity for the others. Tasks that
+// a further worker cannot hold are left out.
+func (e *Engine) longRunningShortfall(p *pool, now time.Duration) (shortfall int, needed map[*worker]bool) {
 	tasks := p.tasksToPlace(func(r *run) bool {
 		return r.displaced() || r.worker.Draining || r.worker.reservation != fleetplan.Unreserved
 	})
 	if len(tasks) == 0 {
-		return 0
+		return 0, nil
 	}
 	var serving []*worker
 	for _, w := range p.workers {
@@ -27,16 +28,19 @@
 	}
 	free := newPlaces(serving)
 	further := e.furtherWorker(p)
-	n := 0
 	for _, t := range tasks {
 		if free.assign(t.step, anyWorker) || !t.step.fitsOn(further) {
 			continue
 		}
-		n++
+		shortfall++
 		free.add(further)
 		free.assign(t.step, anyWorker)
 	}
-	return n
+	needed = map[*worker]bool{}
+	for _, at := range free.list {
+		needed[at.worker] = at.free != at.worker.free()
+	}
+	return shortfall, needed
 }
 
 // serving reports whether the worker is to get new tasks, now or as soon as it
