node, scheduler: every owner learns that a worker has ended with its host

Cause: a new owner starts no inherited task until every worker in the record of workers in use has answered, has ended for certain, or its lease is over. Workers that had ended with their hosts before the takeover were handed from owner to owner: the host list was compared with the record once, at the takeover, and later lists only with earlier lists of the same owner; the host of a worker was dropped from the record if the new owner had no list yet, or did not list the worker; a host that is listed no more proved nothing at all. With owners that change every few seconds recovery did not end. Change: the owner keeps the host of each worker, from the record and from all lists, checks it against each list, and records it. The record is written again once a host is known. A worker whose host two consecutive lists lack has ended if it has no discovery entry either and does not answer (HostLeft). A single list can miss a host that falls between two of its pages. TestSuccessorLearnsThatAWorkerOfItsRecordHasEnded and TestRecordOfWorkersKeepsTheirHosts use what did not exist before; TestHostListShowsWhichWorkersCrashed and TestHostListShowsWhichUsedWorkersHaveEnded check the same lists as before through the new type. Why it works: recovery waits for workers that may have runs, and these are on hosts that the list shows. A cut-off worker keeps its host in the list and its lease.

--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -69,6 +69,9 @@
 	hosts    []estate.Host
 	hostsAt  time.Duration
 	lastPlan time.Duration
+	// workerHosts holds the hosts of the workers, also of those in no host list
+	// of this owner.
+	workerHosts workerHosts
 	// firstOrderAt is when this owner may give its first order about a host;
 	// see firstHostOrder.
 	firstOrderAt time.Duration
@@ -79,7 +82,7 @@
 
 // newFleetController returns the controller of a new owner. rows list the hosts
 // of each wave whose maintenance a previous owner started.
-func newFleetController(o *owner, rows []platform.PartRow, now time.Duration) *fleetController {
+func newFleetController(o *owner, rows []platform.PartRow, hosts workerHosts, now time.Duration) *fleetController {
 	maintained := map[int64][]string{}
 	recorded := map[int64]int{}
 	for _, r := range rows {
@@ -95,7 +98,7 @@
 		maintained[number], recorded[number] = hosts, len(hosts)
 	}
 	f := &fleetController{
-		owner: o, recorded: recorded,
+		owner: o, recorded: recorded, workerHosts: hosts,
 		planner: fleetplan.New(o.node.Migration, maintained,
 			o.previousSurges(now), o.previousWaves(now)),
 	}
@@ -309,12 +312,18 @@
 }
 
 // setHosts replaces the host list with one that was requested at the given
-// time. Tasks of hosts that crashed since the last list are restarted on other
-// hosts at once.
+// time. Tasks of hosts that crashed or left since the last list are restarted on
+// other hosts at once.
 func (f *fleetController) setHosts(hosts []estate.Host, sent, now time.Duration) {
-	for _, id := range endedWorkers(f.hosts, hosts) {
+	ended, left := f.workerHosts.update(hosts)
+	for _, id := range ended {
 		f.owner.engine.HostRemoved(id, now)
 	}
+	for _, id := range left {
+		if f.owner.engine.HostLeft(id, now) {
+			delete(f.workerHosts, id)
+		}
+	}
 	f.hosts, f.hostsAt = hosts, sent
 	slices.SortFunc(f.hosts, func(a, b estate.Host) int {
 		if a.Name < b.Name {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -233,7 +234,7 @@
 		Token: 1, Epoch: 1, MaxLease: time.Second, Parts: 1, PartOf: func(string) int { return 0 }, Log: zap.NewNop(),
 	})
 	o.engine.SetCatalog(testCatalog(1, "/q/"))
-	o.fleetController = newFleetController(o, nil, 0)
+	o.fleetController = newFleetController(o, nil, workerHosts{}, 0)
 	o.node.adopt(platform.OperatorChanges{Catalog: testCatalog(1, "/q/")})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -359,7 +360,8 @@
 		{Name: "h6", Pool: "p", State: estate.HostDown, WorkerID: "down, still listed"},
 	}
 	var ids []string
-	for _, w := range possiblyRunning(used, hosts) {
+	ended, _ := newWorkerHosts(used).update(hosts)
+	for _, w := range possiblyRunning(used, ended) {
 		ids = append(ids, w.ID)
 	}
 	if got := strings.Join(ids, ", "); got != "same, unknown, down, still listed, no longer listed" {
@@ -379,8 +381,34 @@
 		{Name: "h1", State: estate.HostDown}, {Name: "h2", State: estate.HostUp, WorkerID: "other"},
 		{Name: "h3", State: estate.HostUp, WorkerID: "same"}, {Name: "h5", State: estate.HostUp}, {Name: "h6", State: estate.HostDown},
 	}
-	if got := strings.Join(endedWorkers(earlier, later), " "); got != "crashed replaced" {
-		t.Errorf("ended workers are %q, want crashed and replaced", got)
+	workers := workerHosts{}
+	workers.update(earlier)
+	ended, left := workers.update(later)
+	if got := strings.Join(ended, " "); got != "crashed replaced" || len(left) > 0 {
+		t.Errorf("ended workers are %q, those whose hosts have left %q, want crashed and replaced, and none", got, left)
+	}
+}
+
+func TestHostHasLeftOnceTwoListsLackIt(t *testing.T) {
+	with := []estate.Host{{Name: "h1", State: estate.HostUp, WorkerID: "w1"}, {Name: "h2", State: estate.HostUp, WorkerID: "w2"}}
+	without := with[1:]
+	workers := newWorkerHosts([]usedWorker{{ID: "w1", Host: "h1"}})
+	for i, c := range []struct {
+		list []estate.Host
+		want string
+	}{{without, ""}, {with, ""}, {without, ""}, {nil, ""}, {without, "w1"}, {without, "w1"}} {
+		if ended, left := workers.update(c.list); strings.Join(left, " ") != c.want || len(ended) > 0 {
+			t.Errorf("list %d: ended are %q, left have %q; want none and %q", i, ended, left, c.want)
+		}
+	}
+}
+
+// The owner that takes over sees the worker in no host list of its own.
+func TestSuccessorLearnsThatAWorkerOfItsRecordHasEnded(t *testing.T) {
+	workers := newWorkerHosts([]usedWorker{{ID: "w1", Pool: "p", Host: "h1"}})
+	workers.update(nil) // the list of the takeover got no answer
+	if ended, _ := workers.update([]estate.Host{{Name: "h1", Pool: "p", State: estate.HostMaintenance}}); strings.Join(ended, " ") != "w1" {
+		t.Errorf("ended workers are %q, want w1", ended)
 	}
 }
 
@@ -416,12 +444,12 @@
 	o.fleetController = &fleetController{}
 	o.engine = scheduler.New(scheduler.Options{Log: zap.NewNop()})
 	ctx := context.Background()
-	older, err := o.usedWorkersTxn([]estate.Worker{{ID: "w1"}})
+	older, err := o.usedWorkersTxn([]usedWorker{{ID: "w1"}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	o.usedWorkersRecorded(nil, len(older.Writes), 0, platform.ErrUnknown)
-	list := []estate.Worker{{ID: "w1"}, {ID: "w2"}}
+	list := []usedWorker{{ID: "w1"}, {ID: "w2"}}
 	newer, err := o.usedWorkersTxn(list)
 	if err != nil {
 		t.Fatal(err)
@@ -441,6 +469,27 @@
 	}
 }
 
+// The owner has read no host list of its own yet.
+func TestRecordOfWorkersKeepsTheirHosts(t *testing.T) {
+	o := testOwner(t, standin.NewRows(), 1)
+	inherited := usedWorker{ID: "w1", Pool: "p", Host: "h1"}
+	o.engine = scheduler.New(scheduler.Options{Log: zap.NewNop()})
+	o.engine.Recover([]estate.Worker{inherited.worker(), {ID: "w2", Pool: "p"}}, 0, 0)
+	o.fleetController = newFleetController(o, nil, newWorkerHosts([]usedWorker{inherited}), 0)
+	used := o.withHosts(o.engine.InUse())
+	if !slices.Contains(used, inherited) {
+		t.Errorf("recorded are %+v, want %+v among them", used, inherited)
+	}
+	o.usedWorkersRecorded(used, 1, 1, nil)
+	if !o.usedWorkersUpToDate() {
+		t.Error("the record is to be written again, want it up to date")
+	}
+	o.fleetController.setHosts([]estate.Host{{Name: "h1", Pool: "p", WorkerID: "w1"}, {Name: "h2", Pool: "p", WorkerID: "w2"}}, 1, 1)
+	if o.usedWorkersUpToDate() {
+		t.Error("the record is up to date without the host of a worker")
+	}
+}
+
 // TestOrdersOfTwoHoldersAreApart checks when a new owner may give its first
 // order about a host: not before HolderLease has passed since the previous
 // owner's last possible order.
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -235,12 +235,14 @@
 	}
 	e := scheduler.New(opts)
 	e.SetCatalog(n.catalog.Load())
-	e.Recover(possiblyRunning(l.used, l.hosts), o.previousLeaseEnd(), now)
+	workerHosts := newWorkerHosts(l.used)
+	ended, _ := workerHosts.update(l.hosts)
+	e.Recover(possiblyRunning(l.used, ended), o.previousLeaseEnd(), now)
 	for _, w := range l.workers.Changed {
 		e.WorkerListed(w, now)
 	}
 	o.engine = e
-	o.fleetController = newFleetController(o, l.waves, now)
+	o.fleetController = newFleetController(o, l.waves, workerHosts, now)
 	progress := make(map[string]platform.PartRow, len(l.progress))
 	for _, r := range l.progress {
 		progress[r.Key] = r
--- a/internal/node/usedworkers.go
+++ b/internal/node/usedworkers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -33,9 +34,8 @@
 	// rows of the record.
 	version int64
 	rows    int
-	// incarnations holds the start time of each recorded worker, in
-	// milliseconds, by id.
-	incarnations map[string]int64
+	// recorded holds the recorded workers by id.
+	recorded map[string]usedWorker
 	// lastWrite is when the last write started, 0 to write again at once.
 	lastWrite time.Duration
 	writing   bool
@@ -85,16 +85,6 @@
 	return writes, nil
 }
 
-// hasEnded reports whether a later host list shows that the worker has ended:
-// its host has changed pools or no longer runs it.
-func (u *usedWorker) hasEnded(hosts map[string]estate.Host) bool {
-	h, ok := hosts[u.Host]
-	if u.Host == "" || !ok {
-		return false
-	}
-	return h.Pool != u.Pool || noLongerOn(h, u.ID)
-}
-
 // noLongerOn reports whether a host that ran a worker no longer runs it. A
 // worker that is only cut off from the network is still listed; a host that
 // crashed is listed as down, without a worker.
@@ -111,26 +101,70 @@
 	return hosts
 }
 
-// endedWorkers returns the ids of the workers that the earlier host list shows
-// on a host that no longer runs them in the later list.
-func endedWorkers(earlier, later []estate.Host) []string {
-	now := hostsByName(later)
-	var ids []string
-	for _, h := range earlier {
-		if n, ok := now[h.Name]; ok && h.WorkerID != "" && noLongerOn(n, h.WorkerID) {
-			ids = append(ids, h.WorkerID)
+// minListsWithoutHost is the number of consecutive host lists without a host
+// after which the host is taken to have left the estate. A host can fall
+// between two pages of a single list.
+const minListsWithoutHost = 2
+
+// workerHosts maps the ids of workers to the hosts on which this owner or a
+// previous one saw them.
+type workerHosts map[string]workerHost
+
+type workerHost struct {
+	host, pool string
+	// missing counts the latest host lists without the host.
+	missing int
+}
+
+// newWorkerHosts returns the hosts of the workers in use, according to the
+// record of the previous owner.
+func newWorkerHosts(used []usedWorker) workerHosts {
+	hosts := workerHosts{}
+	for _, u := range used {
+		if u.Host != "" {
+			hosts[u.ID] = workerHost{host: u.Host, pool: u.Pool}
 		}
 	}
-	return ids
+	return hosts
 }
 
-// possiblyRunning returns the workers that the host list does not show as
-// ended, whose tasks may still run.
-func possiblyRunning(used []usedWorker, list []estate.Host) []estate.Worker {
+// update applies a host list. It returns the ids of the workers that have ended,
+// because their hosts changed pools or no longer run them, and of those whose
+// hosts have left the estate. An empty list tells nothing.
+func (m workerHosts) update(list []estate.Host) (ended, left []string) {
+	if len(list) == 0 {
+		return nil, nil
+	}
 	hosts := hostsByName(list)
+	for id, w := range m {
+		h, ok := hosts[w.host]
+		switch {
+		case !ok:
+			w.missing++
+			m[id] = w
+			if w.missing >= minListsWithoutHost {
+				left = append(left, id)
+			}
+		case h.Pool != w.pool || noLongerOn(h, id):
+			delete(m, id)
+			ended = append(ended, id)
+		}
+	}
+	for _, h := range list {
+		if h.WorkerID != "" {
+			m[h.WorkerID] = workerHost{host: h.Name, pool: h.Pool}
+		}
+	}
+	slices.Sort(ended)
+	slices.Sort(left)
+	return ended, left
+}
+
+// possiblyRunning returns the workers in use other than those that have ended.
+func possiblyRunning(used []usedWorker, ended []string) []estate.Worker {
 	var workers []estate.Worker
 	for i := range used {
-		if !used[i].hasEnded(hosts) {
+		if !slices.Contains(ended, used[i].ID) {
 			workers = append(workers, used[i].worker())
 		}
 	}
@@ -148,7 +182,8 @@
 		return
 	}
 	list := o.engine.InUse()
-	txn, err := o.usedWorkersTxn(list)
+	used := o.withHosts(list)
+	txn, err := o.usedWorkersTxn(used)
 	if err != nil {
 		event.RowUnreadable.Log(o.node.Log, zap.String("key", usedWorkersTable), zap.Error(err))
 		return
@@ -159,22 +194,22 @@
 		callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 		defer cancel()
 		stamp, err := o.node.Rows.CommitRows(callCtx, txn)
-		o.post(ctx, func(time.Duration) { o.usedWorkersRecorded(list, len(txn.Writes), stamp.Version, err) })
+		o.post(ctx, func(time.Duration) { o.usedWorkersRecorded(used, len(txn.Writes), stamp.Version, err) })
 	}()
 }
 
 // usedWorkersTxn returns the transaction that stores the record. It is
 // conditional on the record that it replaces: a write whose answer was lost may
 // be applied seconds later and must not replace a newer record.
-func (o *owner) usedWorkersTxn(list []estate.Worker) (platform.RowTxn, error) {
-	writes, err := usedWorkerRows(o.withHosts(list), o.used.rows)
+func (o *owner) usedWorkersTxn(used []usedWorker) (platform.RowTxn, error) {
+	writes, err := usedWorkerRows(used, o.used.rows)
 	return platform.RowTxn{
 		Conditions: []platform.RowCondition{o.fence(), {RowKey: firstUsedWorkersRow, Version: o.used.version}}, Writes: writes,
 	}, err
 }
 
 // usedWorkersRecorded handles the outcome of a write of the record.
-func (o *owner) usedWorkersRecorded(list []estate.Worker, rows int, version int64, err error) {
+func (o *owner) usedWorkersRecorded(used []usedWorker, rows int, version int64, err error) {
 	o.used.writing = false
 	var conflict *platform.RowConflict
 	switch {
@@ -188,9 +223,11 @@
 		o.used.lastWrite = 0
 	default:
 		o.used.version, o.used.rows = version, rows
-		o.used.incarnations = make(map[string]int64, len(list))
-		for _, w := range list {
-			o.used.incarnations[w.ID] = w.StartedMS
+		o.used.recorded = make(map[string]usedWorker, len(used))
+		list := make([]estate.Worker, len(used))
+		for i, u := range used {
+			o.used.recorded[u.ID] = u
+			list[i] = u.worker()
 		}
 		o.engine.Recorded(list)
 	}
@@ -198,25 +235,21 @@
 
 // withHosts adds the names of the workers' hosts, where they are known.
 func (o *owner) withHosts(list []estate.Worker) []usedWorker {
-	hosts := make(map[string]string, len(o.fleetController.hosts))
-	for _, h := range o.fleetController.hosts {
-		hosts[h.WorkerID] = h.Name
-	}
 	used := make([]usedWorker, len(list))
 	for i, w := range list {
-		used[i] = usedWorker{ID: w.ID, Pool: w.Pool, Address: w.Address, StartedMS: w.StartedMS, Host: hosts[w.ID]}
+		used[i] = usedWorker{ID: w.ID, Pool: w.Pool, Address: w.Address, StartedMS: w.StartedMS, Host: o.fleetController.workerHosts[w.ID].host}
 	}
 	return used
 }
 
 // usedWorkersUpToDate reports whether the stored record lists exactly the
-// workers in use.
+// workers in use, with their hosts.
 func (o *owner) usedWorkersUpToDate() bool {
-	list := o.engine.InUse()
-	for _, w := range list {
-		if startedMS, ok := o.used.incarnations[w.ID]; !ok || startedMS != w.StartedMS {
+	used := o.withHosts(o.engine.InUse())
+	for _, u := range used {
+		if o.used.recorded[u.ID] != u {
 			return false
 		}
 	}
-	return len(list) == len(o.used.incarnations)
+	return len(used) == len(o.used.recorded)
 }
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -132,6 +132,21 @@
 	}
 }
 
+// HostLeft handles that the fleet service no longer lists the host of a worker.
+// The worker has ended with it if it has no discovery entry either and does not
+// answer. HostLeft reports whether the worker is known no more.
+func (e *Engine) HostLeft(id string, now time.Duration) bool {
+	w := e.workers[id]
+	if w == nil {
+		return true
+	}
+	if w.listed || w.failedPolls == 0 {
+		return false
+	}
+	e.incarnationEnded(w, "host has left", now)
+	return true
+}
+
 // Evacuate requests that the long-running tasks of a worker move to other
 // workers. The next sweep stops those that another worker can take, as far as
 // the MaxUnavailable of their steps allows.
