scheduler: a successor waits for no worker that never answered

Cause: a worker was recorded as in use as soon as it had a discovery entry. The entry outlasts the worker by seconds. An owner that took over in that time listed the ended worker, recorded it without a host, and handed it to its successor, which had to wait for its lease. Change: a worker is recorded once it has answered this owner. It gets tasks only then anyway, so the record still names every worker that may have runs. Polls that fence a new worker no longer wait for the record. Without the change TestSuccessorWaitsForNoWorkerThatNeverAnswered fails. Why it works: a start needs a fenced and recorded worker, both under this owner.

--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -42,3 +42,17 @@
 		})
 	}
 }
+
+// The worker has ended; its discovery entry is still there when the owner changes.
+func TestSuccessorWaitsForNoWorkerThatNeverAnswered(t *testing.T) {
+	sim := newSimulation(t)
+	sim.addWorker("w1", "p", 4)
+	owner := sim.newOwner()
+	ended := sim.addWorker("w2", "p", 4)
+	ended.reachable = false
+	owner.WorkerListed(ended.Worker, sim.now)
+	sim.run(time.Second, owner)
+	if used := owner.InUse(); len(used) != 1 || used[0].ID != "w1" {
+		t.Errorf("a successor has to wait for %v, want w1 alone", used)
+	}
+}
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -43,7 +43,7 @@
 		}
 		switch {
 		case !w.fenced:
-			if w.inherited || w.occupied() || (w.listed && !w.Draining && w.recorded) {
+			if w.inherited || w.occupied() || (w.listed && !w.Draining && !e.standby(w.Pool)) {
 				e.poll(w, true, now)
 			}
 		case sweep && w.needsProbe(now):
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -516,14 +516,21 @@
 			owner.WorkerListed(f.Worker, owner.sim.now)
 		}
 	}
-	if owner.sim.replaceRecord {
+	owner.recordAtOnce()
+}
+
+// recordAtOnce adds the workers in use to the record, unless it is replaced at
+// intervals.
+func (owner *testOwner) recordAtOnce() {
+	if owner.sim.replaceRecord || !owner.Unrecorded() {
 		return
 	}
 	// The record of workers in use is written before they are used.
-	for _, u := range owner.InUse() {
+	list := owner.InUse()
+	for _, u := range list {
 		owner.sim.inUse[u.ID] = u
 	}
-	owner.Recorded(owner.InUse())
+	owner.Recorded(list)
 }
 
 // usedWorkersInterval is the time between two records of the workers in use if
@@ -581,6 +588,7 @@
 			if sim.replaceRecord {
 				owner.recordUsedWorkers()
 			}
+			owner.recordAtOnce()
 			// The engine gives orders in the random order of its maps.
 			orders := owner.Decide(sim.now, owner.ownershipState())
 			slices.SortStableFunc(orders, func(a, b Order) int { return keyOf(a).compare(keyOf(b)) })
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -349,12 +349,13 @@
 }
 
 // InUse returns the workers that a successor has to fence before it may start a
-// task again. A worker that is left out gets no task before it is recorded
-// again.
+// task again. A worker that has not answered this owner has no task of it: it may
+// have ended long before its entry lapses. One that is left out gets no task
+// before it is recorded again.
 func (e *Engine) InUse() []estate.Worker {
 	var list []estate.Worker
 	for _, w := range e.workers {
-		if w.inherited || w.occupied() || len(w.pendingEnds) > 0 || (w.listed && !e.standby(w.Pool)) {
+		if w.inherited || w.occupied() || len(w.pendingEnds) > 0 || w.toRecord(e) {
 			list = append(list, w.Worker)
 		} else {
 			w.recorded = false
@@ -363,6 +364,9 @@
 	return list
 }
 
+// toRecord reports whether the worker is to be used as soon as it is recorded.
+func (w *worker) toRecord(e *Engine) bool { return w.listed && w.fenced && !e.standby(w.Pool) }
+
 func (e *Engine) standby(poolName string) bool {
 	if e.catalog == nil {
 		return false
@@ -385,7 +389,7 @@
 // Unrecorded reports whether a worker has to be recorded before it can be used.
 func (e *Engine) Unrecorded() bool {
 	for _, w := range e.workers {
-		if w.listed && !w.recorded && !e.standby(w.Pool) {
+		if !w.recorded && w.toRecord(e) {
 			return true
 		}
 	}
