scheduler: keep the long-running runs of a worker in a list

Change: a worker lists its long-running runs. longRunningCores and longRunningTasks, which walked the runs, are replaced. Evidence: go test -count=1 -run 'LongRunning|Evacuat|Shortfall|TasksLeave|TaskStays|Load|Wave' ./internal/scheduler passes, go build ./... too.

--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -8,6 +8,7 @@
 
 	"github.com/egretpitch/egretpitch/internal/event"
 	"github.com/egretpitch/egretpitch/internal/fleetplan"
+	"github.com/egretpitch/egretpitch/internal/placement"
 )
 
 // Pools describes the pools and their load for the fleet planner.
@@ -22,12 +23,12 @@
 		p := e.pool(name)
 		out := fleetplan.Pool{Name: name, Standby: e.standby(name), Arrived: p.arrived, Jobs: p.arrivedJobs}
 		for _, w := range p.workers {
-			out.LongRunningCores += w.longRunningCores()
+			out.LongRunningCores += w.longRunningRequests().Processors
 			if !w.listed {
 				continue
 			}
 			out.Workers = append(out.Workers, fleetplan.Worker{
-				ID: w.ID, Cores: w.Capacity.Processors, Used: w.used.Processors, Late: e.lateCores(w, now), LongRunningTasks: w.longRunningTasks(),
+				ID: w.ID, Cores: w.Capacity.Processors, Used: w.used.Processors, Late: e.lateCores(w, now), LongRunningTasks: len(w.longRunning),
 				Idle: !w.inherited && !w.occupied() && len(w.pendingEnds) == 0 && !w.Draining && w.failedPolls == 0,
 				Open: w.usable(now),
 			})
@@ -70,29 +71,15 @@
 	return now - s.occ.releaseTime(s.job) + left + s.criticalPath - s.Estimate
 }
 
-// longRunningCores returns how many cores the long-running tasks on a worker
-// request.
-func (w *worker) longRunningCores() float64 {
-	sum := 0.0
-	for _, r := range w.runs {
-		if r.task.step.LongRunning {
-			sum += r.task.step.Requests().Processors
-		}
+// longRunningRequests returns what the long-running tasks on a worker request.
+func (w *worker) longRunningRequests() placement.Resources {
+	var sum placement.Resources
+	for _, r := range w.longRunning {
+		sum = sum.Add(r.task.step.Requests())
 	}
 	return sum
 }
 
-// longRunningTasks counts the long-running tasks on a worker.
-func (w *worker) longRunningTasks() int {
-	n := 0
-	for _, r := range w.runs {
-		if r.task.step.LongRunning {
-			n++
-		}
-	}
-	return n
-}
-
 // SetReservations replaces the reservations of workers, by id. Reserved workers
 // get no new tasks, except that emptying ones get long-running tasks that fit on
 // no usable worker.
--- a/internal/scheduler/places.go
+++ b/internal/scheduler/places.go
@@ -85,9 +85,9 @@
 		}
 	}
 	for _, w := range p.workers {
-		for _, r := range w.runs {
+		for _, r := range w.longRunning {
 			t := r.task
-			if t.step.LongRunning && !t.done && !t.step.job.ended() && len(t.runs) == 1 && displaced(r) {
+			if !t.done && !t.step.job.ended() && len(t.runs) == 1 && displaced(r) {
 				list = append(list, t)
 			}
 		}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -49,6 +49,9 @@
 	runs map[runKey]*run
 	// orphans are runs that no job needs and that are being stopped.
 	orphans map[runKey]*orphan
+	// longRunning are the runs of long-running tasks. Sweeps look for those that
+	// need another worker, and workers have many other runs.
+	longRunning []*run
 	// speculative counts the runs of tasks that permit copies.
 	speculative int
 	// used is the sum of the requests of runs and orphans.
@@ -324,6 +327,9 @@
 func (w *worker) addRun(r *run) {
 	w.runs[runKey{r.task.id(), r.number}] = r
 	w.used = w.used.Add(r.task.step.Requests())
+	if r.task.step.LongRunning {
+		w.longRunning = append(w.longRunning, r)
+	}
 	if r.task.step.Speculative {
 		w.speculative++
 	}
@@ -335,6 +341,7 @@
 		return
 	}
 	delete(w.runs, key)
+	w.longRunning = slices.DeleteFunc(w.longRunning, func(other *run) bool { return other == r })
 	w.releaseResources(r.task.step.Requests())
 	if r.task.step.Speculative {
 		w.speculative--
