scheduler: hold capacity for the long-running tasks that need a worker

Cause: a stop was given once another worker had free capacity, but nothing kept batch tasks from taking it while the stop was carried out. In a pool that batch tasks keep full, each freed core was used again at once, so that no place for a larger task ever became free. The sums are kept as the held capacity of the workers, which batch tasks, gangs and copies may not take; nothing is kept by task. A run is stopped only if its place is in free capacity and its step has valid tickets. What no worker can hold, a label or the latest tickets forbid, or a gang needs, is not held. Tickets that have expired still count for a place, and are requested for it. Runs that may be stopped at once get their places before those that MaxUnavailable keeps.

--- a/internal/scheduler/evacuate.go
+++ b/internal/scheduler/evacuate.go
@@ -1,13 +1,16 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
+
+	"github.com/egretpitch/egretpitch/internal/placement"
 )
 
 // Evacuate requests that the long-running tasks of a worker move to other
-// workers. The next sweep stops those that another worker can take, as far as
-// the MaxUnavailable of their steps allows.
+// workers, until the next SetReservations. Sweeps stop those for which another
+// worker has free capacity, as far as the MaxUnavailable of their steps allows.
 func (e *Engine) Evacuate(id string, _ time.Duration) {
 	if w := e.workers[id]; w != nil {
 		w.evacuating = true
@@ -19,80 +22,155 @@
 // they would all end with the worker.
 const leaveMargin = 2 * time.Second
 
-// evacuate stops the long-running tasks of the workers that leave or are to be
-// evacuated.
+// evacuate holds capacity for the long-running tasks that need a worker or
+// another one, and stops those of workers that leave or are being evacuated once
+// the capacity is free: other tasks that use it are not replaced when they end.
 func (e *Engine) evacuate(now time.Duration) {
 	for _, p := range e.pools {
 		e.evacuatePool(p, now)
-		for _, w := range p.workers {
-			w.evacuating = false
-		}
 	}
 }
 
-// evacuatePool stops the long-running tasks of the pool's workers that leave or
-// are to be evacuated, as far as other workers can take them and the
-// MaxUnavailable of their steps allows. Workers that leave come first.
+// evacuatePool is evacuate for one pool.
 func (e *Engine) evacuatePool(p *pool, now time.Duration) {
-	v := evacuation{Engine: e, pool: p, now: now}
-	for _, w := range p.workers {
-		if w.leaving() {
-			v.stopRuns(w, "worker leaves")
+	for _, r := range e.holdCapacity(p, now) {
+		if e.mayStop(r, now) { // its step may have had another run stopped
+			reason := "worker is being evacuated"
+			if r.worker.leaving() {
+				reason = "worker leaves"
+			}
+			e.stop(r, reason, now)
+		}
+	}
+}
+
+// holdCapacity computes the capacity that is held on the workers of a pool. It
+// returns the runs to move for which it is free. Tasks that need a place already
+// come first.
+func (e *Engine) holdCapacity(p *pool, now time.Duration) []*run {
+	waiting, moving := p.tasksToPlace((*run).displaced), e.runsToMove(p, now)
+	var free []*run
+	var held map[*worker]placement.Resources
+	if len(waiting)+len(moving) > 0 {
+		v := newEvacuation(e, p, now)
+		for _, t := range waiting {
+			v.assign(t)
+		}
+		for _, r := range moving {
+			if v.assign(r.task) {
+				free = append(free, r)
+			}
+		}
+		held = make(map[*worker]placement.Resources, len(v.places.list))
+		for _, at := range v.places.list {
+			held[at.worker] = at.held
 		}
 	}
 	for _, w := range p.workers {
-		if w.evacuating && !w.leaving() {
-			v.stopRuns(w, "worker is being evacuated")
+		w.held = held[w]
+	}
+	return free
+}
+
+// losesRuns reports whether a worker of the pool has long-running tasks that are
+// to move or may be lost.
+func (p *pool) losesRuns() bool {
+	return slices.ContainsFunc(p.workers, func(w *worker) bool {
+		return len(w.longRunning) > 0 && (w.leaving() || w.evacuating || !w.listed || w.failedPolls > 0)
+	})
+}
+
+// runsToMove returns the long-running runs of the workers that leave or are
+// being evacuated. Workers that leave come first, and on either kind the runs
+// that may be stopped at once, so that the others do not take their places.
+func (e *Engine) runsToMove(p *pool, now time.Duration) []*run {
+	var list []*run
+	for _, w := range p.workers {
+		if !w.leaving() && !w.evacuating {
+			continue
+		}
+		for _, r := range w.sortedRuns() {
+			if r.task.step.LongRunning && !r.displaced() {
+				list = append(list, r)
+			}
+		}
+	}
+	class := func(r *run) int {
+		n := 0
+		if !r.worker.leaving() {
+			n += 2
+		}
+		if !e.mayStop(r, now) {
+			n++
 		}
+		return n
 	}
+	slices.SortStableFunc(list, func(a, b *run) int { return cmp.Compare(class(a), class(b)) })
+	return list
 }
 
-// evacuation is one call of evacuatePool.
+// mayStop reports whether a run may be stopped now to move its task.
+func (e *Engine) mayStop(r *run, now time.Duration) bool {
+	return r.phase == runConfirmed && !e.blockedByRecovery(r.task.step.job) && (e.mayInterrupt(r) || r.worker.endsSoon(now))
+}
+
+// evacuation is one call of holdCapacity.
 type evacuation struct {
 	*Engine
-	pool *pool
-	now  time.Duration
-	// open are the workers that can take tasks, and free is their capacity. It
-	// is nil until the first run that may be stopped.
-	open []*worker
-	free *places
+	now time.Duration
+	// open are the workers that can take tasks, and lastResort those that
+	// long-running tasks without a run may start on if they fit on no other.
+	open, lastResort []*worker
+	places           *places
+}
+
+func newEvacuation(e *Engine, p *pool, now time.Duration) *evacuation {
+	v := &evacuation{Engine: e, now: now}
+	v.open, v.lastResort = p.openWorkers(now)
+	v.open = slices.DeleteFunc(v.open, func(w *worker) bool { return w.evacuating })
+	v.places = newPlaces(v.open)
+	return v
 }
 
-// stopRuns stops the long-running tasks of a worker that another worker can
-// take.
-func (v *evacuation) stopRuns(w *worker, reason string) {
-	if w.failedPolls > 0 {
-		return // the outcome of a stop would be unknown
+// assign gives a task a place on another worker, if there is one, and reports
+// whether the place is free and the task may start there.
+func (v *evacuation) assign(t *task) bool {
+	s := t.step
+	ticketsValid := v.requestTickets(t)
+	permitted := func(w *worker) bool { return v.permitted(s, w) }
+	if v.places.assign(s, permitted) {
+		return ticketsValid
 	}
-	for _, r := range w.sortedRuns() {
-		s := r.task.step
-		if !s.LongRunning || r.phase != runConfirmed || v.blockedByRecovery(s.job) {
-			continue
-		}
-		if (v.mayInterrupt(r) || w.endsSoon(v.now)) && v.assign(s) {
-			v.stop(r, reason, v.now)
-		}
+	if !s.Gang {
+		v.places.assignUsed(s, permitted)
 	}
+	return false
 }
 
-// assign gives a task of a step a place on another worker. Tasks that need a
-// place already come first.
-func (v *evacuation) assign(s *step) bool {
-	if v.free == nil {
-		v.open, _ = v.pool.openWorkers(v.now)
-		v.open = slices.DeleteFunc(v.open, func(w *worker) bool { return w.evacuating })
-		v.free = newPlaces(v.open)
-		for _, t := range v.pool.tasksToPlace((*run).displaced) {
-			v.free.assign(t.step, anyWorker)
-		}
+// requestTickets is ensureTickets for a task. The tickets of one that can start
+// on a worker of the last resort are requested when it is placed.
+func (v *evacuation) requestTickets(t *task) bool {
+	s := t.step
+	if v.recommendation(s) == nil {
+		return true
 	}
-	if !v.ensureTickets(s, v.open, v.now) {
+	if t.startable() && s.hasLastResort() && slices.ContainsFunc(v.lastResort, s.fitsOn) {
 		return false
 	}
-	return v.free.assign(s, func(w *worker) bool {
-		_, ok := v.ticket(s, w, v.now)
-		return ok
-	})
+	return v.ensureTickets(s, v.open, v.now)
+}
+
+// permitted reports whether the latest tickets of a step permit the worker, also
+// after they have expired: a place is held until there are new ones.
+func (e *Engine) permitted(s *step, w *worker) bool {
+	if e.recommendation(s) == nil {
+		return true
+	}
+	if s.tickets == nil {
+		return false
+	}
+	_, ok := s.tickets.byWorker[w.ID]
+	return ok
 }
 
 // leaving reports whether the worker has announced that it ends.
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -82,9 +82,10 @@
 
 // SetReservations replaces the reservations of workers, by id. Reserved workers
 // get no new tasks, except that emptying ones get long-running tasks that fit on
-// no usable worker.
+// no usable worker. Evacuations that were requested before end.
 func (e *Engine) SetReservations(reservations map[string]fleetplan.Reservation) {
 	for id, w := range e.workers {
+		w.evacuating = false
 		if r := reservations[id]; r != w.reservation {
 			event.WorkerReserved.Log(e.opts.Log, zap.String("worker", id), zap.String("pool", w.pool.name),
 				zap.Stringer("reservation", r), zap.Stringer("before", w.reservation), zap.Int("runs", len(w.runs)))
--- a/internal/scheduler/longrunning_test.go
+++ b/internal/scheduler/longrunning_test.go
@@ -480,3 +480,356 @@
 		t.Errorf("the other pool needs %d further workers, want none", got)
 	}
 }
+
+// addMixedWorker adds a worker whose long-running tasks run until they are
+// stopped, and whose other tasks end one after another.
+func (sim *simulation) addMixedWorker(id string, cores float64) *fakeWorker {
+	f := sim.addWorker(id, "p", cores)
+	f.duration = func(task workload.TaskID) (time.Duration, platform.RunEnd) {
+		if sim.records[task.Job].spec.Steps[task.Step].LongRunning {
+			return time.Hour, platform.EndDone
+		}
+		return 400*time.Millisecond + time.Duration(task.Index)*7*time.Millisecond, platform.EndDone
+	}
+	return f
+}
+
+// fill submits batch tasks that keep the workers full for seconds.
+func (sim *simulation) fill(owner *testOwner, cores float64) {
+	for n := range 80 {
+		sim.submit(owner, jobOf(100+n, 20, cores))
+	}
+}
+
+// filled reports whether tasks of fill wait.
+func (sim *simulation) filled(owner *testOwner) bool {
+	for s := range owner.pools["p"].ready {
+		if !s.LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// runsOf counts the runs of a job on a worker.
+func (f *fakeWorker) runsOf(job *workload.Job) int {
+	n := 0
+	for _, r := range f.running {
+		if r.task.Job == job.ID {
+			n++
+		}
+	}
+	return n
+}
+
+// Batch tasks that wait would fill the capacity that the evacuated task is to move to.
+func TestEvacuatedTaskMovesOnceBesideWaitingBatchTasks(t *testing.T) {
+	sim := newSimulation(t)
+	from, to := sim.addMixedWorker("w1", 4), sim.addMixedWorker("w2", 4)
+	from.stopTakes, to.stopTakes = 100*time.Millisecond, 100*time.Millisecond
+	owner := sim.newOwner()
+	job := longRunningJob(1, 1, 2)
+	stops := 0
+	sim.injectFault = func(o Order) orderFault {
+		if s, ok := o.(*StopOrder); ok && s.Task.Job == job.ID {
+			stops++
+		}
+		return orderFault{}
+	}
+	sim.submit(owner, job)
+	sim.run(500*time.Millisecond, owner)
+	if to.runsOf(job) > 0 {
+		from, to = to, from
+	}
+	for n := range 10 {
+		sim.submit(owner, jobOf(2+n, 20, 0.8))
+	}
+	sim.run(time.Second, owner)
+	sim.evacuateFor(2*time.Second, owner, from.ID)
+	if moved := to.runsOf(job) == 1; !moved || stops != 1 {
+		t.Errorf("moved %t with %d stops, want true and 1", moved, stops)
+	}
+}
+
+func TestBatchTasksDoNotTakeThePlaceOfATaskThatIsBeingStopped(t *testing.T) {
+	sim := newSimulation(t)
+	from := sim.addMixedWorker("w1", 4)
+	from.stopTakes = 400 * time.Millisecond
+	owner := sim.newOwner()
+	job := longRunningJob(1, 1, 2)
+	sim.submit(owner, job)
+	sim.run(1500*time.Millisecond, owner)
+	to := sim.addMixedWorker("w2", 4)
+	owner.discover()
+	sim.run(100*time.Millisecond, owner)
+	sim.evacuateFor(100*time.Millisecond, owner, from.ID)
+	sim.fill(owner, 0.8)
+	gap := time.Duration(0)
+	for range 400 {
+		sim.run(testTick, owner)
+		if from.runsOf(job)+to.runsOf(job) == 0 {
+			gap += testTick
+		}
+	}
+	if to.runsOf(job) != 1 || gap > 100*time.Millisecond || !sim.filled(owner) {
+		t.Errorf("%d runs on the other worker after %v without a run, batch tasks wait: %t; want 1 at once beside waiting ones", to.runsOf(job), gap, sim.filled(owner))
+	}
+}
+
+func TestTasksLeaveAWorkerBesideAPoolFullOfBatchTasks(t *testing.T) {
+	for _, maxUnavailable := range []int{0, 1} {
+		sim := newSimulation(t)
+		leaving := sim.addMixedWorker("w1", 16)
+		owner := sim.newOwner()
+		job := longRunningJob(1, 5, 3)
+		job.Steps[0].MaxUnavailable = maxUnavailable
+		sim.submit(owner, job)
+		sim.run(1500*time.Millisecond, owner)
+		var others []*fakeWorker
+		for _, id := range []string{"w2", "w3", "w4"} {
+			others = append(others, sim.addMixedWorker(id, 8))
+		}
+		owner.discover()
+		sim.fill(owner, 0.8)
+		sim.run(time.Second, owner)
+		left, moved := 0, 0
+		sim.leave(leaving, 9*time.Second, owner, func(time.Duration) { left = leaving.runsOf(job) })
+		for _, f := range others {
+			moved += f.runsOf(job)
+		}
+		if s := owner.Stats(); left != 0 || moved != 5 || s.LostRuns != 0 || !sim.filled(owner) {
+			t.Errorf("MaxUnavailable %d: %d tasks left at the end, %d moved, %d lost, batch tasks wait: %t; want 0, 5 and 0 beside waiting ones",
+				maxUnavailable, left, moved, s.LostRuns, sim.filled(owner))
+		}
+	}
+}
+
+// No batch task frees as much as the task needs.
+func TestTaskWithoutRunGetsWhatBatchTasksFree(t *testing.T) {
+	sim := newSimulation(t)
+	w1, w2 := sim.addMixedWorker("w1", 4), sim.addMixedWorker("w2", 4)
+	owner := sim.newOwner()
+	sim.fill(owner, 0.8)
+	gang := longRunningJob(2, 3, 4) // fits nowhere
+	gang.Steps[0].Gang = true
+	sim.submit(owner, gang)
+	sim.run(time.Second, owner)
+	job := longRunningJob(1, 1, 3)
+	sim.submit(owner, job)
+	sim.run(1500*time.Millisecond, owner)
+	if n := w1.runsOf(job) + w2.runsOf(job); n != 1 || !sim.filled(owner) {
+		t.Errorf("%d runs, batch tasks wait: %t; want 1 beside waiting ones", n, sim.filled(owner))
+	}
+}
+
+func TestBatchTasksRunBesideATaskThatFitsNowhere(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		job  func(job *workload.Job)
+	}{
+		{"more than a worker has", func(job *workload.Job) { job.Steps[0].Size.Processors = 5 }},
+		{"label that no worker has", func(job *workload.Job) { job.Steps[0].Requires = "b" }},
+		{"permitted on no worker", func(job *workload.Job) { job.Queue = "advised" }},
+		{"other long-running tasks use it", func(job *workload.Job) { job.Steps[0].Size.Processors = 3 }},
+		{"gang", func(job *workload.Job) { job.Steps[0].Gang, job.Steps[0].Count = true, 6 }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sim := newSimulation(t)
+			for _, id := range []string{"w1", "w2"} {
+				sim.addMixedWorker(id, 4)
+			}
+			owner := sim.newOwner()
+			sim.submit(owner, longRunningJob(1, 3, 2))
+			sim.run(300*time.Millisecond, owner)
+			job := longRunningJob(2, 1, 2)
+			c.job(job)
+			sim.submit(owner, job)
+			sim.fill(owner, 0.5)
+			done := owner.Stats().Done
+			for range 200 {
+				sim.run(testTick, owner)
+				for _, w := range owner.workers {
+					if w.held.Processors > 0 {
+						t.Fatalf("%v is held on %s", w.held, w.ID)
+					}
+				}
+			}
+			if got := owner.Stats().Done - done; got < 8 {
+				t.Errorf("%d batch tasks have ended, want 8 or more", got)
+			}
+		})
+	}
+}
+
+// Another worker without the label has as much free capacity.
+func TestHeldCapacityIsNotForGangsAndCopies(t *testing.T) {
+	for _, gang := range []bool{true, false} {
+		sim := newSimulation(t)
+		slow := sim.addWorkerFor(nil, "w1", 2)
+		slow.Labels = []string{"a", "rack"}
+		slow.duration = lasting(time.Minute)
+		owner := sim.newOwner()
+		job, running := jobOf(1, 1, 2), jobOf(2, 1, 2)
+		job.Steps[0].Requires, job.Steps[0].Gang, job.Steps[0].Speculative = "a", gang, !gang
+		if !gang {
+			running = job
+		}
+		sim.submit(owner, running)
+		sim.run(200*time.Millisecond, owner)
+		silent := sim.addWorkerFor(owner, "w2", 3)
+		longRunning := longRunningJob(3, 1, 3)
+		longRunning.Steps[0].Requires = "a"
+		sim.submit(owner, longRunning)
+		sim.run(200*time.Millisecond, owner)
+		silent.reachable = false
+		sim.run(2*time.Second, owner)
+		to := sim.addWorkerFor(owner, "w3", 3)
+		sim.addWorkerFor(nil, "w4", 2).Labels = []string{"rack"}
+		owner.discover()
+		if gang {
+			sim.submit(owner, job)
+		}
+		for end := sim.now + 8*time.Second; sim.now < end && to.runsOf(longRunning) == 0; {
+			sim.run(testTick, owner)
+			if to.runsOf(job) > 0 {
+				t.Fatalf("gang %t: the batch task runs in held capacity", gang)
+			}
+		}
+		if slow.runsOf(running) != 1 || to.runsOf(longRunning) != 1 {
+			t.Errorf("gang %t: %d runs of the long-running task, %d on the slow worker; want 1 each", gang, to.runsOf(longRunning), slow.runsOf(running))
+		}
+	}
+}
+
+func TestTasksThatWaitForAnInterruptionKeepTheirPlaces(t *testing.T) {
+	sim := newSimulation(t)
+	leaving := sim.addMixedWorker("w1", 8)
+	owner := sim.newOwner()
+	job := longRunningJob(1, 3, 2)
+	job.Steps[0].MaxUnavailable = 1
+	sim.submit(owner, job)
+	sim.run(1500*time.Millisecond, owner)
+	to := sim.addMixedWorker("w2", 6)
+	owner.discover()
+	sim.run(100*time.Millisecond, owner)
+	leaving.Draining = true
+	owner.discover()
+	sim.run(100*time.Millisecond, owner)
+	sim.fill(owner, 2)
+	sim.run(500*time.Millisecond, owner)
+	if n := len(to.running) - to.runsOf(job); n > 0 {
+		t.Errorf("%d batch tasks run in the capacity of long-running ones", n)
+	}
+	sim.run(4*time.Second, owner)
+	if n := to.runsOf(job); n != 3 {
+		t.Errorf("%d tasks have moved, want 3", n)
+	}
+}
+
+func TestTicketsAreRequestedForATaskInAPoolFullOfBatchTasks(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addMixedWorker("w1", 4)
+	owner := sim.newOwner()
+	sim.fill(owner, 0.8)
+	sim.run(time.Second, owner)
+	job := longRunningJob(1, 1, 3)
+	job.Queue = "advised"
+	sim.submit(owner, job)
+	f.needsTicket = "t1"
+	sim.run(100*time.Millisecond, owner)
+	if s := owner.jobs[job.ID].find(0, 0, 0).step; s.tickets == nil || owner.workers["w1"].held.Processors != 3 {
+		t.Errorf("tickets %v, %v is held; want a ticket and 3 cores", s.tickets, owner.workers["w1"].held)
+	}
+}
+
+func TestPlaceIsHeldWhileTicketsAreRenewed(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addMixedWorker("w1", 4)
+	owner := sim.newOwner()
+	sim.fill(owner, 0.8)
+	sim.run(time.Second, owner)
+	job := longRunningJob(1, 1, 3)
+	job.Queue = "advised"
+	sim.submit(owner, job)
+	s := owner.jobs[job.ID].find(0, 0, 0).step
+	s.requesting, s.tickets = true, &tickets{byWorker: map[string]string{f.ID: ""}, validTo: sim.now}
+	sim.run(2*time.Second, owner)
+	s.tickets.validTo = sim.now + time.Second // the service has answered
+	sim.run(100*time.Millisecond, owner)
+	if f.runsOf(job) != 1 || !sim.filled(owner) {
+		t.Errorf("%d runs, batch tasks wait: %t; want 1 beside waiting ones", f.runsOf(job), sim.filled(owner))
+	}
+}
+
+func TestTaskStartsOnAnEmptyingWorkerThatItsTicketPermits(t *testing.T) {
+	sim := newSimulation(t)
+	full, emptying := sim.addWorkerFor(nil, "w1", 8), sim.addWorkerFor(nil, "w2", 2)
+	full.needsTicket, emptying.needsTicket = "t1", "t2"
+	owner := sim.newOwner()
+	for n, cores := range []float64{6, 2} {
+		job := longRunningJob(1+n, 1, cores)
+		job.Queue = "advised"
+		sim.submit(owner, job)
+		sim.run(time.Second, owner)
+	}
+	owner.SetReservations(map[string]fleetplan.Reservation{"w2": fleetplan.Emptying})
+	job := longRunningJob(9, 1, 2)
+	job.Queue = "advised"
+	sim.submit(owner, job)
+	sim.run(time.Second, owner)
+	if emptying.runsOf(job) != 1 {
+		t.Errorf("%d runs on the emptying worker, want 1", emptying.runsOf(job))
+	}
+}
+
+func TestEvacuationStopsNoTaskWhoseTicketsHaveExpired(t *testing.T) {
+	sim := newSimulation(t)
+	w1 := sim.addWorkerFor(nil, "w1", 2)
+	sim.addWorkerFor(nil, "w2", 2).needsTicket = "t2"
+	w1.needsTicket = "t1"
+	owner := sim.newOwner()
+	job := longRunningJob(1, 1, 2)
+	job.Queue = "advised"
+	sim.submit(owner, job)
+	sim.run(time.Second, owner)
+	s := owner.jobs[job.ID].find(0, 0, 0).step
+	s.tickets.validTo, s.requesting = sim.now, true // the service does not answer
+	busy := "w1"
+	if w1.runsOf(job) == 0 {
+		busy = "w2"
+	}
+	sim.evacuateFor(time.Second, owner, busy)
+	if got := owner.Stats().Stops; got != 0 {
+		t.Errorf("%d stops, want none", got)
+	}
+}
+
+// The other task of the first one's step never becomes ready.
+func TestTaskThatMayNotBeStoppedTakesNoPlaceFromOneThatMay(t *testing.T) {
+	for _, leave := range []bool{false, true} {
+		sim := newSimulation(t)
+		sim.addWorkerFor(nil, "w1", 2)
+		sim.addWorkerFor(nil, "w4", 2).duration = lasting(2 * time.Hour)
+		owner := sim.newOwner()
+		kept := longRunningJob(1, 2, 2)
+		kept.Steps[0].MaxUnavailable, kept.Steps[0].Estimate = 1, time.Hour
+		sim.submit(owner, kept)
+		sim.run(1500*time.Millisecond, owner)
+		sim.addWorkerFor(owner, "w2", 2)
+		moved := longRunningJob(2, 1, 2)
+		sim.submit(owner, moved)
+		sim.run(300*time.Millisecond, owner)
+		to := sim.addWorkerFor(owner, "w3", 2)
+		sim.run(200*time.Millisecond, owner)
+		if leave {
+			sim.workers["w1"].Draining, sim.workers["w2"].Draining = true, true
+			owner.discover()
+			sim.run(500*time.Millisecond, owner)
+		} else {
+			sim.evacuateFor(500*time.Millisecond, owner, "w1", "w2")
+		}
+		if to.runsOf(moved) != 1 {
+			t.Errorf("workers leave: %t; %d runs of the task on the other worker, want 1", leave, to.runsOf(moved))
+		}
+	}
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -34,12 +34,26 @@
 	if e.catalog == nil || (len(p.ready) == 0 && !p.speculative()) {
 		return
 	}
+	if p.losesRuns() {
+		e.holdCapacity(p, now) // a worker may have become usable since the last sweep
+	}
 	open, lastResort := p.openWorkers(now)
 	// During a surge most passes find hundreds of steps and free capacity for
 	// few of them. Only those that may fit are ranked.
-	most, mostLastResort := maxFree(open), maxFree(lastResort)
+	var most, mostUnheld, mostLastResort placement.Resources
+	measure := func() {
+		most, mostLastResort = maxFree(open, (*worker).free), maxFree(lastResort, (*worker).free)
+		mostUnheld = most
+		if slices.ContainsFunc(open, (*worker).holds) {
+			mostUnheld = maxFree(open, (*worker).unheld)
+		}
+	}
+	measure()
 	mayFit := func(s *step) bool {
 		size := s.Requests()
+		if !s.LongRunning {
+			return size.Fits(mostUnheld)
+		}
 		return size.Fits(most) || (s.hasLastResort() && size.Fits(mostLastResort))
 	}
 	list := make([]candidate, 0, len(p.ready))
@@ -60,7 +74,7 @@
 			e.placeStep(c.step, open, lastResort, now)
 		}
 		if e.stats.Starts > started {
-			most, mostLastResort = maxFree(open), maxFree(lastResort)
+			measure()
 		}
 	}
 	if now >= p.nextCopySearch {
@@ -74,10 +88,10 @@
 
 // maxFree returns, for each resource, the largest free amount on any of the
 // workers.
-func maxFree(workers []*worker) placement.Resources {
+func maxFree(workers []*worker, free func(*worker) placement.Resources) placement.Resources {
 	var most placement.Resources
 	for _, w := range workers {
-		free := w.free()
+		free := free(w)
 		most.Processors = max(most.Processors, free.Processors)
 		most.MemoryMB = max(most.MemoryMB, free.MemoryMB)
 		most.Accelerators = max(most.Accelerators, free.Accelerators)
@@ -177,7 +191,7 @@
 
 // fitsOn reports whether the worker has the capacity for a task of the step and
 // the placement constraints permit it.
-func (s *step) fitsOn(w *worker) bool { return s.Requests().Fits(w.free()) && s.allows(w) }
+func (s *step) fitsOn(w *worker) bool { return s.Requests().Fits(w.freeFor(s)) && s.allows(w) }
 
 // allows reports whether the placement constraints of the step permit the
 // worker.
@@ -300,7 +314,7 @@
 	size := s.Requests()
 	chosen := make([]*worker, 0, len(s.tasks))
 	for _, w := range workers {
-		free := w.free()
+		free := w.freeFor(s)
 		for n := s.runsOn(w); len(chosen) < len(s.tasks) && size.Fits(free); n++ {
 			if s.MaxPerWorker > 0 && n >= s.MaxPerWorker {
 				break
--- a/internal/scheduler/places.go
+++ b/internal/scheduler/places.go
@@ -7,26 +7,32 @@
 	"github.com/egretpitch/egretpitch/internal/placement"
 )
 
-// places assigns free capacity to the long-running tasks of a pool, first fit.
-// It starts no task.
+// places assigns the capacity of workers to the long-running tasks of a pool,
+// first fit. It starts no task.
 type places struct {
 	list    []place
 	cursors map[*step]*placeCursor
 }
 
-// place is the capacity that is left on a worker after the assignments so far.
+// place is a worker with what was assigned there so far.
 type place struct {
 	worker *worker
-	free   placement.Resources
+	// free is the free capacity that is not assigned. It is negative if capacity
+	// in use is assigned.
+	free placement.Resources
+	// unclaimed is the capacity that long-running tasks neither use nor were
+	// assigned.
+	unclaimed placement.Resources
+	// held is the assigned capacity that no other task may take.
+	held placement.Resources
+	// counts holds, by step, the number of tasks that were assigned.
+	counts map[*step]int
 }
 
-// placeCursor is where the search for the next task of a step begins: earlier
-// places have rejected the step, and their free capacity only shrinks.
-type placeCursor struct {
-	index int
-	// assigned counts the step's tasks at the place with this index.
-	assigned int
-}
+// placeCursor holds the indices at which the searches for the next task of a
+// step begin: earlier places have rejected the step, and their capacity only
+// shrinks.
+type placeCursor struct{ free, unclaimed int }
 
 func newPlaces(workers []*worker) *places {
 	p := &places{list: make([]place, 0, len(workers)), cursors: map[*step]*placeCursor{}}
@@ -36,38 +42,67 @@
 	return p
 }
 
-// add appends the free capacity of a worker.
-func (p *places) add(w *worker) { p.list = append(p.list, place{worker: w, free: w.free()}) }
+// add appends a worker.
+func (p *places) add(w *worker) {
+	p.list = append(p.list, place{worker: w, free: w.free(), unclaimed: w.Capacity.Sub(w.longRunningRequests())})
+}
 
 // anyWorker permits every worker.
 func anyWorker(*worker) bool { return true }
 
-// assign gives one more task of a step a place on a permitted worker. It
+// assign gives one more task of a step free capacity on a permitted worker. It
 // reports false if there is none.
 func (p *places) assign(s *step, permitted func(*worker) bool) bool {
+	return p.search(s, &p.cursor(s).free, permitted, func(at *place) placement.Resources { return at.free })
+}
+
+// assignUsed is assign for capacity that other tasks than long-running ones may
+// use now.
+func (p *places) assignUsed(s *step, permitted func(*worker) bool) bool {
+	return p.search(s, &p.cursor(s).unclaimed, permitted, func(at *place) placement.Resources { return at.unclaimed })
+}
+
+func (p *places) cursor(s *step) *placeCursor {
 	c := p.cursors[s]
 	if c == nil {
 		c = &placeCursor{}
 		p.cursors[s] = c
 	}
-	for ; c.index < len(p.list); c.index, c.assigned = c.index+1, 0 {
-		at := &p.list[c.index]
-		if at.accepts(s, c.assigned) && permitted(at.worker) {
-			at.free = at.free.Sub(s.Requests())
-			c.assigned++
+	return c
+}
+
+// search assigns the first place that accepts a task of the step, beginning at
+// index.
+func (p *places) search(s *step, index *int, permitted func(*worker) bool, capacity func(*place) placement.Resources) bool {
+	size := s.Requests()
+	for ; *index < len(p.list); *index++ {
+		at := &p.list[*index]
+		if size.Fits(capacity(at)) && at.accepts(s) && permitted(at.worker) {
+			at.assign(s, size)
 			return true
 		}
 	}
 	return false
 }
 
-// accepts reports whether a place can hold one more task of a step, of which it
-// was assigned some already.
-func (at *place) accepts(s *step, assigned int) bool {
-	if !s.Requests().Fits(at.free) || !s.hasLabel(at.worker) {
-		return false
+// accepts reports whether the placement constraints permit one more task of a
+// step.
+func (at *place) accepts(s *step) bool {
+	return s.hasLabel(at.worker) && (s.MaxPerWorker == 0 || s.runsOn(at.worker)+at.counts[s] < s.MaxPerWorker)
+}
+
+func (at *place) assign(s *step, size placement.Resources) {
+	at.free = at.free.Sub(size)
+	at.unclaimed = at.unclaimed.Sub(size)
+	if !s.Gang { // all tasks of a gang need places at the same time
+		at.held = at.held.Add(size)
+	}
+	if s.MaxPerWorker > 0 {
+		if at.counts == nil {
+			at.counts = map[*step]int{}
+		}
+		at.counts[s]++
 	}
-	return s.MaxPerWorker == 0 || s.runsOn(at.worker)+assigned < s.MaxPerWorker
 }
 
 // tasksToPlace returns the long-running tasks of a pool that need a place: those
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -39,9 +39,12 @@
 	leavesAt time.Duration
 	// reservation is set if the worker's host is to be moved or maintained.
 	reservation fleetplan.Reservation
-	// evacuating is set if the long-running tasks of the worker are to move to
-	// other workers at the next sweep.
+	// evacuating is set while the long-running tasks of the worker are to move to
+	// other workers.
 	evacuating bool
+	// held is the capacity that only long-running tasks may take. holdCapacity
+	// computes it anew in each sweep.
+	held placement.Resources
 	// pendingRemoval is set if the worker's host is to be maintained or moved
 	// soon.
 	pendingRemoval bool
@@ -322,6 +325,25 @@
 // free returns the resources that the worker has left.
 func (w *worker) free() placement.Resources { return w.Capacity.Sub(w.used) }
 
+// holds reports whether the worker holds capacity for long-running tasks.
+func (w *worker) holds() bool { return w.held != placement.Resources{} }
+
+// unheld returns the resources that tasks other than long-running ones may take.
+func (w *worker) unheld() placement.Resources {
+	if !w.holds() {
+		return w.free()
+	}
+	return w.free().Sub(w.held).Max(placement.Resources{}) // held capacity may be in use
+}
+
+// freeFor returns the resources that a task of the step may take.
+func (w *worker) freeFor(s *step) placement.Resources {
+	if s.LongRunning {
+		return w.free()
+	}
+	return w.unheld()
+}
+
 // addRun adds a run to the worker and its requests to the used resources.
 // removeRun undoes it.
 func (w *worker) addRun(r *run) {
