--- /dev/null
+++ b/internal/scheduler/restart_test.go
@@ -0,0 +1,447 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/workload"
+)
+
+const (
+	// heartbeatInterval is the time between two heartbeats of a worker. An entry
+	// is removed after three without one, or when its worker has left.
+	heartbeatInterval = 1500 * time.Millisecond
+	// feedDelay is how long a change of an entry takes to reach the owner.
+	feedDelay = 300 * time.Millisecond
+	// hostListDelay is the longest time until a host list shows a crash.
+	hostListDelay = 600 * time.Millisecond
+)
+
+// restartBound returns when a task must have a run again. The last one ended at
+// ranAt, and the last disruption was at disruptedAt.
+func restartBound(ranAt, disruptedAt time.Duration) time.Duration {
+	return max(ranAt+restartTime, disruptedAt+settlingTime) + outageBound
+}
+
+// hasRun reports whether a worker runs a task of a job.
+func (sim *simulation) hasRun(job *workload.Job) bool {
+	for _, f := range sim.workers {
+		for key := range f.running {
+			if f.up && key.task.Job == job.ID {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// checkRestart fails the test if a job of one task has no run by its bound. It
+// returns when the task had a run again.
+func (sim *simulation) checkRestart(t *testing.T, job *workload.Job, ranAt, disruptedAt time.Duration, owner *testOwner) {
+	t.Helper()
+	const limit = 40 * time.Second
+	start := sim.now
+	for !sim.hasRun(job) && sim.now < start+limit {
+		sim.run(testTick, owner)
+	}
+	sim.check()
+	t.Logf("without a run for %v, the last disruption was %v before", sim.now-ranAt, sim.now-disruptedAt)
+	if bound := restartBound(ranAt, disruptedAt); sim.now > bound {
+		t.Errorf("the task has no run for %v, want at most %v", sim.now-ranAt, bound-ranAt)
+	}
+}
+
+// lose ends a worker for good. Its entry is removed after the given time.
+func (sim *simulation) lose(f *fakeWorker, owner *testOwner, unlistedAfter time.Duration) {
+	f.crash()
+	f.reachable = false
+	sim.after(unlistedAfter, func() {
+		f.unlisted = true
+		owner.WorkerUnlisted(f.ID, sim.now)
+	})
+}
+
+// entryLifetime is the longest time from a worker's crash to the removal of its
+// entry.
+const entryLifetime = 3*heartbeatInterval + feedDelay
+
+// runningTask returns an owner and a job whose only task runs on w1. The other
+// workers have capacity for two such tasks.
+func (sim *simulation) runningTask(others ...string) (*testOwner, *fakeWorker, *workload.Job) {
+	w1 := sim.addWorkerFor(nil, "w1", 2)
+	owner := sim.newOwner()
+	job := longRunningJob(1, 1, 2)
+	sim.submit(owner, job)
+	sim.run(2*time.Second, owner)
+	for _, id := range others {
+		sim.addWorkerFor(owner, id, 8)
+	}
+	sim.run(time.Second, owner)
+	return owner, w1, job
+}
+
+// No host list shows the crash.
+func TestTaskOfACrashedWorkerRunsAgainInTime(t *testing.T) {
+	for phase := time.Duration(0); phase < pollWait+200*time.Millisecond; phase += 100 * time.Millisecond {
+		sim := newSimulation(t)
+		owner, w1, job := sim.runningTask("w2")
+		sim.run(phase, owner)
+		sim.lose(w1, owner, entryLifetime)
+		sim.checkRestart(t, job, sim.now, sim.now, owner)
+	}
+}
+
+// No other worker answers until a new one joins.
+func TestTaskOfTheOnlyWorkerRunsAsSoonAsAnotherJoins(t *testing.T) {
+	for later := time.Second; later < 12*time.Second; later += time.Second {
+		sim := newSimulation(t)
+		owner, w1, job := sim.runningTask()
+		sim.lose(w1, owner, entryLifetime)
+		ranAt := sim.now
+		sim.run(later, owner)
+		sim.addWorkerFor(owner, "w2", 8)
+		sim.checkRestart(t, job, ranAt, sim.now-settlingTime, owner)
+	}
+}
+
+// The workers without runs are not polled: their crash is noticed by a probe.
+func TestCrashesOfIdleWorkersDoNotDelayARestart(t *testing.T) {
+	for later := time.Duration(0); later < 6*time.Second; later += 500 * time.Millisecond {
+		sim := newSimulation(t)
+		var idle []string
+		for n := range 12 {
+			idle = append(idle, fmt.Sprintf("w2%02d", n))
+		}
+		owner, w1, job := sim.runningTask(append(idle, "w99")...)
+		sim.lose(w1, owner, entryLifetime)
+		ranAt := sim.now
+		sim.run(later, owner)
+		for _, id := range idle {
+			sim.lose(sim.workers[id], owner, entryLifetime)
+		}
+		sim.checkRestart(t, job, ranAt, sim.now, owner)
+	}
+}
+
+// delayAnswers delays the answers of a worker to polls.
+func (sim *simulation) delayAnswers(owner *testOwner, id string, d time.Duration) {
+	sim.injectFault = func(o Order) orderFault {
+		p, ok := o.(*PollOrder)
+		if !ok || p.Worker.ID != id {
+			return orderFault{}
+		}
+		sim.applyPoll(sim.workers[id], p, func(a any) {
+			sim.after(d, func() { owner.answer(p, a, nil) })
+		})
+		return orderFault{handled: true}
+	}
+}
+
+func TestOneSlowWorkerDoesNotDelayARestart(t *testing.T) {
+	sim := newSimulation(t)
+	owner, w1, job := sim.runningTask("w2", "w3")
+	sim.delayAnswers(owner, "w2", promptAnswer+100*time.Millisecond)
+	sim.lose(w1, owner, entryLifetime)
+	sim.checkRestart(t, job, sim.now, sim.now, owner)
+}
+
+// openStart submits a job whose start on w1 gets no answer, and lets w1 crash
+// and start again.
+func (sim *simulation) openStart() (*testOwner, *fakeWorker, *workload.Job) {
+	w1 := sim.addWorkerFor(nil, "w1", 2)
+	owner := sim.newOwner()
+	sim.run(2*time.Second, owner)
+	var lost *StartOrder
+	sim.injectFault = func(o Order) orderFault {
+		s, ok := o.(*StartOrder)
+		if !ok || lost != nil {
+			return orderFault{}
+		}
+		lost = s
+		return orderFault{lost: true}
+	}
+	job := longRunningJob(1, 1, 2)
+	sim.submit(owner, job)
+	for lost == nil {
+		sim.run(testTick, owner)
+	}
+	w1.crash()
+	w1.restart(sim.now)
+	owner.discover()
+	sim.addWorkerFor(owner, "w2", 8)
+	return owner, w1, job
+}
+
+func TestOpenStartIsSettledByTheNextIncarnation(t *testing.T) {
+	sim := newSimulation(t)
+	owner, _, job := sim.openStart()
+	sim.checkRestart(t, job, sim.now, sim.now, owner)
+}
+
+func TestOpenStartEndsWithItsHost(t *testing.T) {
+	sim := newSimulation(t)
+	owner, w1, job := sim.openStart()
+	sim.lose(w1, owner, entryLifetime)
+	sim.after(hostListDelay, func() { owner.HostRemoved(w1.ID, sim.now) })
+	sim.checkRestart(t, job, sim.now, sim.now, owner)
+}
+
+// The next incarnation falls silent before its first answer, and its host is not listed any more.
+func TestOpenStartOfALostHostKeepsNoTaskWaiting(t *testing.T) {
+	sim := newSimulation(t)
+	owner, w1, job := sim.openStart()
+	sim.lose(w1, owner, entryLifetime)
+	sim.checkRestart(t, job, sim.now, sim.now, owner)
+}
+
+// The first order of a kind gets no answer.
+func TestUnansweredOrderKeepsNoTaskWaiting(t *testing.T) {
+	for _, stop := range []bool{false, true} {
+		for _, fault := range []orderFault{{lost: true}, {lost: true, applied: true}, {lost: true, applied: true, delay: 3 * time.Second}} {
+			sim := newSimulation(t)
+			owner, _, job := sim.runningTask("w2")
+			lost := false
+			sim.injectFault = func(o Order) orderFault {
+				_, isStop := o.(*StopOrder)
+				_, isStart := o.(*StartOrder)
+				if lost || (isStop != stop) || (isStart == stop) {
+					return orderFault{}
+				}
+				lost = true
+				return fault
+			}
+			sim.evacuateFor(200*time.Millisecond, owner, "w1")
+			sim.checkRestart(t, job, sim.now-200*time.Millisecond, sim.now, owner)
+			sim.run(fault.delay+time.Second, owner)
+			sim.check()
+			if s := owner.Stats(); !lost || s.Stops == 0 {
+				t.Errorf("%d stops, an order is lost: %v; want a stop and true", s.Stops, lost)
+			}
+		}
+	}
+}
+
+// The stopping worker crashes at each moment of the stop.
+func TestCrashDuringAStopKeepsNoTaskWaiting(t *testing.T) {
+	for phase := time.Duration(0); phase < 600*time.Millisecond; phase += 20 * time.Millisecond {
+		sim := newSimulation(t)
+		owner, w1, job := sim.runningTask("w2")
+		w1.stopTakes = 300 * time.Millisecond
+		owner.Evacuate("w1", sim.now)
+		sim.run(phase, owner)
+		if sim.hasRun(job) && len(w1.running) == 0 {
+			continue // it has moved already
+		}
+		sim.lose(w1, owner, entryLifetime)
+		sim.checkRestart(t, job, sim.now, sim.now, owner)
+	}
+}
+
+// longestFailingTask runs long-running tasks of several jobs on one worker, each
+// of which ends as failed after the given time. It returns the longest time for
+// which the first had no run.
+func longestFailingTask(t *testing.T, failAfter ...time.Duration) time.Duration {
+	sim := newSimulation(t)
+	w1 := sim.addWorkerFor(nil, "w1", 16)
+	owner := sim.newOwner()
+	fails := map[string]time.Duration{}
+	w1.duration = func(task workload.TaskID) (time.Duration, platform.RunEnd) {
+		return fails[task.Job], platform.EndFailed
+	}
+	var first *workload.Job
+	for n, d := range failAfter {
+		job := longRunningJob(1+n, 1, 2)
+		if n == 0 {
+			first = job
+		}
+		fails[job.ID] = d
+		sim.submit(owner, job)
+	}
+	var ranAt, longest time.Duration
+	for sim.now < 40*time.Second {
+		sim.run(testTick, owner)
+		if sim.hasRun(first) {
+			ranAt = sim.now
+		}
+		longest = max(longest, sim.now-ranAt)
+	}
+	sim.check()
+	return longest
+}
+
+// Tasks of several jobs fail by their own fault on the only worker that has capacity.
+func TestWorkerThatIsSetAsideTakesItsTasksBackInTime(t *testing.T) {
+	const bound = restartTime + outageBound
+	for step := 100 * time.Millisecond; step <= 2500*time.Millisecond; step += 300 * time.Millisecond {
+		longest := longestFailingTask(t, 3*time.Second, 2500*time.Millisecond, 2500*time.Millisecond+step, 2500*time.Millisecond+2*step, 2500*time.Millisecond+3*step)
+		t.Logf("without a run for up to %v", longest)
+		if longest > bound {
+			t.Errorf("failures %v apart: the task has no run for %v, want at most %v", step, longest, bound)
+		}
+	}
+}
+
+const (
+	// ownershipLease is how long after a heartbeat an owner may give orders.
+	ownershipLease = 1700 * time.Millisecond
+	// releaseTime and takeoverTime are the times from the end of an owner to the
+	// first decision of its successor, if it was stopped and if it was killed.
+	releaseTime  = 300 * time.Millisecond
+	takeoverTime = 2600 * time.Millisecond
+)
+
+// changesOfOwner ends an owner at each moment after its worker w1 has ended,
+// until that owner has started the task again. If the host list of a successor
+// shows the end, it leaves w1 out of the workers in use.
+func changesOfOwner(t *testing.T, shown, killed bool) {
+	for later := time.Duration(0); later < 8*time.Second; later += 200 * time.Millisecond {
+		sim := newSimulation(t)
+		owner, w1, job := sim.runningTask("w2")
+		sim.lose(w1, owner, feedDelay)
+		ranAt, disruptedAt, vacant := sim.now, time.Duration(0), releaseTime
+		if shown {
+			sim.after(hostListDelay, func() { owner.HostRemoved("w1", sim.now) })
+		}
+		sim.run(later, owner)
+		if killed {
+			disruptedAt, vacant = sim.now, takeoverTime
+		}
+		lastOrder := sim.now + ownershipLease
+		owner.expired = true
+		sim.run(vacant)
+		if sim.hasRun(job) {
+			return
+		}
+		if shown && sim.now-ranAt >= hostListDelay {
+			delete(sim.inUse, "w1")
+		}
+		sim.checkRestart(t, job, ranAt, disruptedAt, sim.newOwnerAfter(sim.now-lastOrder))
+	}
+}
+
+func TestSuccessorStartsTasksOfAHostThatHasLeft(t *testing.T) { changesOfOwner(t, true, false) }
+
+func TestSuccessorOfAKilledOwnerStartsTasksOfACrashedHost(t *testing.T) {
+	changesOfOwner(t, true, true)
+}
+
+// The host has left and is not listed any more.
+func TestSuccessorStartsTasksOfAHostThatIsNotListed(t *testing.T) { changesOfOwner(t, false, false) }
+
+// The host is lost for good and not listed any more.
+func TestSuccessorOfAKilledOwnerStartsTasksOfALostHost(t *testing.T) { changesOfOwner(t, false, true) }
+
+// The worker is in the record of workers in use and answers, but has no entry.
+func TestUnlistedWorkerKeepsItsTaskAcrossAChangeOfOwner(t *testing.T) {
+	sim := newSimulation(t)
+	owner, w1, job := sim.runningTask("w2")
+	w1.unlisted = true
+	owner.discover()
+	owner.expired = true
+	sim.run(takeoverTime)
+	successor := sim.newOwnerAfter(takeoverTime - ownershipLease)
+	for range 12 {
+		sim.run(time.Second, successor)
+		if !sim.hasRun(job) {
+			t.Fatalf("the task has no run at %v", sim.now)
+		}
+	}
+	sim.check()
+	if s := successor.Stats(); s.Starts != 0 || s.LostRuns != 0 {
+		t.Errorf("%d starts, %d runs given up; want none", s.Starts, s.LostRuns)
+	}
+}
+
+// heartbeats lists the workers at intervals.
+func (sim *simulation) heartbeats(owner *testOwner) {
+	sim.after(heartbeatInterval+feedDelay, func() {
+		owner.discover()
+		sim.heartbeats(owner)
+	})
+}
+
+// A host list or the late answer to an order names a worker that has come back.
+func TestRemovedWorkerServesAgainAfterItsNextHeartbeat(t *testing.T) {
+	sim := newSimulation(t)
+	owner, w1, job := sim.runningTask("w2")
+	sim.heartbeats(owner)
+	sim.lose(w1, owner, entryLifetime)
+	ranAt := sim.now
+	for sim.now < owner.workers["w1"].leaseEnd() {
+		sim.run(testTick, owner)
+	}
+	owner.HostRemoved("w2", sim.now)
+	sim.checkRestart(t, job, ranAt, ranAt, owner)
+}
+
+// A worker that has restarted answers at its old address no more.
+func TestAnswersOfThePreviousIncarnationRemoveNoWorker(t *testing.T) {
+	wrong := platform.OrderAnswer{Outcome: platform.OrderWrongIncarnation}
+	for _, kind := range []string{"poll", "start", "stop"} {
+		sim := newSimulation(t)
+		f := sim.addWorkerFor(nil, "w1", 8)
+		var late Order
+		owner := sim.newOwner()
+		sim.submit(owner, longRunningJob(1, 1, 2))
+		sim.run(2*time.Second, owner)
+		sim.injectFault = func(o Order) orderFault {
+			matches := false
+			switch o.(type) {
+			case *PollOrder:
+				matches = kind == "poll"
+			case *StartOrder:
+				matches = kind == "start"
+			case *StopOrder:
+				matches = kind == "stop"
+			}
+			if !matches || late != nil {
+				return orderFault{}
+			}
+			late = o
+			return orderFault{handled: true}
+		}
+		switch kind {
+		case "start":
+			sim.submit(owner, longRunningJob(2, 1, 2))
+		case "stop":
+			owner.Cancel(longRunningJob(1, 1, 2).ID, sim.now)
+		}
+		for late == nil {
+			sim.run(testTick, owner)
+		}
+		f.crash()
+		f.restart(sim.now)
+		owner.discover()
+		switch x := late.(type) {
+		case *PollOrder:
+			owner.Polled(x, platform.WorkerStatus{Outcome: platform.OrderWrongIncarnation}, nil, sim.now)
+		case *StartOrder:
+			owner.Started(x, wrong, nil, sim.now)
+		case *StopOrder:
+			owner.Stopped(x, wrong, nil, sim.now)
+		}
+		sim.run(200*time.Millisecond, owner)
+		if w := owner.workers["w1"]; w == nil || !w.usable(sim.now) {
+			t.Errorf("%s: the next incarnation is not usable", kind)
+		}
+		sim.check()
+	}
+}
+
+// The clock of the worker's host is set back before the worker restarts.
+func TestWorkerWhoseStartTimeGoesBackServesAgain(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorkerFor(nil, "w1", 8)
+	f.StartedMS += time.Hour.Milliseconds()
+	owner := sim.newOwner()
+	job := longRunningJob(1, 1, 2)
+	sim.submit(owner, job)
+	sim.run(2*time.Second, owner)
+	sim.heartbeats(owner)
+	f.crash()
+	ranAt := sim.now
+	f.restart(sim.now)
+	sim.checkRestart(t, job, ranAt, ranAt, owner)
+}
