scheduler: bound how long failures keep a worker set aside

Seen: a long-running task that had failed on the only worker with capacity for it was without a run for up to 15.0 s while tasks of other jobs failed there, each by its own fault.

Cause: a task waits for the worker that it failed on until that is not set aside any more (lastResort). penalize set the end of that time anew with each failure, up to 8 s later, and a worker with long-running tasks alone stays on probation, so that any failure counts.

Change: the worker is usable again 8 s (maxSetAside) after it was set aside at the latest. The times still double.

--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -14,7 +14,8 @@
 	// worker, without a success in between, after which it is set aside.
 	failedJobsToSetAside = 2
 	// minSetAside is the first time for which a worker is set aside. It doubles
-	// with every failure on probation, up to maxSetAside.
+	// with every failure on probation, up to maxSetAside, which also bounds the
+	// time until the worker is usable again.
 	minSetAside = 2 * time.Second
 	maxSetAside = 8 * time.Second
 )
@@ -28,6 +29,8 @@
 	// again, and setAsideFor for how long it was last set aside.
 	setAsideUntil time.Duration
 	setAsideFor   time.Duration
+	// setAsideSince is when the worker was set aside after it had been usable.
+	setAsideSince time.Duration
 	// pausedUntil is when the worker may get tasks again after it refused a
 	// start or left an order unanswered.
 	pausedUntil time.Duration
@@ -54,7 +57,12 @@
 		return
 	}
 	w.setAsideFor = min(max(w.setAsideFor*2, minSetAside), maxSetAside)
-	w.setAsideUntil = now + w.setAsideFor
+	if !w.setAside(now) && !w.justUsable(t, now) {
+		w.setAsideSince = now
+	}
+	// Tasks that failed on the worker may have no other place. Failures of
+	// further ones meanwhile must not keep them waiting without end.
+	w.setAsideUntil = min(now+w.setAsideFor, w.setAsideSince+maxSetAside)
 	w.onProbation = true
 	w.failedJobs = nil
 	e.stats.WorkersSetAside++
@@ -62,6 +70,14 @@
 		zap.String("last_job", t.step.job.ID))
 }
 
+// justUsable reports whether a run of the task that fails now on the worker began
+// before the worker was usable again, and tasks that wait for the worker may not
+// have been started since.
+func (w *worker) justUsable(t *task, now time.Duration) bool {
+	return now < w.setAsideUntil+2*passInterval &&
+		slices.ContainsFunc(t.runs, func(r *run) bool { return r.worker == w && r.sentAt < w.setAsideUntil })
+}
+
 // succeeded clears the failures and ends the time for which the worker is set
 // aside or paused.
 func (h *health) succeeded(now time.Duration) {
