--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -147,6 +149,21 @@
 	sim.checkRestart(t, job, sim.now, sim.now, owner)
 }
 
+// No host list shows the crash of an idle worker, which the task is placed on.
+func TestPlacementOnALostWorkerKeepsNoTaskWaiting(t *testing.T) {
+	for later := time.Duration(0); later < 5*time.Second; later += 500 * time.Millisecond {
+		sim := newSimulation(t)
+		owner, w1, job := sim.runningTask("w2")
+		w3 := sim.addWorkerFor(owner, "w3", 4) // the best fit
+		sim.run(time.Second, owner)
+		sim.lose(w1, owner, entryLifetime)
+		ranAt := sim.now
+		sim.run(later, owner)
+		sim.lose(w3, owner, entryLifetime)
+		sim.checkRestart(t, job, ranAt, sim.now, owner)
+	}
+}
+
 // openStart submits a job whose start on w1 gets no answer, and lets w1 crash
 // and start again.
 func (sim *simulation) openStart() (*testOwner, *fakeWorker, *workload.Job) {
@@ -445,3 +462,155 @@
 	f.restart(sim.now)
 	sim.checkRestart(t, job, ranAt, ranAt, owner)
 }
+
+// TestLongRunningTasksRestartAfterAnyDisruption plays random crashes, cuts, lost
+// and late orders, slow answers, failed runs and changes of owner for a while.
+// Once they are over, each task must have a run by its bound. In half of the
+// histories no host list shows that a host is lost; one host is then lost at
+// most, no order is and no owner changes.
+func TestLongRunningTasksRestartAfterAnyDisruption(t *testing.T) {
+	for seed := range uint64(100) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { newDisruptedHistory(t, seed).play() })
+	}
+}
+
+// disruptedHistory is a random history of long-running tasks.
+type disruptedHistory struct {
+	*simulation
+	t      *testing.T
+	random *rand.Rand
+	owner  *testOwner
+	jobs   []*workload.Job
+	ranAt  map[string]time.Duration
+	// lost holds the workers that have ended for good. shown is set if host
+	// lists show that, and faults while orders may get no answer.
+	lost          map[string]bool
+	shown, faults bool
+}
+
+func newDisruptedHistory(t *testing.T, seed uint64) *disruptedHistory {
+	h := &disruptedHistory{
+		simulation: newSimulation(t), t: t, random: rand.New(rand.NewPCG(seed, 0)), ranAt: map[string]time.Duration{}, lost: map[string]bool{}, faults: true,
+	}
+	for n := range 5 {
+		f := h.addWorkerFor(nil, fmt.Sprintf("w%d", n+1), 6)
+		f.duration = func(workload.TaskID) (time.Duration, platform.RunEnd) {
+			if h.faults && h.random.IntN(4000) == 0 {
+				return 0, platform.EndFailed
+			}
+			return time.Hour, platform.EndDone
+		}
+	}
+	h.addWorkerFor(nil, "w9", 64) // the capacity for all tasks
+	loss := 0
+	if h.shown = h.random.IntN(2) == 0; h.shown {
+		loss = h.random.IntN(20)
+	}
+	h.injectFault = func(Order) orderFault {
+		if !h.faults || h.random.IntN(100) >= loss {
+			return orderFault{}
+		}
+		applied := h.random.IntN(2) == 0
+		return orderFault{lost: true, applied: applied, delay: time.Duration(h.random.IntN(6000)) * time.Millisecond, sameIncarnation: true}
+	}
+	h.owner = h.newOwner()
+	for n := range 8 {
+		job := longRunningJob(n+1, 1, 2)
+		h.jobs = append(h.jobs, job)
+		h.submit(h.owner, job)
+	}
+	h.heartbeats()
+	return h
+}
+
+// heartbeats lists the workers at intervals.
+func (h *disruptedHistory) heartbeats() {
+	h.owner.discover()
+	h.after(heartbeatInterval, h.heartbeats)
+}
+
+// advance runs the history and notes which tasks have a run.
+func (h *disruptedHistory) advance(d time.Duration) {
+	for end := h.now + d; h.now < end; {
+		h.run(testTick, h.owner)
+		for _, job := range h.jobs {
+			if h.hasRun(job) {
+				h.ranAt[job.ID] = h.now
+			}
+		}
+	}
+}
+
+// disrupt plays one random disruption.
+func (h *disruptedHistory) disrupt() {
+	f := h.workers[fmt.Sprintf("w%d", 1+h.random.IntN(5))]
+	switch h.random.IntN(7) {
+	case 0, 1: // the host is lost for good or comes back with a new incarnation
+		if !f.up {
+			return
+		}
+		f.crash()
+		f.reachable = false
+		if h.random.IntN(3) > 0 && (h.shown || len(h.lost) == 0) {
+			h.lost[f.ID] = true
+			h.after(entryLifetime, func() { f.unlisted = true })
+		}
+		h.after(hostListDelay, func() {
+			if f.up || !h.shown {
+				return
+			}
+			delete(h.inUse, f.ID)
+			h.owner.HostRemoved(f.ID, h.now)
+		})
+	case 2:
+		if !f.up && !h.lost[f.ID] {
+			f.restart(h.now)
+			f.reachable = true
+		}
+	case 3, 4:
+		if f.up {
+			f.reachable = !f.reachable
+		}
+	case 5:
+		delay := time.Duration(h.random.IntN(400)) * time.Millisecond
+		h.answerDelay = func() time.Duration { return delay }
+	case 6:
+		if !h.shown {
+			return
+		}
+		lastOrder := h.now + ownershipLease
+		h.owner.expired = true
+		h.run([]time.Duration{releaseTime, takeoverTime}[h.random.IntN(2)])
+		h.owner = h.newOwnerAfter(h.now - lastOrder)
+	}
+}
+
+// play plays the disruptions and the calm after them.
+func (h *disruptedHistory) play() {
+	h.advance(3 * time.Second)
+	for range 3 + h.random.IntN(10) {
+		h.disrupt()
+		h.advance(time.Duration(50+h.random.IntN(500)) * time.Millisecond)
+	}
+	h.faults = false
+	h.answerDelay = func() time.Duration { return orderDelay }
+	for _, f := range sorted(h.workers) {
+		if h.lost[f.ID] {
+			continue
+		}
+		if !f.up {
+			f.restart(h.now)
+		}
+		f.reachable = true
+	}
+	disruptedAt := h.now
+	for h.now < disruptedAt+15*time.Second {
+		h.advance(100 * time.Millisecond)
+		for _, job := range h.jobs {
+			if ranAt := h.ranAt[job.ID]; h.now > restartBound(ranAt, disruptedAt) && h.now > ranAt {
+				h.t.Fatalf("job %s has no run at %v, the last one ended at %v, the last disruption was at %v\n%s", job.ID, h.now, ranAt, disruptedAt, strings.Join(h.trace[max(0, len(h.trace)-40):], "\n"))
+			}
+		}
+	}
+	h.check()
+}
