fleetplan: an evacuated host is taken down once it is idle

Cause: an idle host is left to pools that lack workers unless its wave is behind schedule, also when it is idle because the wave had it evacuated. It was given back, the next one was evacuated, and the tasks went to and fro. Change: a host whose worker was evacuated is passed over only if long-running tasks of its own pool lack workers. Evidence: TestEvacuatedHostIsMaintainedAlthoughAnotherPoolSurges fails without it. Why it works: the host is not spare for other pools while it is evacuated, so passing over it served nobody.

--- a/internal/fleetplan/fleetplan_test.go
+++ b/internal/fleetplan/fleetplan_test.go
@@ -519,3 +519,17 @@
 		t.Errorf("the pool has %d hosts, %d were maintained, reserved are %v; want 4 and none", f.size("a"), f.maintained["a-00"], f.planner.Reservations())
 	}
 }
+
+func TestEvacuatedHostIsMaintainedAlthoughAnotherPoolSurges(t *testing.T) {
+	f := newFleet(map[string]int{"a": 3, "b": 3, "c": 3})
+	for _, h := range f.hosts {
+		h.longRunning = 1
+	}
+	f.pools["b"].demand = surge(20*testCores, 0, time.Minute)
+	f.run(time.Second)
+	f.waves = []estate.Wave{{Number: 1, Duration: 25 * time.Second, MaxDown: 1, Hosts: []string{"a-00"}}}
+	f.run(time.Second)
+	if f.maintained["a-00"] != 1 {
+		t.Error("the tasks of the host were moved, but it is not maintained")
+	}
+}
--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -71,7 +71,7 @@
 			return
 		}
 		slots--
-		if v.idle(h) && (v.lacking(h.Pool) > 0 || v.idleToMaintain <= 0 || (missingWorkers > 0 && !behindSchedule)) {
+		if v.idle(h) && (v.lacking(h.Pool) > 0 || (!v.emptied(h) && (v.idleToMaintain <= 0 || (missingWorkers > 0 && !behindSchedule)))) {
 			continue // a pool that lacks workers can use the idle host
 		}
 		if v.idle(h) {
@@ -88,6 +88,13 @@
 	}
 }
 
+// emptied reports whether an idle host is idle because its worker was evacuated.
+// If it were used again now, its tasks would have moved for nothing.
+func (v *view) emptied(h *estate.Host) bool {
+	worker, ok := v.evacuating[h.Name]
+	return ok && worker == h.WorkerID
+}
+
 // missingWorkers returns how many workers all pools together lack.
 func (v *view) missingWorkers() int {
 	n := 0
