--- a/internal/fleetplan/fleetplan_test.go
+++ b/internal/fleetplan/fleetplan_test.go
@@ -526,8 +526,9 @@
 		h.longRunning = 1
 	}
 	f.pools["b"].demand = surge(20*testCores, 0, time.Minute)
+	f.planner = New(testMigration, map[int64][]string{1: {"c-00"}}, nil, nil)
 	f.run(time.Second)
-	f.waves = []estate.Wave{{Number: 1, Duration: 25 * time.Second, MaxDown: 1, Hosts: []string{"a-00"}}}
+	f.waves = []estate.Wave{{Number: 1, Duration: 25 * time.Second, MaxDown: 1, Hosts: []string{"a-00", "c-00"}}}
 	f.run(time.Second)
 	if f.maintained["a-00"] != 1 {
 		t.Error("the tasks of the host were moved, but it is not maintained")
