scheduler: tasks of a worker that ends move to one that is being emptied

Cause: a task without a run may start on such a worker as a last resort, but a task that is about to lose its run was not moved there. Change: from leaveMargin before the announced end on, the free capacity of workers that are being emptied or set aside counts as a place too. Before that only that of usable workers does, so that the task need not move twice. Evidence: TestTasksLeaveAWorkerThatEndsForOneThatIsBeingEmptied fails without it (3 of 3 tasks left at the end).

--- a/internal/scheduler/evacuate.go
+++ b/internal/scheduler/evacuate.go
@@ -57,7 +57,7 @@
 			v.assign(t)
 		}
 		for _, r := range moving {
-			if v.assign(r.task) {
+			if v.assign(r.task) || (r.worker.endsSoon(now) && v.assignLastResort(r.task)) {
 				free = append(free, r)
 			}
 		}
@@ -122,6 +122,9 @@
 	// long-running tasks without a run may start on if they fit on no other.
 	open, lastResort []*worker
 	places           *places
+	// lastResortPlaces are the places on the workers of lastResort, nil before
+	// the first task that needs one.
+	lastResortPlaces *places
 }
 
 func newEvacuation(e *Engine, p *pool, now time.Duration) *evacuation {
@@ -147,6 +150,21 @@
 	return false
 }
 
+// assignLastResort gives a task that would end with its worker a free place on a
+// worker of the last resort, if there is one.
+func (v *evacuation) assignLastResort(t *task) bool {
+	s := t.step
+	if !s.hasLastResort() || !v.ensureTickets(s, v.lastResort, v.now) {
+		return false
+	}
+	if v.lastResortPlaces == nil {
+		v.lastResortPlaces = newPlaces(v.lastResort)
+	}
+	return v.lastResortPlaces.assign(s, func(w *worker) bool {
+		return v.permitted(s, w) && len(t.lastResort([]*worker{w}, v.now)) > 0
+	})
+}
+
 // requestTickets is ensureTickets for a task. The tickets of one that can start
 // on a worker of the last resort are requested when it is placed.
 func (v *evacuation) requestTickets(t *task) bool {
--- a/internal/scheduler/longrunning_test.go
+++ b/internal/scheduler/longrunning_test.go
@@ -325,6 +325,26 @@
 	}
 }
 
+func TestTasksLeaveAWorkerThatEndsForOneThatIsBeingEmptied(t *testing.T) {
+	sim := newSimulation(t)
+	w1 := sim.addWorkerFor(nil, "w1", 8)
+	owner := sim.newOwner()
+	sim.submit(owner, longRunningJob(1, 3, 2))
+	sim.run(time.Second, owner)
+	w2 := sim.addWorkerFor(owner, "w2", 8)
+	owner.SetReservations(map[string]fleetplan.Reservation{"w2": fleetplan.Emptying})
+	early, left := 0, 0
+	sim.leave(w1, 6*time.Second, owner, func(remaining time.Duration) {
+		if remaining > leaveMargin+200*time.Millisecond {
+			early = len(w2.running)
+		}
+		left = len(w1.running)
+	})
+	if early != 0 || left != 0 || len(w2.running) != 3 {
+		t.Errorf("%d tasks move early, %d are left at the end, %d are on the other worker; want 0, 0 and 3", early, left, len(w2.running))
+	}
+}
+
 // A worker that announces no remaining time may stay for long.
 func TestTasksLeaveWithinTheirBoundIfTheEndIsUnknown(t *testing.T) {
 	sim := newSimulation(t)
