scheduler: simulated owners keep the hosts of workers

It keeps the hosts of workers over ownerships and calls HostLeft after two lists without a host, as workerHosts of internal/node does.

--- a/internal/scheduler/estate_simulation_test.go
+++ b/internal/scheduler/estate_simulation_test.go
@@ -57,8 +57,9 @@
 	// listed is the owner's host list, and listedAt the time of its request.
 	listed   []estate.Host
 	listedAt time.Duration
-	// hostOf maps workers to the hosts on which a host list has shown them.
-	hostOf map[string]string
+	// hostOf maps workers to the hosts on which a host list has shown them. It
+	// outlasts ownerships.
+	hostOf map[string]workerHost
 	// firstOrderAt is when the owner may give its first order about a host.
 	firstOrderAt time.Duration
 
@@ -87,6 +88,13 @@
 	leaving bool
 }
 
+// workerHost is the host of a worker. missing counts the latest host lists
+// without the host.
+type workerHost struct {
+	host, pool string
+	missing    int
+}
+
 type entryChange struct {
 	at      time.Duration
 	entry   estate.Worker
@@ -115,7 +123,7 @@
 func newEstate(t testingT, seed uint64, sizes map[string]int) *estateSimulation {
 	s := &estateSimulation{
 		simulation: newSimulation(t), random: rand.New(rand.NewPCG(seed, 0)), hosts: map[string]*fakeHost{},
-		maintained: map[int64]map[string]bool{}, completed: map[int64]bool{}, failing: map[string]bool{}, hostOf: map[string]string{},
+		maintained: map[int64]map[string]bool{}, completed: map[int64]bool{}, failing: map[string]bool{}, hostOf: map[string]workerHost{},
 		discoveryDelay: 300 * time.Millisecond, livenessCheck: livenessCheck{watched: map[workload.TaskID]*watchedTask{}},
 	}
 	s.now = time.Second // a host list of time 0 is none
@@ -279,15 +287,18 @@
 		}
 		surges, seen = previous.Surges(), previous.WavesFirstSeen()
 	}
-	for _, h := range s.sortedHosts() {
-		if e := s.listedHost(h); s.hostOf[e.WorkerID] == "" && e.WorkerID != "" {
-			s.hostOf[e.WorkerID] = h.name
+	for id, w := range s.hostOf {
+		w.missing = 0
+		s.hostOf[id] = w
+	}
+	if s.service == serviceUp {
+		var hosts []estate.Host
+		for _, h := range s.sortedHosts() {
+			hosts = append(hosts, s.listedHost(h))
 		}
+		ended, _ := s.readHosts(hosts)
+		maps.DeleteFunc(s.inUse, func(id string, _ estate.Worker) bool { return slices.Contains(ended, id) })
 	}
-	maps.DeleteFunc(s.inUse, func(id string, u estate.Worker) bool {
-		h := s.hosts[s.hostOf[id]]
-		return s.service == serviceUp && h != nil && (h.pool != u.Pool || noLongerOn(s.listedHost(h), id))
-	})
 	s.listed, s.listedAt = nil, 0
 	s.planner = fleetplan.New(simMigration, maintained, surges, seen)
 	s.owner = s.newOwner()
@@ -466,19 +477,47 @@
 }
 
 func (s *estateSimulation) setHosts(hosts []estate.Host, sentAt time.Duration) {
-	later := map[string]estate.Host{}
+	ended, left := s.readHosts(hosts)
+	for _, id := range ended {
+		s.owner.HostRemoved(id, s.now)
+	}
+	for _, id := range left {
+		if s.owner.HostLeft(id, s.now) {
+			delete(s.hostOf, id)
+		}
+	}
+	s.listed, s.listedAt = hosts, sentAt
+}
+
+// readHosts compares a host list with the known hosts of workers, as owners do.
+// It returns the workers that have ended and those whose hosts were not in the
+// latest lists.
+func (s *estateSimulation) readHosts(hosts []estate.Host) (ended, left []string) {
+	byName := map[string]estate.Host{}
 	for _, h := range hosts {
-		later[h.Name] = h
-		if h.WorkerID != "" {
-			s.hostOf[h.WorkerID] = h.Name
+		byName[h.Name] = h
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.hostOf)) {
+		w := s.hostOf[id]
+		h, ok := byName[w.host]
+		switch {
+		case !ok:
+			w.missing++
+			s.hostOf[id] = w
+			if w.missing >= 2 {
+				left = append(left, id)
+			}
+		case h.Pool != w.pool || noLongerOn(h, id):
+			delete(s.hostOf, id)
+			ended = append(ended, id)
 		}
 	}
-	for _, h := range s.listed {
-		if now, ok := later[h.Name]; ok && h.WorkerID != "" && noLongerOn(now, h.WorkerID) {
-			s.owner.HostRemoved(h.WorkerID, s.now)
+	for _, h := range hosts {
+		if h.WorkerID != "" {
+			s.hostOf[h.WorkerID] = workerHost{host: h.Name, pool: h.Pool}
 		}
 	}
-	s.listed, s.listedAt = hosts, sentAt
+	return ended, left
 }
 
 // noLongerOn reports whether a host that ran a worker no longer runs it.
