--- a/internal/scheduler/estate_simulation_test.go
+++ b/internal/scheduler/estate_simulation_test.go
@@ -26,7 +26,6 @@
 	simMigration         = 1500 * time.Millisecond
 	simMaintenance       = 2 * time.Second
 	simHolderLease       = 3350 * time.Millisecond
-	failsAfter           = 200 * time.Millisecond
 	standbyPool          = "spare"
 )
 
@@ -68,9 +67,9 @@
 	entries        []entryChange
 	discoveryDelay time.Duration
 	stopTakes      time.Duration
-	// failing holds the ids of the jobs and of the workers whose runs fail.
+	// failsAfter holds how long the runs of jobs and on workers last that fail.
 	// workersFailed is set once there was such a worker.
-	failing       map[string]bool
+	failsAfter    map[string]time.Duration
 	workersFailed bool
 	// hostCount, workerCount and jobCount number the hosts, workers and jobs.
 	hostCount, workerCount, jobCount int
@@ -123,7 +122,7 @@
 func newEstate(t testingT, seed uint64, sizes map[string]int) *estateSimulation {
 	s := &estateSimulation{
 		simulation: newSimulation(t), random: rand.New(rand.NewPCG(seed, 0)), hosts: map[string]*fakeHost{},
-		maintained: map[int64]map[string]bool{}, completed: map[int64]bool{}, failing: map[string]bool{}, hostOf: map[string]workerHost{},
+		maintained: map[int64]map[string]bool{}, completed: map[int64]bool{}, failsAfter: map[string]time.Duration{}, hostOf: map[string]workerHost{},
 		discoveryDelay: 300 * time.Millisecond, livenessCheck: livenessCheck{watched: map[workload.TaskID]*watchedTask{}},
 	}
 	s.now = time.Second // a host list of time 0 is none
@@ -175,8 +174,8 @@
 	f.unlisted = true
 	f.duration = func(task workload.TaskID) (time.Duration, platform.RunEnd) {
 		spec := s.records[task.Job].spec
-		if s.failing[task.Job] || s.failing[f.ID] {
-			return failsAfter, platform.EndFailed
+		if after := max(s.failsAfter[task.Job], s.failsAfter[f.ID]); after > 0 {
+			return after, platform.EndFailed
 		}
 		if spec.Steps[task.Step].LongRunning {
 			return time.Hour, platform.EndDone
@@ -209,7 +208,7 @@
 	if f == nil {
 		return
 	}
-	delete(s.failing, f.ID)
+	delete(s.failsAfter, f.ID)
 	f.crash()
 	f.reachable = false
 	s.after(removed, func() {
--- a/internal/scheduler/liveness_test.go
+++ b/internal/scheduler/liveness_test.go
@@ -458,14 +458,14 @@
 	case "failing jobs":
 		for range uniform(t, 2, 4, "jobs") {
 			job := s.submitTasks(pool, workload.Step{Count: uniform(t, 1, 8, "tasks"), Size: placement.Resources{Processors: 1, MemoryMB: 1 << 10}, Estimate: time.Second})
-			s.failing[job.ID] = true
+			s.failsAfter[job.ID] = uniformMillis(t, 100, 5000, "fails after ms")
 		}
 		s.notef("jobs of pool %s fail", pool)
 	case "failing worker":
 		if h := s.drawHost(t, initialHosts); h != nil {
 			id := h.worker.ID
-			s.failing[id], s.workersFailed = true, true
-			s.fault(fmt.Sprintf("runs on worker %s of pool %s fail", id, h.pool), uniformMillis(t, 200, 5000, "failing ms"), func() { delete(s.failing, id) })
+			s.failsAfter[id], s.workersFailed = 200*time.Millisecond, true
+			s.fault(fmt.Sprintf("runs on worker %s of pool %s fail", id, h.pool), uniformMillis(t, 200, 5000, "failing ms"), func() { delete(s.failsAfter, id) })
 		}
 	case "restart":
 		if h := s.drawHost(t, initialHosts); h != nil {
