--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -39,9 +39,12 @@
 	leavesAt time.Duration
 	// reservation is set if the worker's host is to be moved or maintained.
 	reservation fleetplan.Reservation
-	// evacuating is set if the long-running tasks of the worker are to move to
-	// other workers at the next sweep.
+	// evacuating is set while the long-running tasks of the worker are to move to
+	// other workers.
 	evacuating bool
+	// held is the capacity that only long-running tasks may take. holdCapacity
+	// computes it anew in each sweep.
+	held placement.Resources
 	// pendingRemoval is set if the worker's host is to be maintained or moved
 	// soon.
 	pendingRemoval bool
@@ -49,6 +52,9 @@
 	runs map[runKey]*run
 	// orphans are runs that no job needs and that are being stopped.
 	orphans map[runKey]*orphan
+	// longRunning are the runs of long-running tasks. Sweeps look for those that
+	// need another worker, and workers have many other runs.
+	longRunning []*run
 	// speculative counts the runs of tasks that permit copies.
 	speculative int
 	// used is the sum of the requests of runs and orphans.
@@ -319,11 +325,33 @@
 // free returns the resources that the worker has left.
 func (w *worker) free() placement.Resources { return w.Capacity.Sub(w.used) }
 
+// holds reports whether the worker holds capacity for long-running tasks.
+func (w *worker) holds() bool { return w.held != placement.Resources{} }
+
+// unheld returns the resources that tasks other than long-running ones may take.
+func (w *worker) unheld() placement.Resources {
+	if !w.holds() {
+		return w.free()
+	}
+	return w.free().Sub(w.held).Max(placement.Resources{}) // held capacity may be in use
+}
+
+// freeFor returns the resources that a task of the step may take.
+func (w *worker) freeFor(s *step) placement.Resources {
+	if s.LongRunning {
+		return w.free()
+	}
+	return w.unheld()
+}
+
 // addRun adds a run to the worker and its requests to the used resources.
 // removeRun undoes it.
 func (w *worker) addRun(r *run) {
 	w.runs[runKey{r.task.id(), r.number}] = r
 	w.used = w.used.Add(r.task.step.Requests())
+	if r.task.step.LongRunning {
+		w.longRunning = append(w.longRunning, r)
+	}
 	if r.task.step.Speculative {
 		w.speculative++
 	}
@@ -335,6 +363,7 @@
 		return
 	}
 	delete(w.runs, key)
+	w.longRunning = slices.DeleteFunc(w.longRunning, func(other *run) bool { return other == r })
 	w.releaseResources(r.task.step.Requests())
 	if r.task.step.Speculative {
 		w.speculative--
@@ -349,12 +378,13 @@
 }
 
 // InUse returns the workers that a successor has to fence before it may start a
-// task again. A worker that is left out gets no task before it is recorded
-// again.
+// task again. A worker that has not answered this owner has no task of it: it may
+// have ended long before its entry lapses. One that is left out gets no task
+// before it is recorded again.
 func (e *Engine) InUse() []estate.Worker {
 	var list []estate.Worker
 	for _, w := range e.workers {
-		if w.inherited || w.occupied() || len(w.pendingEnds) > 0 || (w.listed && !e.standby(w.Pool)) {
+		if w.inherited || w.occupied() || len(w.pendingEnds) > 0 || w.toRecord(e) {
 			list = append(list, w.Worker)
 		} else {
 			w.recorded = false
@@ -363,6 +393,9 @@
 	return list
 }
 
+// toRecord reports whether the worker is to be used as soon as it is recorded.
+func (w *worker) toRecord(e *Engine) bool { return w.listed && w.fenced && !e.standby(w.Pool) }
+
 func (e *Engine) standby(poolName string) bool {
 	if e.catalog == nil {
 		return false
@@ -385,7 +418,7 @@
 // Unrecorded reports whether a worker has to be recorded before it can be used.
 func (e *Engine) Unrecorded() bool {
 	for _, w := range e.workers {
-		if w.listed && !w.recorded && !e.standby(w.Pool) {
+		if !w.recorded && w.toRecord(e) {
 			return true
 		}
 	}
