--- a/internal/scheduler/liveness_test.go
+++ b/internal/scheduler/liveness_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/egretpitch/egretpitch/internal/fleetplan"
 	"github.com/egretpitch/egretpitch/internal/placement"
+	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
@@ -304,6 +305,17 @@
 	}
 }
 
+// failRun ends a run of a long-running task on a worker as failed.
+func (s *estateSimulation) failRun(f *fakeWorker) {
+	for _, r := range f.runs() {
+		if s.records[r.task.Job].spec.Steps[r.task.Step].LongRunning {
+			f.end(r, platform.EndFailed, s.now)
+			s.notef("run %d of %v fails on %s of pool %s", r.run, r.task, f.ID, f.Pool)
+			return
+		}
+	}
+}
+
 // TestLongRunningTasksRunInAnyHistory simulates random histories of an estate:
 // surges by turns, waves that overlap, hosts that leave or crash, outages of
 // the fleet service, changes of owner. A long-running task for which there is
@@ -398,7 +410,7 @@
 		s.advance(uniformMillis(t, 0, 500, "pause ms"))
 	}
 	s.advance(8 * time.Second)
-	kinds := []string{"surge", "surge", "surge", "wave", "wave", "wave", "leave", "leave the pool's busiest", "leave the pool's busiest", "submit", "cancel", "failing jobs"}
+	kinds := []string{"surge", "surge", "surge", "wave", "wave", "wave", "leave", "leave the pool's busiest", "leave the pool's busiest", "submit", "cancel", "failing jobs", "failed run"}
 	if faults {
 		kinds = append(kinds, "crash", "restart", "cut", "losses", "outage", "outage", "owner", "pause", "table outage", "failing worker")
 	}
@@ -461,6 +473,11 @@
 			s.failsAfter[job.ID] = uniformMillis(t, 100, 5000, "fails after ms")
 		}
 		s.notef("jobs of pool %s fail", pool)
+	case "failed run":
+		if h := s.workerOf(pool, uniform(t, 0, 1, "most tasks") == 1); h != nil {
+			s.workersFailed = true
+			s.failRun(h.worker)
+		}
 	case "failing worker":
 		if h := s.drawHost(t, initialHosts); h != nil {
 			id := h.worker.ID
