--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -94,3 +94,12 @@
 	}
 	return e
 }
+
+// BenchmarkHoldSweep measures the search for long-running tasks that need a
+// worker, while there are none and 1,000 other steps wait.
+func BenchmarkHoldSweep(b *testing.B) {
+	e := fullEngine(1, 340, 8000)
+	for b.Loop() {
+		e.evacuate(time.Second)
+	}
+}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -291,12 +291,24 @@
 		return
 	}
 	p := e.pool(s.job.Pool)
-	p.ready[s] = struct{}{}
 	p.needsPass = true
+	if _, ok := p.ready[s]; ok {
+		return
+	}
+	p.ready[s] = struct{}{}
+	if s.LongRunning {
+		p.readyLongRunning++
+	}
 }
 
 // dequeue removes a step from the ready steps of its pool.
-func (e *Engine) dequeue(s *step) { delete(e.pool(s.job.Pool).ready, s) }
+func (e *Engine) dequeue(s *step) {
+	p := e.pool(s.job.Pool)
+	if _, ok := p.ready[s]; ok && s.LongRunning {
+		p.readyLongRunning--
+	}
+	delete(p.ready, s)
+}
 
 // ended reports whether the job is cancelled or over, so that none of its tasks
 // may start any more.
--- a/internal/scheduler/places.go
+++ b/internal/scheduler/places.go
@@ -109,13 +109,15 @@
 // without a run, and those whose only run is displaced. Large tasks come first.
 func (p *pool) tasksToPlace(displaced func(*run) bool) []*task {
 	var list []*task
-	for s := range p.ready {
-		if !s.LongRunning {
-			continue
-		}
-		for _, t := range s.tasks {
-			if t.startable() {
-				list = append(list, t)
+	if p.readyLongRunning > 0 { // sweeps come often, and in a surge a thousand steps are ready
+		for s := range p.ready {
+			if !s.LongRunning {
+				continue
+			}
+			for _, t := range s.tasks {
+				if t.startable() {
+					list = append(list, t)
+				}
 			}
 		}
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -190,6 +190,8 @@
 	name    string
 	workers []*worker
 	ready   map[*step]struct{}
+	// readyLongRunning counts the long-running steps among them.
+	readyLongRunning int
 	// needsPass is set if a scheduling pass may have something to start.
 	needsPass bool
 	// nextPass is the time of the next pass if nothing changes before, 0 for
