--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -63,7 +63,6 @@
 	}
 	slices.SortStableFunc(candidates, func(a, b *estate.Host) int { return cmp.Compare(v.maintenanceCost(a), v.maintenanceCost(b)) })
 	slots := w.MaxDown - down
-	missingWorkers := v.missingWorkers()
 	expectedStarted := float64(v.Now-v.waveFirstSeen[w.Number]) / (scheduleShare * float64(w.Duration)) * float64(len(w.Hosts))
 	behindSchedule := float64(len(w.Hosts)-remaining) < expectedStarted
 	for _, h := range candidates {
@@ -71,8 +70,8 @@
 			return
 		}
 		slots--
-		if v.idle(h) && (v.lacking(h.Pool) > 0 || (!v.emptied(h) && (v.idleToMaintain <= 0 || (missingWorkers > 0 && !behindSchedule)))) {
-			continue // a pool that lacks workers can use the idle host
+		if v.idle(h) && v.leftToPools(h, behindSchedule) {
+			continue
 		}
 		if v.idle(h) {
 			v.idleToMaintain--
@@ -88,11 +87,20 @@
 	}
 }
 
-// emptied reports whether an idle host is idle because its worker was evacuated.
-// If it were used again now, its tasks would have moved for nothing.
-func (v *view) emptied(h *estate.Host) bool {
-	worker, ok := v.evacuating[h.Name]
-	return ok && worker == h.WorkerID
+// leftToPools reports whether an idle host is not taken down now, because a pool
+// that lacks workers can use it. A host that is idle because its worker was
+// evacuated is left only to the long-running tasks of its own pool: otherwise
+// tasks would have moved for nothing.
+func (v *view) leftToPools(h *estate.Host, behindSchedule bool) bool {
+	switch {
+	case v.lacking(h.Pool) > 0:
+		return true
+	case v.evacuating[h.Name] == h.WorkerID && h.WorkerID != "":
+		return false
+	case v.idleToMaintain <= 0:
+		return true
+	}
+	return v.missingWorkers() > 0 && !behindSchedule
 }
 
 // missingWorkers returns how many workers all pools together lack.
