--- /dev/null
+++ b/internal/fleetplan/review_test.go
@@ -0,0 +1,86 @@
+package fleetplan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/egretpitch/egretpitch/internal/estate"
+)
+
+// The pool with idle hosts needs them for its minimum size, so that they cannot move.
+func TestWaveTakesIdleHostsThatNoOtherPoolCanGet(t *testing.T) {
+	f := newFleet(map[string]int{"a": 3, "b": 2, "c": 3})
+	for _, h := range f.hosts {
+		if h.pool != "b" {
+			h.longRunning = 1
+		}
+	}
+	f.pools["a"].spread = 5
+	f.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"b-00", "c-00"}}}
+	f.run(30 * time.Second)
+	if f.maintained["b-00"] != 1 || f.maintained["c-00"] != 1 {
+		t.Errorf("hosts maintained 25 s after the end of the wave: %v, want both", f.maintained)
+	}
+}
+
+// planned is the input of a planner in which nothing changes but the time.
+type planned struct {
+	hosts []estate.Host
+	pools []Pool
+	waves []estate.Wave
+}
+
+func (p *planned) addHost(pool *Pool, w Worker) {
+	n := len(p.hosts)
+	h := estate.Host{Name: fmt.Sprintf("h%d", n), Pool: pool.Name, State: estate.HostUp}
+	h.Capacity.Processors = testCores
+	if !pool.Standby {
+		h.WorkerID = fmt.Sprintf("w%d", n)
+		w.ID, w.Cores, w.Open = h.WorkerID, testCores, true
+		pool.Workers = append(pool.Workers, w)
+	}
+	p.hosts = append(p.hosts, h)
+}
+
+// find returns whether a decision is made within a time. Nothing is carried out.
+func (p *planned) find(d time.Duration, wanted func(Decision) bool) bool {
+	planner := New(testMigration, nil, nil, nil)
+	for now := tick; now < d; now += tick {
+		for _, dec := range planner.Plan(State{Now: now, HostsAt: now, Hosts: p.hosts, Pools: p.pools, Waves: p.waves}) {
+			if wanted(dec) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func TestHostOfACutOffWorkerIsNotExpectedForGood(t *testing.T) {
+	p, a, spare := planned{}, Pool{Name: "a", LongRunningShortfall: 1}, Pool{Name: "spare", Standby: true}
+	for range 3 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: testCores})
+	}
+	p.addHost(&spare, Worker{})
+	a.Workers = a.Workers[:2] // the entry of the third worker has lapsed, the host list still shows it
+	p.pools = []Pool{a, spare}
+	if !p.find(30*time.Second, func(d Decision) bool { return d.Kind == Move && d.To == "a" }) {
+		t.Error("long-running tasks lack a worker for 30 s and get no standby host")
+	}
+}
+
+// The tasks of the first host fit nowhere else.
+func TestWaveGoesOnBesideAWorkerThatCannotBeEmptied(t *testing.T) {
+	p, a, b := planned{}, Pool{Name: "a"}, Pool{Name: "b"}
+	for range 2 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: 10})
+	}
+	for range 3 {
+		p.addHost(&b, Worker{LongRunningTasks: 2, Used: 10})
+	}
+	p.pools = []Pool{a, b}
+	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h0", "h2"}}}
+	if !p.find(30*time.Second, func(d Decision) bool { return d.Kind == Evacuate && d.Host == "h2" }) {
+		t.Error("the wave has ended 25 s ago, and the evacuation of its second host has not begun")
+	}
+}
--- /dev/null
+++ b/internal/scheduler/review_test.go
@@ -0,0 +1,91 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/egretpitch/egretpitch/internal/fleetplan"
+)
+
+// Each owner is released before the wait for the worker that its predecessor never reached is over.
+func TestWaitForALostWorkerDoesNotBeginAnewWithEachOwner(t *testing.T) {
+	sim := newSimulation(t)
+	sim.replaceRecord = true
+	owner, w1, job := sim.runningTask("w2")
+	sim.lose(w1, owner, feedDelay)
+	ranAt := sim.now
+	sim.run(time.Second, owner)
+	owner.expired = true
+	bound := sim.now + ownershipLease + atSlowClock(testMaxLease) + time.Second
+	for sim.now < bound+10*time.Second && !sim.hasRun(job) {
+		sim.run(releaseTime)
+		owner = sim.newOwnerAfter(-ownershipLease)
+		sim.run(4*time.Second, owner)
+		owner.expired = true
+	}
+	if sim.now > bound {
+		t.Errorf("the task has no run %v after its last one, though every lease was over after %v", sim.now-ranAt, bound-ranAt)
+	}
+}
+
+// The other task of the step never becomes ready.
+func TestBatchTasksRunWhileALongRunningTaskMayNotBeMoved(t *testing.T) {
+	sim := newSimulation(t)
+	sim.addWorkerFor(nil, "w1", 2)
+	sim.addWorkerFor(nil, "w2", 2).duration = lasting(2 * time.Hour)
+	owner := sim.newOwner()
+	kept := longRunningJob(1, 2, 2)
+	kept.Steps[0].MaxUnavailable, kept.Steps[0].Estimate = 1, time.Hour
+	sim.submit(owner, kept)
+	sim.run(1500*time.Millisecond, owner)
+	w3 := sim.addMixedWorker("w3", 2)
+	owner.discover()
+	sim.run(200*time.Millisecond, owner)
+	owner.SetReservations(map[string]fleetplan.Reservation{"w1": fleetplan.Emptying})
+	owner.Evacuate("w1", sim.now)
+	sim.run(100*time.Millisecond, owner)
+	sim.fill(owner, 1)
+	done := owner.Stats().Done
+	sim.evacuateFor(10*time.Second, owner, "w1")
+	if got := owner.Stats().Done - done; got == 0 {
+		t.Errorf("no batch task has run for 10 s, %d runs on the free worker, %v of it are held", len(w3.running), owner.workers["w3"].held)
+	}
+}
+
+func TestWorkerThatNoTicketPermitsIsNotNeeded(t *testing.T) {
+	sim := newSimulation(t)
+	w1 := sim.addWorkerFor(nil, "w1", 2)
+	w1.needsTicket = "t1"
+	owner := sim.newOwner()
+	for n := range 2 {
+		job := longRunningJob(1+n, 1, 2)
+		job.Queue = "advised"
+		sim.submit(owner, job)
+	}
+	sim.run(time.Second, owner)
+	sim.addWorkerFor(owner, "w2", 2).needsTicket = "nobody"
+	sim.run(20*time.Second, owner)
+	for _, w := range owner.load("p").Workers {
+		if w.ID == "w2" && w.Needed {
+			t.Error("the worker is kept for a task that its tickets have not permitted there for 20 s")
+		}
+	}
+}
+
+// The answers of all workers come late at the same time.
+func TestPauseOfThisProcessIsNoShortfallOfWorkers(t *testing.T) {
+	sim := newSimulation(t)
+	for _, id := range []string{"w1", "w2", "w3"} {
+		sim.addWorkerFor(nil, id, 2)
+	}
+	owner := sim.newOwner()
+	sim.submit(owner, longRunningJob(1, 3, 2))
+	sim.run(2*time.Second, owner)
+	sim.injectFault = func(Order) orderFault { return orderFault{lost: true} }
+	for range 20 {
+		sim.run(100*time.Millisecond, owner)
+		if got := owner.load("p").LongRunningShortfall; got > 0 {
+			t.Fatalf("%d further workers are asked for while no worker has answered since", got)
+		}
+	}
+}
