node: the record of workers is written again after an unknown outcome

Cause: after a write of unknown outcome the record counted as up to date by the write before it, though either may be stored. Why it works: nothing counts as recorded until a write is answered.

--- a/internal/node/usedworkers.go
+++ b/internal/node/usedworkers.go
@@ -220,6 +220,7 @@
 		o.used.lastWrite = 0
 	case err != nil:
 		o.used.rows = max(o.used.rows, rows)
+		o.used.recorded = nil // either record may be stored
 		o.used.lastWrite = 0
 	default:
 		o.used.version, o.used.rows = version, rows
