node, scheduler: a host list ends no worker that answered after its request

Cause: the engine took the list for newer than any answer, and lists without a host counted as consecutive across others. Change: a worker that has answered a poll sent after the list was requested is kept (HostEnded), and a list with the host resets the count. Why it works: an answer to a later poll is later evidence than the list.

--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -317,7 +317,9 @@
 func (f *fleetController) setHosts(hosts []estate.Host, sent, now time.Duration) {
 	ended, left := f.workerHosts.update(hosts)
 	for _, id := range ended {
-		f.owner.engine.HostRemoved(id, now)
+		if f.owner.engine.HostEnded(id, sent, now) {
+			delete(f.workerHosts, id)
+		}
 	}
 	for _, id := range left {
 		if f.owner.engine.HostLeft(id, now) {
--- a/internal/node/usedworkers.go
+++ b/internal/node/usedworkers.go
@@ -146,8 +146,10 @@
 				left = append(left, id)
 			}
 		case h.Pool != w.pool || noLongerOn(h, id):
-			delete(m, id)
 			ended = append(ended, id)
+		default:
+			w.missing = 0
+			m[id] = w
 		}
 	}
 	for _, h := range list {
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -120,6 +120,17 @@
 	}
 }
 
+// HostEnded handles a host list, requested at the given time, that shows the end
+// of a worker. A worker that has answered a later poll is another incarnation.
+// HostEnded reports whether the worker is known no more.
+func (e *Engine) HostEnded(id string, requested, now time.Duration) bool {
+	if w := e.workers[id]; w != nil && w.answeredSentAt > requested {
+		return false
+	}
+	e.HostRemoved(id, now)
+	return true
+}
+
 // HostLeft handles that the fleet service no longer lists the host of a worker.
 // The worker has ended with it if it has no discovery entry either and does not
 // answer. HostLeft reports whether the worker is known no more.
