fleetplan: the host of a cut-off worker is not expected for good

Cause: a host that is up without a known worker counted as about to serve, without end. A worker that is cut off has no discovery entry, and its host stays up. Change: it counts for maxDiscovery, the platform's bound for new workers.

--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -165,11 +165,15 @@
 	// started.
 	maintenanceStarted map[int64]map[string]bool
 	// evacuating maps hosts to the ids of their workers that are being
-	// evacuated.
-	evacuating map[string]string
+	// evacuated, and evacuatingSince to the time since which they are.
+	evacuating      map[string]string
+	evacuatingSince map[string]time.Duration
 	// draining maps hosts to the ids of their workers that get no new tasks
 	// because their pool is too large.
 	draining map[string]string
+	// undiscoveredSince maps hosts to the time since which they have been up
+	// without a known worker.
+	undiscoveredSince map[string]time.Duration
 	// anyPoolShort is whether a pool lacked workers at the last plan, and
 	// shortfall how many were still missing after all spare hosts were
 	// assigned.
@@ -201,7 +205,7 @@
 func New(migration time.Duration, maintenanceStarted map[int64][]string, surges []Surge, waveFirstSeen map[int64]time.Duration) *Planner {
 	p := &Planner{
 		migration: migration, demands: map[string]*demand{}, orders: map[string]order{}, maintenanceStarted: map[int64]map[string]bool{},
-		evacuating: map[string]string{}, draining: map[string]string{}, completed: map[int64]bool{}, waveFirstSeen: map[int64]time.Duration{},
+		evacuating: map[string]string{}, evacuatingSince: map[string]time.Duration{}, undiscoveredSince: map[string]time.Duration{}, draining: map[string]string{}, completed: map[int64]bool{}, waveFirstSeen: map[int64]time.Duration{},
 	}
 	p.forecast.surges = surges
 	maps.Copy(p.waveFirstSeen, waveFirstSeen)
--- a/internal/fleetplan/move.go
+++ b/internal/fleetplan/move.go
@@ -27,6 +27,9 @@
 	// minIdleBeforeStandby is how long a worker must be idle before its host
 	// moves to standby. A move costs about as much as two seconds in the pool.
 	minIdleBeforeStandby = time.Second
+	// maxDiscovery is how long after its start a worker may have no discovery
+	// entry, according to the platform's bound.
+	maxDiscovery = 3 * time.Second
 	// maxStandbyShare bounds the share of a pool's workers that one plan moves
 	// to standby.
 	maxStandbyShare = 0.5
@@ -154,6 +157,7 @@
 	for i := range v.Hosts {
 		h := &v.Hosts[i]
 		members[h.Pool]++
+		v.noteUndiscovered(h)
 		if v.serves(h) {
 			serving[v.targetPool(h)]++
 			if v.arriving(h) {
@@ -212,9 +216,21 @@
 }
 
 // arriving reports whether a host that serves its pool has no worker yet that
-// takes tasks.
+// takes tasks. A worker that has no discovery entry after maxDiscovery is cut off.
 func (v *view) arriving(h *estate.Host) bool {
-	return !v.available(h) || v.workers[h.WorkerID] == nil || v.evacuating[h.Name] != ""
+	if !v.available(h) || v.evacuating[h.Name] != "" {
+		return true
+	}
+	return v.workers[h.WorkerID] == nil && v.Now-v.undiscoveredSince[h.Name] < maxDiscovery
+}
+
+// noteUndiscovered notes since when a host has been up without a known worker.
+func (v *view) noteUndiscovered(h *estate.Host) {
+	if h.State != estate.HostUp || v.workers[h.WorkerID] != nil {
+		delete(v.undiscoveredSince, h.Name)
+	} else if _, ok := v.undiscoveredSince[h.Name]; !ok {
+		v.undiscoveredSince[h.Name] = v.Now
+	}
 }
 
 // size returns how many workers a pool needs. It has the given number of them,
