fleetplan: waves wait for no host or worker that helps nobody

Cause: idle hosts were left to pools that lack workers also where they cannot move, because their own pool needs them for its size. And an evacuation that cannot end, because the tasks fit nowhere else, kept its slot of the wave for good. Change: only hosts that can move are left to others (mayLend); a worker that is not empty after evacuationTimeout lets the other hosts of the wave go first.

--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/egretpitch/egretpitch/internal/estate"
 )
@@ -15,7 +16,7 @@
 	selected := map[string]bool{}
 	v.idleToMaintain = -v.lackingWorkers()
 	for i := range v.Hosts {
-		if h := &v.Hosts[i]; v.available(h) && v.idle(h) {
+		if h := &v.Hosts[i]; v.available(h) && v.idle(h) && v.mayLend(h) {
 			v.idleToMaintain++
 		}
 	}
@@ -74,13 +75,18 @@
 			continue
 		}
 		if v.idle(h) {
-			v.idleToMaintain--
+			if v.mayLend(h) {
+				v.idleToMaintain--
+			}
 			v.decide(Decision{Kind: Maintain, Host: h.Name, Worker: h.WorkerID, From: h.Pool, Wave: w.Number})
 			continue
 		}
 		if v.mayEvacuate(h, selected, behindSchedule) {
 			selected[h.Name] = true
 			first := v.evacuating[h.Name] != h.WorkerID
+			if first {
+				v.evacuatingSince[h.Name] = v.Now
+			}
 			v.evacuating[h.Name] = h.WorkerID
 			v.decide(Decision{Kind: Evacuate, Host: h.Name, Worker: h.WorkerID, Wave: w.Number, First: first})
 		}
@@ -97,12 +103,26 @@
 		return true
 	case v.evacuating[h.Name] == h.WorkerID && h.WorkerID != "":
 		return false
-	case v.idleToMaintain <= 0:
+	case v.idleToMaintain <= 0 && v.mayLend(h):
 		return true
 	}
 	return v.missingWorkers() > 0 && !behindSchedule
 }
 
+// mayLend reports whether the host's pool has more workers than it needs, so that
+// an idle host of it can move to another pool.
+func (v *view) mayLend(h *estate.Host) bool {
+	if v.standby(h) {
+		return true
+	}
+	for _, need := range v.needs {
+		if need.pool.Name == h.Pool {
+			return need.serving > need.size
+		}
+	}
+	return false
+}
+
 // missingWorkers returns how many workers all pools together lack.
 func (v *view) missingWorkers() int {
 	n := 0
@@ -132,9 +152,14 @@
 	return 0
 }
 
+// evacuationTimeout is how long the evacuation of a worker keeps a slot of a wave
+// from other hosts: its tasks may fit on no other worker.
+const evacuationTimeout = 10 * time.Second
+
 // maintenanceCost ranks the hosts of a wave by how much their maintenance costs
 // their pool, in the order: standby hosts, idle hosts, hosts that are being
-// evacuated, hosts with few long-running tasks in pools with a low load.
+// evacuated, hosts with few long-running tasks in pools with a low load, hosts
+// whose evacuation does not end.
 func (v *view) maintenanceCost(h *estate.Host) float64 {
 	w := v.workers[h.WorkerID]
 	switch {
@@ -142,9 +167,9 @@
 		return 0
 	case v.idle(h):
 		return 0.5 + v.load(h.Pool)/10
-	case v.evacuating[h.Name] != "":
+	case v.evacuating[h.Name] != "" && v.Now-v.evacuatingSince[h.Name] < evacuationTimeout:
 		return 1
-	case w == nil:
+	case v.evacuating[h.Name] != "", w == nil:
 		return 1000
 	}
 	const longRunningWeight = 10 // one long-running task counts like ten fully used workers
