scheduler: a pause of the owner is no shortfall of workers

Cause: one failed poll counted as the loss of the worker. Change: for the shortfall, a worker is silent if another one has answered since.

--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -217,6 +217,7 @@
 		return
 	}
 	w.answeredSentAt = max(w.answeredSentAt, o.sentAt)
+	e.answeredAt = now
 	overtaken := status.ClockMS > 0 && status.ClockMS < w.clockMS // a later answer was handled before
 	if !overtaken {
 		w.recordContact(status.ClockMS, now, e)
@@ -277,6 +278,9 @@
 		event.WorkerSilent.Log(e.opts.Log, zap.String("worker", w.ID), zap.Stringer("outcome", status.Outcome), zap.Error(err),
 			zap.Int("runs", len(w.runs)), zap.Duration("lease_left", w.leaseEnd()-now))
 	}
+	if w.failedPolls == 0 {
+		w.failedAt = now
+	}
 	if w.silentAt == 0 && o.sentAt > w.leaseEnd() {
 		w.silentAt = now
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -117,6 +117,8 @@
 	// promptSentAt is when the latest probe was sent whose answer was read
 	// within promptAnswer.
 	promptSentAt time.Duration
+	// answeredAt is when a worker last answered a poll.
+	answeredAt time.Duration
 	// nextProbeOfAnother is the earliest time of the next probeAnother, and
 	// lastProbeOfAnother the id of the worker that the last one went to.
 	nextProbeOfAnother time.Duration
--- a/internal/scheduler/shortfall.go
+++ b/internal/scheduler/shortfall.go
@@ -15,7 +15,8 @@
 // a further worker cannot hold are left out.
 func (e *Engine) longRunningShortfall(p *pool, now time.Duration) (shortfall int, needed map[*worker]bool) {
 	tasks := p.tasksToPlace(func(r *run) bool {
-		return r.displaced() || r.worker.Draining || r.worker.reservation != fleetplan.Unreserved
+		w := r.worker
+		return r.phase == runStopping || !w.listed || e.silentAlone(w) || w.Draining || w.reservation != fleetplan.Unreserved
 	})
 	if len(tasks) == 0 {
 		return 0, nil
@@ -43,6 +44,12 @@
 	return shortfall, needed
 }
 
+// silentAlone reports whether the worker does not answer while this process reads
+// answers of others: it is not this process that pauses.
+func (e *Engine) silentAlone(w *worker) bool {
+	return w.failedPolls > 0 && e.answeredAt > w.failedAt
+}
+
 // serving reports whether the worker is to get new tasks, now or as soon as it
 // is fenced and recorded and its pause is over.
 func (w *worker) serving(now time.Duration) bool {
