scheduler: simulated owners hand over

Nodes that are restarted in turn release their ownership, which is no disruption: the bound holds all the same.

--- a/internal/scheduler/estate_simulation_test.go
+++ b/internal/scheduler/estate_simulation_test.go
@@ -53,6 +53,8 @@
 	// owner is nil between two ownerships.
 	owner   *testOwner
 	planner *fleetplan.Planner
+	// handingOver is set while a released ownership is vacant.
+	handingOver bool
 	// listed is the owner's host list, and listedAt the time of its request.
 	listed   []estate.Host
 	listedAt time.Duration
@@ -301,6 +303,16 @@
 	s.listed, s.listedAt = nil, 0
 	s.planner = fleetplan.New(simMigration, maintained, surges, seen)
 	s.owner = s.newOwner()
+	s.handingOver = false
+}
+
+// handOver lets the owner release its ownership, which is no disruption. The
+// successor takes over after the given time.
+func (s *estateSimulation) handOver(vacant time.Duration) {
+	if s.owner != nil && !s.owner.paused && !s.storeDown {
+		s.handingOver = true
+		s.changeOwner(vacant)
+	}
 }
 
 // changeOwner ends the ownership and starts the next one after the given time.
@@ -316,7 +328,7 @@
 func (s *estateSimulation) advance(d time.Duration) {
 	for end := s.now + d; s.now < end && s.broken == "" && s.violation == ""; {
 		s.readEntries()
-		if s.service != serviceUp || s.owner == nil || s.faults > 0 {
+		if s.service != serviceUp || (s.owner == nil && !s.handingOver) || s.faults > 0 {
 			s.disrupted()
 		}
 		var owners []*testOwner
--- a/internal/scheduler/liveness_test.go
+++ b/internal/scheduler/liveness_test.go
@@ -410,7 +410,7 @@
 		s.advance(uniformMillis(t, 0, 500, "pause ms"))
 	}
 	s.advance(8 * time.Second)
-	kinds := []string{"surge", "surge", "surge", "wave", "wave", "wave", "leave", "leave the pool's busiest", "leave the pool's busiest", "submit", "cancel", "failing jobs", "failed run"}
+	kinds := []string{"surge", "surge", "surge", "wave", "wave", "wave", "leave", "leave the pool's busiest", "leave the pool's busiest", "submit", "cancel", "failing jobs", "failed run", "rolling restart"}
 	if faults {
 		kinds = append(kinds, "crash", "restart", "cut", "losses", "outage", "outage", "owner", "pause", "table outage", "failing worker")
 	}
@@ -526,6 +526,13 @@
 				s.service = serviceUp
 			}
 		})
+	case "rolling restart":
+		at := time.Duration(0)
+		for range uniform(t, 1, 4, "restarts") {
+			vacant := uniformMillis(t, 50, 400, "vacant ms")
+			s.after(at, func() { s.handOver(vacant) })
+			at += uniformMillis(t, 1000, 5000, "between ms")
+		}
 	case "owner":
 		if s.owner != nil {
 			s.changeOwner(uniformMillis(t, 100, 4000, "vacant ms"))
