scheduler: a simulated successor knows the recorded hosts

A fault of the simulation: it forgot the host with the worker, while the record of the product keeps it (withHosts in internal/node), and the first host list ends the wait.

--- a/internal/scheduler/estate_simulation_test.go
+++ b/internal/scheduler/estate_simulation_test.go
@@ -58,9 +58,9 @@
 	// listed is the owner's host list, and listedAt the time of its request.
 	listed   []estate.Host
 	listedAt time.Duration
-	// hostOf maps workers to the hosts on which a host list has shown them. It
-	// outlasts ownerships.
-	hostOf map[string]workerHost
+	// hostOf maps workers to the hosts on which a host list has shown them.
+	// recordedHosts are the hosts in the record of the workers in use.
+	hostOf, recordedHosts map[string]workerHost
 	// firstOrderAt is when the owner may give its first order about a host.
 	firstOrderAt time.Duration
 
@@ -124,7 +124,7 @@
 func newEstate(t testingT, seed uint64, sizes map[string]int) *estateSimulation {
 	s := &estateSimulation{
 		simulation: newSimulation(t), random: rand.New(rand.NewPCG(seed, 0)), hosts: map[string]*fakeHost{},
-		maintained: map[int64]map[string]bool{}, completed: map[int64]bool{}, failsAfter: map[string]time.Duration{}, hostOf: map[string]workerHost{},
+		maintained: map[int64]map[string]bool{}, completed: map[int64]bool{}, failsAfter: map[string]time.Duration{}, hostOf: map[string]workerHost{}, recordedHosts: map[string]workerHost{},
 		discoveryDelay: 300 * time.Millisecond, livenessCheck: livenessCheck{watched: map[workload.TaskID]*watchedTask{}},
 	}
 	s.now = time.Second // a host list of time 0 is none
@@ -288,9 +288,11 @@
 		}
 		surges, seen = previous.Surges(), previous.WavesFirstSeen()
 	}
-	for id, w := range s.hostOf {
-		w.missing = 0
-		s.hostOf[id] = w
+	s.hostOf = map[string]workerHost{}
+	for id := range s.inUse {
+		if w, ok := s.recordedHosts[id]; ok {
+			s.hostOf[id] = w
+		}
 	}
 	if s.service == serviceUp {
 		var hosts []estate.Host
@@ -525,7 +527,9 @@
 	}
 	for _, h := range hosts {
 		if h.WorkerID != "" {
-			s.hostOf[h.WorkerID] = workerHost{host: h.Name, pool: h.Pool}
+			w := workerHost{host: h.Name, pool: h.Pool}
+			s.hostOf[h.WorkerID] = w
+			s.after(usedWorkersInterval, func() { s.recordedHosts[h.WorkerID] = w })
 		}
 	}
 	return ended, left
