scheduler, node, fleetplan: names, comments and file names read as a newcomer would

Test files carry the name of what they test; the time since which a worker is silent has its own name beside failedAt of tasks; Evacuate drops a parameter that nothing read. No behaviour changes; go test ./internal/scheduler ./internal/node ./internal/fleetplan.

--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -183,7 +183,7 @@
 			if dec.First {
 				event.HostEvacuation.Log(o.node.Log, zap.String("host", dec.Host), zap.String("worker", dec.Worker), zap.Int64("wave", dec.Wave))
 			}
-			o.engine.Evacuate(dec.Worker, now)
+			o.engine.Evacuate(dec.Worker)
 		case fleetplan.Resize:
 			event.PoolSized.Log(o.node.Log, zap.String("pool", dec.To), zap.Any("sizing", dec.Sizing))
 		case fleetplan.Complete:
--- a/internal/scheduler/estate_simulation_test.go
+++ b/internal/scheduler/estate_simulation_test.go
@@ -377,7 +377,7 @@
 	for _, d := range decisions {
 		switch d.Kind {
 		case fleetplan.Evacuate:
-			s.owner.Evacuate(d.Worker, s.now)
+			s.owner.Evacuate(d.Worker)
 		case fleetplan.Resize:
 			s.notef("pool %s sized: %+v", d.To, d.Sizing)
 		case fleetplan.Complete:
@@ -502,9 +502,8 @@
 	s.listed, s.listedAt = hosts, sentAt
 }
 
-// readHosts compares a host list with the known hosts of workers, as owners do.
-// It returns the workers that have ended and those whose hosts were not in the
-// latest lists.
+// readHosts compares a host list with the known hosts of workers, as owners do: see
+// workerHosts in package node.
 func (s *estateSimulation) readHosts(hosts []estate.Host) (ended, left []string) {
 	byName := map[string]estate.Host{}
 	for _, h := range hosts {
--- a/internal/scheduler/evacuate.go
+++ b/internal/scheduler/evacuate.go
@@ -11,7 +11,7 @@
 // Evacuate requests that the long-running tasks of a worker move to other
 // workers, until the next SetReservations. Sweeps stop those for which another
 // worker has free capacity, as far as the MaxUnavailable of their steps allows.
-func (e *Engine) Evacuate(id string, _ time.Duration) {
+func (e *Engine) Evacuate(id string) {
 	if w := e.workers[id]; w != nil {
 		w.evacuating = true
 	}
--- a/internal/scheduler/liveness_test.go
+++ b/internal/scheduler/liveness_test.go
@@ -316,10 +316,7 @@
 	}
 }
 
-// TestLongRunningTasksRunInAnyHistory simulates random histories of an estate:
-// surges by turns, waves that overlap, hosts that leave or crash, outages of
-// the fleet service, changes of owner. A long-running task for which there is
-// capacity must have a run within the bound.
+// A long-running task for which there is capacity must have a run within the bound.
 func TestLongRunningTasksRunInAnyHistory(t *testing.T) {
 	checkHistories(t, 4, func(t *rapid.T) { playEstate(t, true).verify() })
 }
--- a/internal/scheduler/longrunning_test.go
+++ b/internal/scheduler/longrunning_test.go
@@ -37,7 +37,7 @@
 	const interval = 100 * time.Millisecond
 	for end := sim.now + d; sim.now < end; {
 		for _, id := range ids {
-			owner.Evacuate(id, sim.now)
+			owner.Evacuate(id)
 		}
 		sim.run(interval, owner)
 	}
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -279,7 +279,7 @@
 			zap.Int("runs", len(w.runs)), zap.Duration("lease_left", w.leaseEnd()-now))
 	}
 	if w.failedPolls == 0 {
-		w.failedAt = now
+		w.silentSince = now
 	}
 	if w.silentAt == 0 && o.sentAt > w.leaseEnd() {
 		w.silentAt = now
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -260,7 +260,7 @@
 		sim := newSimulation(t)
 		owner, w1, job := sim.runningTask("w2")
 		w1.stopTakes = 300 * time.Millisecond
-		owner.Evacuate("w1", sim.now)
+		owner.Evacuate("w1")
 		sim.run(phase, owner)
 		if sim.hasRun(job) && len(w1.running) == 0 {
 			continue // it has moved already
@@ -270,9 +270,8 @@
 	}
 }
 
-// longestFailingTask runs long-running tasks of several jobs on one worker, each
-// of which ends as failed after the given time. It returns the longest time for
-// which the first had no run.
+// longestFailingTask runs tasks that end as failed after the given times on one
+// worker, and returns the longest time for which the first had no run.
 func longestFailingTask(t *testing.T, failAfter ...time.Duration) time.Duration {
 	sim := newSimulation(t)
 	w1 := sim.addWorkerFor(nil, "w1", 16)
@@ -323,9 +322,8 @@
 	takeoverTime = 2600 * time.Millisecond
 )
 
-// changesOfOwner ends an owner at each moment after its worker w1 has ended,
-// until that owner has started the task again. If the host list of a successor
-// shows the end, it leaves w1 out of the workers in use.
+// changesOfOwner ends an owner at each moment after its worker w1 has ended, until
+// it has started the task again.
 func changesOfOwner(t *testing.T, shown, killed bool) {
 	for later := time.Duration(0); later < 8*time.Second; later += 200 * time.Millisecond {
 		sim := newSimulation(t)
@@ -483,11 +481,8 @@
 	sim.checkRestart(t, job, ranAt, ranAt, owner)
 }
 
-// TestLongRunningTasksRestartAfterAnyDisruption plays random crashes, cuts, lost
-// and late orders, slow answers, failed runs and changes of owner for a while.
-// Once they are over, each task must have a run by its bound. In half of the
-// histories no host list shows that a host is lost; one host is then lost at
-// most, no order is and no owner changes.
+// In half of the histories no host list shows that a host is lost; one host is then
+// lost at most, no order is and no owner changes.
 func TestLongRunningTasksRestartAfterAnyDisruption(t *testing.T) {
 	for seed := range uint64(100) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { newDisruptedHistory(t, seed).play() })
--- a/internal/scheduler/shortfall.go
+++ b/internal/scheduler/shortfall.go
@@ -47,7 +47,7 @@
 // silentAlone reports whether the worker does not answer while this process reads
 // answers of others: it is not this process that pauses.
 func (e *Engine) silentAlone(w *worker) bool {
-	return w.failedPolls > 0 && e.answeredAt > w.failedAt
+	return w.failedPolls > 0 && e.answeredAt > w.silentSince
 }
 
 // serving reports whether the worker is to get new tasks, now or as soon as it
--- a/internal/scheduler/terms_test.go
+++ b/internal/scheduler/terms_test.go
@@ -179,7 +179,7 @@
 	owner.SetReservations(map[string]fleetplan.Reservation{"w1": fleetplan.Emptying})
 	worst := 0
 	for range 600 {
-		owner.Evacuate("w1", sim.now)
+		owner.Evacuate("w1")
 		sim.run(testTick, owner)
 		unavailable := 3
 		for _, x := range sim.workers {
--- a/internal/scheduler/review_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -42,7 +42,7 @@
 	owner.discover()
 	sim.run(200*time.Millisecond, owner)
 	owner.SetReservations(map[string]fleetplan.Reservation{"w1": fleetplan.Emptying})
-	owner.Evacuate("w1", sim.now)
+	owner.Evacuate("w1")
 	sim.run(100*time.Millisecond, owner)
 	sim.fill(owner, 1)
 	done := owner.Stats().Done
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -66,8 +66,8 @@
 	nextPoll         time.Duration
 	failedPolls      int
 	lastContact      time.Duration
-	// failedAt is when the first of the failed polls failed.
-	failedAt time.Duration
+	// silentSince is when the first of the failed polls failed.
+	silentSince time.Duration
 	// answeredSentAt is when the latest answered poll was sent. silentAt is when
 	// the first poll failed that was sent after the worker's lease, 0 if none
 	// did since its last answer.
