scheduler: no capacity is held for tasks that cannot be moved

Cause: capacity was held for an evacuated task also while MaxUnavailable keeps it where it is, and a task of its step that never becomes ready keeps it for good. Change: capacity is held only if the other tasks of the step that are not ready started, or lost their runs, within maxRestart. So the places between the moves of one step stay held. Why it works: what is held for a move is used within the time that a restart takes, or is given back.

--- a/internal/scheduler/evacuate.go
+++ b/internal/scheduler/evacuate.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		for _, r := range w.sortedRuns() {
-			if r.task.step.LongRunning && !r.displaced() {
+			if r.task.step.LongRunning && !r.displaced() && (e.mayStop(r, now) || r.task.step.recovers(r.task, now)) {
 				list = append(list, r)
 			}
 		}
@@ -109,6 +109,22 @@
 	return list
 }
 
+// maxRestart is how long after its last run or the latest start a task may take to
+// be ready before no capacity is held any more for the other tasks of its step.
+const maxRestart = 5 * time.Second
+
+// recovers reports whether the tasks of the step other than t that are not ready
+// have started a short while ago, or are about to.
+func (s *step) recovers(t *task, now time.Duration) bool {
+	return !slices.ContainsFunc(s.tasks, func(other *task) bool {
+		since := other.listedAt
+		if n := len(other.runs); n > 0 {
+			since = other.runs[n-1].sentAt
+		}
+		return other != t && !other.ready() && now-since > maxRestart
+	})
+}
+
 // mayStop reports whether a run may be stopped now to move its task.
 func (e *Engine) mayStop(r *run, now time.Duration) bool {
 	return r.phase == runConfirmed && !e.blockedByRecovery(r.task.step.job) && (e.mayInterrupt(r) || r.worker.endsSoon(now))
