--- a/internal/scheduler/review_test.go
+++ b/internal/scheduler/review_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -89,3 +90,21 @@
 		}
 	}
 }
+
+// The task of the wave's first host fits on no other worker, and no host is spare.
+func TestWaveReachesThePoolsBesideATaskThatFitsNowhereElse(t *testing.T) {
+	s := newEstate(t, 1, map[string]int{"a": 2, "b": 3, "c": 2, "d": 2})
+	s.advance(time.Second)
+	for _, pool := range []string{"a", "c", "d"} {
+		s.submitTasks(pool, longRunningStep(2, 1, 3<<10, 1))
+	}
+	s.submitTasks("b", longRunningStep(4, 1, 3<<10, 2))
+	s.surge("b", 60, 90*time.Second)
+	s.advance(3 * time.Second)
+	last := s.poolHosts("b")[0].name
+	s.startWave([]string{s.poolHosts("a")[0].name, last}, 10*time.Second, 1)
+	s.advance(60 * time.Second)
+	if got := s.planner.MaintenanceStarted(1); !slices.Contains(got, last) {
+		t.Errorf("maintained 50 s after the end of the wave are %v, want %s among them; reserved are %v", got, last, s.planner.Reservations())
+	}
+}
