--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -84,3 +84,21 @@
 		t.Error("the wave has ended 25 s ago, and the evacuation of its second host has not begun")
 	}
 }
+
+// The tasks of the first two hosts fit nowhere else.
+func TestWaveReachesTheHostAfterTwoThatCannotBeEmptied(t *testing.T) {
+	p, a, b, c := planned{}, Pool{Name: "a"}, Pool{Name: "b"}, Pool{Name: "c"}
+	for _, pool := range []*Pool{&a, &b} {
+		for range 2 {
+			p.addHost(pool, Worker{LongRunningTasks: 1, Used: 10})
+		}
+	}
+	for range 3 {
+		p.addHost(&c, Worker{LongRunningTasks: 2, Used: 10})
+	}
+	p.pools = []Pool{a, b, c}
+	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h0", "h2", "h4"}}}
+	if !p.find(2*time.Minute, func(d Decision) bool { return d.Kind == Evacuate && d.Host == "h4" }) {
+		t.Error("the evacuation of the third host has not begun after 2 minutes")
+	}
+}
