fleetplan: evacuations that cannot end do not take turns in a wave's slot

Cause: the time since which an evacuation lasts was forgotten as soon as another host got the slot. Change: it is kept until an order about the host is carried out.

--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -165,7 +165,8 @@
 	// started.
 	maintenanceStarted map[int64]map[string]bool
 	// evacuating maps hosts to the ids of their workers that are being
-	// evacuated, and evacuatingSince to the time since which they are.
+	// evacuated. evacuatingSince maps hosts to the time of their first evacuation
+	// since their last order.
 	evacuating      map[string]string
 	evacuatingSince map[string]time.Duration
 	// draining maps hosts to the ids of their workers that get no new tasks
@@ -288,6 +289,7 @@
 	o.worker = ""
 	p.orders[d.Host] = o
 	delete(p.evacuating, d.Host)
+	delete(p.evacuatingSince, d.Host)
 	delete(p.draining, d.Host)
 	if d.Kind == Maintain {
 		p.markMaintenanceStarted(d.Wave, d.Host)
--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -84,7 +84,7 @@
 		if v.mayEvacuate(h, selected, behindSchedule) {
 			selected[h.Name] = true
 			first := v.evacuating[h.Name] != h.WorkerID
-			if first {
+			if _, ok := v.evacuatingSince[h.Name]; !ok {
 				v.evacuatingSince[h.Name] = v.Now
 			}
 			v.evacuating[h.Name] = h.WorkerID
@@ -167,11 +167,15 @@
 		return 0
 	case v.idle(h):
 		return 0.5 + v.load(h.Pool)/10
-	case v.evacuating[h.Name] != "" && v.Now-v.evacuatingSince[h.Name] < evacuationTimeout:
-		return 1
-	case v.evacuating[h.Name] != "", w == nil:
+	case w == nil:
+		return 1000
+	}
+	if since, ok := v.evacuatingSince[h.Name]; ok && v.Now-since >= evacuationTimeout {
 		return 1000
 	}
+	if v.evacuating[h.Name] != "" {
+		return 1
+	}
 	const longRunningWeight = 10 // one long-running task counts like ten fully used workers
 	return 2 + longRunningWeight*float64(w.LongRunningTasks) + w.Used/max(w.Cores, 1) + v.load(h.Pool)
 }
