--- a/internal/scheduler/outage.go
+++ b/internal/scheduler/outage.go
@@ -96,6 +96,15 @@
 		zap.Int("max_per_worker", t.step.MaxPerWorker), zap.Bool("ownership_expired", e.ownership == OwnershipExpired),
 		zap.Bool("recovering", e.blockedByRecovery(t.step.job)),
 	}
+	if e.blockedByRecovery(t.step.job) {
+		var unpolled []string
+		for _, w := range p.workers {
+			if w.inherited && len(unpolled) < maxOutageWorkers {
+				unpolled = append(unpolled, w.ID)
+			}
+		}
+		fields = append(fields, zap.Strings("unpolled", unpolled))
+	}
 	if len(t.runs) > 0 {
 		r := t.runs[len(t.runs)-1]
 		fields = append(fields, zap.Int("run", r.number), zap.String("worker", r.worker.ID), zap.Stringer("phase", r.phase),
