node: a recorded worker that no host runs has ended

Change: a worker of unknown host that two consecutive host lists show nowhere counts like one whose host has left: it has ended if it has no discovery entry and does not answer. Evidence: TestRecordedWorkerThatNoHostRunsHasLeft fails without the change. Why it works: a host list names the worker of each host, also of one that is cut off.

--- a/internal/node/usedworkers.go
+++ b/internal/node/usedworkers.go
@@ -111,8 +111,10 @@
 type workerHosts map[string]workerHost
 
 type workerHost struct {
+	// host is empty if no list has shown the worker.
 	host, pool string
-	// missing counts the latest host lists without the host.
+	// missing counts the latest host lists without the host, or without the
+	// worker if its host is not known.
 	missing int
 }
 
@@ -121,24 +123,27 @@
 func newWorkerHosts(used []usedWorker) workerHosts {
 	hosts := workerHosts{}
 	for _, u := range used {
-		if u.Host != "" {
-			hosts[u.ID] = workerHost{host: u.Host, pool: u.Pool}
-		}
+		hosts[u.ID] = workerHost{host: u.Host, pool: u.Pool}
 	}
 	return hosts
 }
 
 // update applies a host list. It returns the ids of the workers that have ended,
 // because their hosts changed pools or no longer run them, and of those whose
-// hosts have left the estate. An empty list tells nothing.
+// hosts have left the estate or that no host runs. An empty list tells nothing.
 func (m workerHosts) update(list []estate.Host) (ended, left []string) {
 	if len(list) == 0 {
 		return nil, nil
 	}
 	hosts := hostsByName(list)
+	listed := map[string]bool{}
+	for _, h := range list {
+		listed[h.WorkerID] = true
+	}
 	for id, w := range m {
 		h, ok := hosts[w.host]
 		switch {
+		case w.host == "" && listed[id]: // updated below
 		case !ok:
 			w.missing++
 			m[id] = w
--- a/internal/node/usedworkers_test.go
+++ b/internal/node/usedworkers_test.go
@@ -59,3 +59,18 @@
 		t.Error("the record counts as up to date, though another one may be stored")
 	}
 }
+
+// The previous owner recorded the worker before a host list showed it.
+func TestRecordedWorkerThatNoHostRunsHasLeft(t *testing.T) {
+	list := []estate.Host{{Name: "h2", Pool: "p", State: estate.HostUp, WorkerID: "w2"}}
+	workers := newWorkerHosts([]usedWorker{{ID: "w1", Pool: "p"}, {ID: "w2", Pool: "p"}})
+	workers.update(list)
+	if _, left := workers.update(list); len(left) != 1 || left[0] != "w1" {
+		t.Errorf("left have %q after two lists without a host of w1, want w1", left)
+	}
+	workers = newWorkerHosts([]usedWorker{{ID: "w1", Pool: "p"}})
+	workers.update(list)
+	if _, left := workers.update(append(list, estate.Host{Name: "h1", Pool: "p", State: estate.HostUp, WorkerID: "w1"})); len(left) != 0 {
+		t.Errorf("left have %q though the second list shows w1, want none", left)
+	}
+}
