scheduler: one comparison of host lists with workers in use

The comparison that tells which workers have ended with their hosts was written in package node, and a second time in the simulation of an estate. The copy lacked the last fix (a recorded worker that no host runs has ended) and the check that a list ends no worker that answered after its request, so the random histories did not play the code that decides.

WorkerHosts in package scheduler decides for both. It does no I/O. The simulation records hosts as owners do: at most a second after a list, and only while the same owner owns the work; before, a host was recorded also after its owner had ended.

--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -17,6 +17,7 @@
 	"github.com/egretpitch/egretpitch/internal/fleetplan"
 	"github.com/egretpitch/egretpitch/internal/ownership"
 	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/scheduler"
 )
 
 const (
@@ -71,7 +72,7 @@
 	lastPlan time.Duration
 	// workerHosts holds the hosts of the workers, also of those in no host list
 	// of this owner.
-	workerHosts workerHosts
+	workerHosts scheduler.WorkerHosts
 	// firstOrderAt is when this owner may give its first order about a host;
 	// see firstHostOrder.
 	firstOrderAt time.Duration
@@ -82,7 +83,7 @@
 
 // newFleetController returns the controller of a new owner. rows list the hosts
 // of each wave whose maintenance a previous owner started.
-func newFleetController(o *owner, rows []platform.PartRow, hosts workerHosts, now time.Duration) *fleetController {
+func newFleetController(o *owner, rows []platform.PartRow, hosts scheduler.WorkerHosts, now time.Duration) *fleetController {
 	maintained := map[int64][]string{}
 	recorded := map[int64]int{}
 	for _, r := range rows {
@@ -315,17 +316,7 @@
 // time. Tasks of hosts that crashed or left since the last list are restarted on
 // other hosts at once.
 func (f *fleetController) setHosts(hosts []estate.Host, sent, now time.Duration) {
-	ended, left := f.workerHosts.update(hosts)
-	for _, id := range ended {
-		if f.owner.engine.HostEnded(id, sent, now) {
-			delete(f.workerHosts, id)
-		}
-	}
-	for _, id := range left {
-		if f.owner.engine.HostLeft(id, now) {
-			delete(f.workerHosts, id)
-		}
-	}
+	f.owner.engine.HostsListed(f.workerHosts, hosts, sent, now)
 	f.hosts, f.hostsAt = hosts, sent
 	slices.SortFunc(f.hosts, func(a, b estate.Host) int {
 		if a.Name < b.Name {
--- a/internal/node/newjobs_test.go
+++ b/internal/node/newjobs_test.go
@@ -127,7 +127,7 @@
 		Token: 1, Epoch: 1, MaxLease: time.Second, Parts: 1, PartOf: func(string) int { return 0 }, Log: zap.NewNop(),
 	})
 	o.engine.SetCatalog(testCatalog(1, "/q/"))
-	o.fleetController = newFleetController(o, nil, workerHosts{}, 0)
+	o.fleetController = newFleetController(o, nil, scheduler.WorkerHosts{}, 0)
 	o.node.Rows = pagedRows{rows}
 	submitThree(t, rows, func(id string) { request(e, http.MethodPost, "/q/"+id, testBody) })
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -234,7 +234,7 @@
 		Token: 1, Epoch: 1, MaxLease: time.Second, Parts: 1, PartOf: func(string) int { return 0 }, Log: zap.NewNop(),
 	})
 	o.engine.SetCatalog(testCatalog(1, "/q/"))
-	o.fleetController = newFleetController(o, nil, workerHosts{}, 0)
+	o.fleetController = newFleetController(o, nil, scheduler.WorkerHosts{}, 0)
 	o.node.adopt(platform.OperatorChanges{Catalog: testCatalog(1, "/q/")})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -345,73 +345,6 @@
 	}
 }
 
-// TestHostListShowsWhichUsedWorkersHaveEnded checks which workers in the
-// previous owner's record a new owner need not wait for.
-func TestHostListShowsWhichUsedWorkersHaveEnded(t *testing.T) {
-	used := []usedWorker{
-		{ID: "moved", Pool: "p", Host: "h1"}, {ID: "replaced", Pool: "p", Host: "h2"}, {ID: "same", Pool: "p", Host: "h3"},
-		{ID: "down", Pool: "p", Host: "h4"}, {ID: "unknown", Pool: "p"}, {ID: "maintained", Pool: "p", Host: "h5"},
-		{ID: "down, still listed", Pool: "p", Host: "h6"}, {ID: "no longer listed", Pool: "p", Host: "h7"},
-	}
-	hosts := []estate.Host{
-		{Name: "h1", Pool: "q", State: estate.HostUp}, {Name: "h2", Pool: "p", State: estate.HostUp, WorkerID: "other"},
-		{Name: "h3", Pool: "p", State: estate.HostUp, WorkerID: "same"}, {Name: "h4", Pool: "p", State: estate.HostDown},
-		{Name: "h5", Pool: "p", State: estate.HostMaintenance},
-		{Name: "h6", Pool: "p", State: estate.HostDown, WorkerID: "down, still listed"},
-	}
-	var ids []string
-	ended, _ := newWorkerHosts(used).update(hosts)
-	for _, w := range possiblyRunning(used, ended) {
-		ids = append(ids, w.ID)
-	}
-	if got := strings.Join(ids, ", "); got != "same, unknown, down, still listed, no longer listed" {
-		t.Errorf("possibly running workers are %q, want those that may still run", got)
-	}
-}
-
-// TestHostListShowsWhichWorkersCrashed checks which workers two consecutive
-// host lists show as ended.
-func TestHostListShowsWhichWorkersCrashed(t *testing.T) {
-	earlier := []estate.Host{
-		{Name: "h1", State: estate.HostUp, WorkerID: "crashed"}, {Name: "h2", State: estate.HostUp, WorkerID: "replaced"},
-		{Name: "h3", State: estate.HostUp, WorkerID: "same"}, {Name: "h4", State: estate.HostUp, WorkerID: "unlisted"},
-		{Name: "h5", State: estate.HostUp, WorkerID: "starting"}, {Name: "h6", State: estate.HostUp},
-	}
-	later := []estate.Host{
-		{Name: "h1", State: estate.HostDown}, {Name: "h2", State: estate.HostUp, WorkerID: "other"},
-		{Name: "h3", State: estate.HostUp, WorkerID: "same"}, {Name: "h5", State: estate.HostUp}, {Name: "h6", State: estate.HostDown},
-	}
-	workers := workerHosts{}
-	workers.update(earlier)
-	ended, left := workers.update(later)
-	if got := strings.Join(ended, " "); got != "crashed replaced" || len(left) > 0 {
-		t.Errorf("ended workers are %q, those whose hosts have left %q, want crashed and replaced, and none", got, left)
-	}
-}
-
-func TestHostHasLeftOnceTwoListsLackIt(t *testing.T) {
-	with := []estate.Host{{Name: "h1", State: estate.HostUp, WorkerID: "w1"}, {Name: "h2", State: estate.HostUp, WorkerID: "w2"}}
-	without := with[1:]
-	workers := newWorkerHosts([]usedWorker{{ID: "w1", Host: "h1"}})
-	for i, c := range []struct {
-		list []estate.Host
-		want string
-	}{{without, ""}, {with, ""}, {without, ""}, {nil, ""}, {without, "w1"}, {without, "w1"}} {
-		if ended, left := workers.update(c.list); strings.Join(left, " ") != c.want || len(ended) > 0 {
-			t.Errorf("list %d: ended are %q, left have %q; want none and %q", i, ended, left, c.want)
-		}
-	}
-}
-
-// The owner that takes over sees the worker in no host list of its own.
-func TestSuccessorLearnsThatAWorkerOfItsRecordHasEnded(t *testing.T) {
-	workers := newWorkerHosts([]usedWorker{{ID: "w1", Pool: "p", Host: "h1"}})
-	workers.update(nil) // the list of the takeover got no answer
-	if ended, _ := workers.update([]estate.Host{{Name: "h1", Pool: "p", State: estate.HostMaintenance}}); strings.Join(ended, " ") != "w1" {
-		t.Errorf("ended workers are %q, want w1", ended)
-	}
-}
-
 // TestJobsToldAgainAreNotRunAgain adds a job twice, as a feed may after it has
 // read the whole table again, the second time after the job has ended. The job
 // must not become pending again.
@@ -475,7 +408,7 @@
 	inherited := usedWorker{ID: "w1", Pool: "p", Host: "h1"}
 	o.engine = scheduler.New(scheduler.Options{Log: zap.NewNop()})
 	o.engine.Recover([]estate.Worker{inherited.worker(), {ID: "w2", Pool: "p"}}, 0, 0)
-	o.fleetController = newFleetController(o, nil, newWorkerHosts([]usedWorker{inherited}), 0)
+	o.fleetController = newFleetController(o, nil, workerHostsOf([]usedWorker{inherited}), 0)
 	used := o.withHosts(o.engine.InUse())
 	if !slices.Contains(used, inherited) {
 		t.Errorf("recorded are %+v, want %+v among them", used, inherited)
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -235,9 +235,8 @@
 	}
 	e := scheduler.New(opts)
 	e.SetCatalog(n.catalog.Load())
-	workerHosts := newWorkerHosts(l.used)
-	ended, _ := workerHosts.update(l.hosts)
-	e.Recover(possiblyRunning(l.used, ended), o.previousLeaseEnd(), now)
+	workerHosts := workerHostsOf(l.used)
+	e.Recover(workerHosts.PossiblyRunning(workersOf(l.used), l.hosts), o.previousLeaseEnd(), now)
 	for _, w := range l.workers.Changed {
 		e.WorkerListed(w, now)
 	}
--- a/internal/node/usedworkers.go
+++ b/internal/node/usedworkers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"strconv"
 	"time"
 
@@ -13,6 +12,7 @@
 	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/event"
 	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/scheduler"
 )
 
 // usedWorkersInterval is the minimum time between two writes of the record
@@ -85,97 +85,23 @@
 	return writes, nil
 }
 
-// noLongerOn reports whether a host that ran a worker no longer runs it. A
-// worker that is only cut off from the network is still listed; a host that
-// crashed is listed as down, without a worker.
-func noLongerOn(h estate.Host, worker string) bool {
-	return h.WorkerID != worker && (h.WorkerID != "" || h.State != estate.HostUp)
-}
-
-// hostsByName indexes a host list by name.
-func hostsByName(list []estate.Host) map[string]estate.Host {
-	hosts := make(map[string]estate.Host, len(list))
-	for _, h := range list {
-		hosts[h.Name] = h
-	}
-	return hosts
-}
-
-// minListsWithoutHost is the number of consecutive host lists without a host
-// after which the host is taken to have left the estate. A host can fall
-// between two pages of a single list.
-const minListsWithoutHost = 2
-
-// workerHosts maps the ids of workers to the hosts on which this owner or a
-// previous one saw them.
-type workerHosts map[string]workerHost
-
-type workerHost struct {
-	// host is empty if no list has shown the worker.
-	host, pool string
-	// missing counts the latest host lists without the host, or without the
-	// worker if its host is not known.
-	missing int
-}
-
-// newWorkerHosts returns the hosts of the workers in use, according to the
-// record of the previous owner.
-func newWorkerHosts(used []usedWorker) workerHosts {
-	hosts := workerHosts{}
+// workerHostsOf returns the hosts of the workers in use, according to the record
+// of the previous owner.
+func workerHostsOf(used []usedWorker) scheduler.WorkerHosts {
+	hosts := scheduler.WorkerHosts{}
 	for _, u := range used {
-		hosts[u.ID] = workerHost{host: u.Host, pool: u.Pool}
+		hosts[u.ID] = scheduler.WorkerHost{Host: u.Host, Pool: u.Pool}
 	}
 	return hosts
 }
 
-// update applies a host list. It returns the ids of the workers that have ended,
-// because their hosts changed pools or no longer run them, and of those whose
-// hosts have left the estate or that no host runs. An empty list tells nothing.
-func (m workerHosts) update(list []estate.Host) (ended, left []string) {
-	if len(list) == 0 {
-		return nil, nil
-	}
-	hosts := hostsByName(list)
-	listed := map[string]bool{}
-	for _, h := range list {
-		listed[h.WorkerID] = true
-	}
-	for id, w := range m {
-		h, ok := hosts[w.host]
-		switch {
-		case w.host == "" && listed[id]: // updated below
-		case !ok:
-			w.missing++
-			m[id] = w
-			if w.missing >= minListsWithoutHost {
-				left = append(left, id)
-			}
-		case h.Pool != w.pool || noLongerOn(h, id):
-			ended = append(ended, id)
-		default:
-			w.missing = 0
-			m[id] = w
-		}
-	}
-	for _, h := range list {
-		if h.WorkerID != "" {
-			m[h.WorkerID] = workerHost{host: h.Name, pool: h.Pool}
-		}
-	}
-	slices.Sort(ended)
-	slices.Sort(left)
-	return ended, left
-}
-
-// possiblyRunning returns the workers in use other than those that have ended.
-func possiblyRunning(used []usedWorker, ended []string) []estate.Worker {
-	var workers []estate.Worker
+// workersOf returns the workers of a record.
+func workersOf(used []usedWorker) []estate.Worker {
+	list := make([]estate.Worker, len(used))
 	for i := range used {
-		if !slices.Contains(ended, used[i].ID) {
-			workers = append(workers, used[i].worker())
-		}
+		list[i] = used[i].worker()
 	}
-	return workers
+	return list
 }
 
 // recordUsedWorkers updates the stored record of the workers that a successor
@@ -232,12 +158,10 @@
 	default:
 		o.used.version, o.used.rows = version, rows
 		o.used.recorded = make(map[string]usedWorker, len(used))
-		list := make([]estate.Worker, len(used))
-		for i, u := range used {
+		for _, u := range used {
 			o.used.recorded[u.ID] = u
-			list[i] = u.worker()
 		}
-		o.engine.Recorded(list)
+		o.engine.Recorded(workersOf(used))
 	}
 }
 
@@ -245,7 +169,7 @@
 func (o *owner) withHosts(list []estate.Worker) []usedWorker {
 	used := make([]usedWorker, len(list))
 	for i, w := range list {
-		used[i] = usedWorker{ID: w.ID, Pool: w.Pool, Address: w.Address, StartedMS: w.StartedMS, Host: o.fleetController.workerHosts[w.ID].host}
+		used[i] = usedWorker{ID: w.ID, Pool: w.Pool, Address: w.Address, StartedMS: w.StartedMS, Host: o.fleetController.workerHosts[w.ID].Host}
 	}
 	return used
 }
--- a/internal/node/usedworkers_test.go
+++ b/internal/node/usedworkers_test.go
@@ -13,17 +13,6 @@
 	"github.com/egretpitch/egretpitch/internal/standin"
 )
 
-func TestHostThatIsListedBetweenTwoListsWithoutItHasNotLeft(t *testing.T) {
-	other := estate.Host{Name: "h2", Pool: "p", State: estate.HostUp, WorkerID: "w2"}
-	without := []estate.Host{other}
-	workers := newWorkerHosts([]usedWorker{{ID: "w1", Pool: "p", Host: "h1"}})
-	workers.update(without)
-	workers.update([]estate.Host{{Name: "h1", Pool: "p", State: estate.HostUp}, other})
-	if ended, left := workers.update(without); len(ended)+len(left) > 0 {
-		t.Errorf("ended are %q, left have %q after one list without the host, want none", ended, left)
-	}
-}
-
 // The list shows the host down, as it was before the worker started again.
 func TestOldHostListEndsNoWorkerThatHasAnsweredSince(t *testing.T) {
 	o := testOwner(t, standin.NewRows(), 1)
@@ -31,7 +20,7 @@
 		Token: 1, Epoch: 1, MaxLease: time.Second, Parts: 1, PartOf: func(string) int { return 0 }, Log: zap.NewNop(),
 	})
 	o.engine.SetCatalog(testCatalog(1, "/q/"))
-	o.fleetController = newFleetController(o, nil, newWorkerHosts([]usedWorker{{ID: "w1", Pool: "p", Host: "h1", StartedMS: 1}}), 0)
+	o.fleetController = newFleetController(o, nil, workerHostsOf([]usedWorker{{ID: "w1", Pool: "p", Host: "h1", StartedMS: 1}}), 0)
 	const listSent, answered = time.Second, 1500 * time.Millisecond
 	o.engine.WorkerListed(estate.Worker{ID: "w1", Pool: "p", StartedMS: 2}, answered)
 	for _, order := range o.engine.Decide(answered, scheduler.OwnershipValid) {
@@ -52,25 +41,10 @@
 	o := testOwner(t, standin.NewRows(), 1)
 	o.engine = scheduler.New(scheduler.Options{Log: zap.NewNop()})
 	o.engine.Recover([]estate.Worker{{ID: "w1", Pool: "p"}}, 0, 0)
-	o.fleetController = newFleetController(o, nil, workerHosts{}, 0)
+	o.fleetController = newFleetController(o, nil, scheduler.WorkerHosts{}, 0)
 	o.usedWorkersRecorded(o.withHosts(o.engine.InUse()), 1, 1, nil)
 	o.usedWorkersRecorded(nil, 1, 0, errors.New("no answer")) // a record without the worker may be stored
 	if o.usedWorkersUpToDate() {
 		t.Error("the record counts as up to date, though another one may be stored")
 	}
 }
-
-// The previous owner recorded the worker before a host list showed it.
-func TestRecordedWorkerThatNoHostRunsHasLeft(t *testing.T) {
-	list := []estate.Host{{Name: "h2", Pool: "p", State: estate.HostUp, WorkerID: "w2"}}
-	workers := newWorkerHosts([]usedWorker{{ID: "w1", Pool: "p"}, {ID: "w2", Pool: "p"}})
-	workers.update(list)
-	if _, left := workers.update(list); len(left) != 1 || left[0] != "w1" {
-		t.Errorf("left have %q after two lists without a host of w1, want w1", left)
-	}
-	workers = newWorkerHosts([]usedWorker{{ID: "w1", Pool: "p"}})
-	workers.update(list)
-	if _, left := workers.update(append(list, estate.Host{Name: "h1", Pool: "p", State: estate.HostUp, WorkerID: "w1"})); len(left) != 0 {
-		t.Errorf("left have %q though the second list shows w1, want none", left)
-	}
-}
--- a/internal/scheduler/estate_simulation_test.go
+++ b/internal/scheduler/estate_simulation_test.go
@@ -60,7 +60,7 @@
 	listedAt time.Duration
 	// hostOf maps workers to the hosts on which a host list has shown them.
 	// recordedHosts are the hosts in the record of the workers in use.
-	hostOf, recordedHosts map[string]workerHost
+	hostOf, recordedHosts WorkerHosts
 	// firstOrderAt is when the owner may give its first order about a host.
 	firstOrderAt time.Duration
 
@@ -89,13 +89,6 @@
 	leaving bool
 }
 
-// workerHost is the host of a worker. missing counts the latest host lists
-// without the host.
-type workerHost struct {
-	host, pool string
-	missing    int
-}
-
 type entryChange struct {
 	at      time.Duration
 	entry   estate.Worker
@@ -124,7 +117,7 @@
 func newEstate(t testingT, seed uint64, sizes map[string]int) *estateSimulation {
 	s := &estateSimulation{
 		simulation: newSimulation(t), random: rand.New(rand.NewPCG(seed, 0)), hosts: map[string]*fakeHost{},
-		maintained: map[int64]map[string]bool{}, completed: map[int64]bool{}, failsAfter: map[string]time.Duration{}, hostOf: map[string]workerHost{}, recordedHosts: map[string]workerHost{},
+		maintained: map[int64]map[string]bool{}, completed: map[int64]bool{}, failsAfter: map[string]time.Duration{}, hostOf: WorkerHosts{}, recordedHosts: WorkerHosts{},
 		discoveryDelay: 300 * time.Millisecond, livenessCheck: livenessCheck{watched: map[workload.TaskID]*watchedTask{}},
 	}
 	s.now = time.Second // a host list of time 0 is none
@@ -288,24 +281,26 @@
 		}
 		surges, seen = previous.Surges(), previous.WavesFirstSeen()
 	}
-	s.hostOf = map[string]workerHost{}
-	for id := range s.inUse {
-		if w, ok := s.recordedHosts[id]; ok {
-			s.hostOf[id] = w
-		}
+	s.hostOf = WorkerHosts{}
+	for id, w := range s.inUse {
+		s.hostOf[id] = WorkerHost{Host: s.recordedHosts[id].Host, Pool: w.Pool}
 	}
+	var hosts []estate.Host
 	if s.service == serviceUp {
-		var hosts []estate.Host
 		for _, h := range s.sortedHosts() {
 			hosts = append(hosts, s.listedHost(h))
 		}
-		ended, _ := s.readHosts(hosts)
-		maps.DeleteFunc(s.inUse, func(id string, _ estate.Worker) bool { return slices.Contains(ended, id) })
+	}
+	running := s.hostOf.PossiblyRunning(sorted(s.inUse), hosts)
+	s.inUse = map[string]estate.Worker{}
+	for _, w := range running {
+		s.inUse[w.ID] = w
 	}
 	s.listed, s.listedAt = nil, 0
 	s.planner = fleetplan.New(simMigration, maintained, surges, seen)
 	s.owner = s.newOwner()
 	s.handingOver = false
+	s.recordHosts()
 }
 
 // handOver lets the owner release its ownership, which is no disruption. The
@@ -490,53 +485,20 @@
 }
 
 func (s *estateSimulation) setHosts(hosts []estate.Host, sentAt time.Duration) {
-	ended, left := s.readHosts(hosts)
-	for _, id := range ended {
-		s.owner.HostRemoved(id, s.now)
-	}
-	for _, id := range left {
-		if s.owner.HostLeft(id, s.now) {
-			delete(s.hostOf, id)
-		}
-	}
+	s.owner.HostsListed(s.hostOf, hosts, sentAt, s.now)
+	s.recordHosts()
 	s.listed, s.listedAt = hosts, sentAt
 }
 
-// readHosts compares a host list with the known hosts of workers, as owners do: see
-// workerHosts in package node.
-func (s *estateSimulation) readHosts(hosts []estate.Host) (ended, left []string) {
-	byName := map[string]estate.Host{}
-	for _, h := range hosts {
-		byName[h.Name] = h
-	}
-	for _, id := range slices.Sorted(maps.Keys(s.hostOf)) {
-		w := s.hostOf[id]
-		h, ok := byName[w.host]
-		switch {
-		case !ok:
-			w.missing++
-			s.hostOf[id] = w
-			if w.missing >= 2 {
-				left = append(left, id)
-			}
-		case h.Pool != w.pool || noLongerOn(h, id):
-			delete(s.hostOf, id)
-			ended = append(ended, id)
-		}
-	}
-	for _, h := range hosts {
-		if h.WorkerID != "" {
-			w := workerHost{host: h.Name, pool: h.Pool}
-			s.hostOf[h.WorkerID] = w
-			s.after(usedWorkersInterval, func() { s.recordedHosts[h.WorkerID] = w })
+// recordHosts adds the known hosts of workers to the record of the workers in
+// use, after the longest time between two writes.
+func (s *estateSimulation) recordHosts() {
+	owner, known := s.owner, maps.Clone(s.hostOf)
+	s.after(usedWorkersInterval, func() {
+		if s.owner == owner {
+			maps.Copy(s.recordedHosts, known)
 		}
-	}
-	return ended, left
-}
-
-// noLongerOn reports whether a host that ran a worker no longer runs it.
-func noLongerOn(h estate.Host, worker string) bool {
-	return h.WorkerID != worker && (h.WorkerID != "" || h.State != estate.HostUp)
+	})
 }
 
 // startWave requests the maintenance of hosts.
--- /dev/null
+++ b/internal/scheduler/workerhosts.go
@@ -0,0 +1,104 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/egretpitch/egretpitch/internal/estate"
+)
+
+// minListsWithoutHost is the number of consecutive host lists without a host
+// after which the host is taken to have left the estate. A host can fall
+// between two pages of a single list.
+const minListsWithoutHost = 2
+
+// WorkerHosts maps the ids of workers to the hosts on which this owner or a
+// previous one saw them.
+type WorkerHosts map[string]WorkerHost
+
+// WorkerHost is the host of a worker.
+type WorkerHost struct {
+	// Host is the host's name, empty if no list has shown the worker.
+	Host, Pool string
+	// missing counts the latest host lists without the host, or without the
+	// worker if its host is not known.
+	missing int
+}
+
+// PossiblyRunning applies a host list and returns the workers in use other than
+// those that it shows as ended.
+func (m WorkerHosts) PossiblyRunning(used []estate.Worker, list []estate.Host) []estate.Worker {
+	ended, _ := m.update(list)
+	return slices.DeleteFunc(slices.Clone(used), func(w estate.Worker) bool { return slices.Contains(ended, w.ID) })
+}
+
+// update applies a host list. It returns the ids of the workers that have ended,
+// because their hosts changed pools or no longer run them, and of those whose
+// hosts have left the estate or that no host runs. An empty list tells nothing.
+func (m WorkerHosts) update(list []estate.Host) (ended, left []string) {
+	if len(list) == 0 {
+		return nil, nil
+	}
+	hosts := hostsByName(list)
+	listed := map[string]bool{}
+	for _, h := range list {
+		listed[h.WorkerID] = true
+	}
+	for id, w := range m {
+		h, ok := hosts[w.Host]
+		switch {
+		case w.Host == "" && listed[id]: // updated below
+		case !ok:
+			w.missing++
+			m[id] = w
+			if w.missing >= minListsWithoutHost {
+				left = append(left, id)
+			}
+		case h.Pool != w.Pool || noLongerOn(h, id):
+			ended = append(ended, id)
+		default:
+			w.missing = 0
+			m[id] = w
+		}
+	}
+	for _, h := range list {
+		if h.WorkerID != "" {
+			m[h.WorkerID] = WorkerHost{Host: h.Name, Pool: h.Pool}
+		}
+	}
+	slices.Sort(ended)
+	slices.Sort(left)
+	return ended, left
+}
+
+// noLongerOn reports whether a host that ran a worker no longer runs it. A
+// worker that is only cut off from the network is still listed; a host that
+// crashed is listed as down, without a worker.
+func noLongerOn(h estate.Host, worker string) bool {
+	return h.WorkerID != worker && (h.WorkerID != "" || h.State != estate.HostUp)
+}
+
+// hostsByName indexes a host list by name.
+func hostsByName(list []estate.Host) map[string]estate.Host {
+	hosts := make(map[string]estate.Host, len(list))
+	for _, h := range list {
+		hosts[h.Name] = h
+	}
+	return hosts
+}
+
+// HostsListed handles a host list that was requested at the given time. known
+// are the hosts of the workers, which it updates.
+func (e *Engine) HostsListed(known WorkerHosts, list []estate.Host, requested, now time.Duration) {
+	ended, left := known.update(list)
+	for _, id := range ended {
+		if e.HostEnded(id, requested, now) {
+			delete(known, id)
+		}
+	}
+	for _, id := range left {
+		if e.HostLeft(id, now) {
+			delete(known, id)
+		}
+	}
+}
