fleetplan: failing test, a wave is complete after one list without its host

A wave is reported as completed while a host of it that stays in the estate has not begun its maintenance. Cause: maintainWave takes a host that the latest list lacks for one that has left (wave.go, "h == nil"). internal/node asks for two consecutive lists, since a host can fall between two pages of one (minListsWithoutHost). Complete is final: nothing reads the wave again under this owner. Evidence: the second list of the test lacks the only host of the wave; the plan made from it decides Complete.

--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -102,3 +102,23 @@
 		t.Error("the evacuation of the third host has not begun after 2 minutes")
 	}
 }
+
+// The host falls between two pages of one list.
+func TestWaveIsNotCompleteBecauseOneListLacksItsHost(t *testing.T) {
+	p, a := planned{}, Pool{Name: "a"}
+	for range 3 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: 10})
+	}
+	p.pools = []Pool{a}
+	p.waves = []estate.Wave{{Number: 1, Duration: 20 * time.Second, MaxDown: 1, Hosts: []string{"h1"}}}
+	planner := New(testMigration, nil, nil, nil)
+	state := State{Now: tick, HostsAt: tick, Hosts: p.hosts, Pools: p.pools, Waves: p.waves}
+	planner.Plan(state)
+	state.Now, state.HostsAt = 6*tick, 6*tick
+	state.Hosts = []estate.Host{p.hosts[0], p.hosts[2]}
+	for _, dec := range planner.Plan(state) {
+		if dec.Kind == Complete {
+			t.Error("the wave is reported as complete after one list without its host, whose maintenance has not started")
+		}
+	}
+}
