fleetplan: failing test, a wave does not return to a host that could not be emptied

What callers would see: a wave that does not end, though its host can be emptied. Cause: evacuatingSince is kept until an order about the host is carried out, so after evacuationTimeout all hosts that took longer have the same cost for good, and the first one in the order of the wave gets the slot each time. A host whose tasks fitted nowhere for 10 s, and do so now, is not evacuated again while another one is in front of it. The time is kept per host, also over a new worker, a new wave and hours.

--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -122,3 +122,28 @@
 		}
 	}
 }
+
+// The tasks of the first host fit nowhere else for good, those of the second do so for a while.
+func TestWaveReturnsToAHostThatCouldNotBeEmptiedInTime(t *testing.T) {
+	p, a, b := planned{}, Pool{Name: "a"}, Pool{Name: "b"}
+	for range 2 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: 10})
+	}
+	for range 3 {
+		p.addHost(&b, Worker{LongRunningTasks: 2, Used: 10})
+	}
+	p.pools = []Pool{a, b}
+	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h0", "h2"}}}
+	planner := New(testMigration, nil, nil, nil)
+	var last time.Duration
+	for now := tick; now < 5*time.Minute; now += tick {
+		for _, dec := range planner.Plan(State{Now: now, HostsAt: now, Hosts: p.hosts, Pools: p.pools, Waves: p.waves}) {
+			if dec.Kind == Evacuate && dec.Host == "h2" {
+				last = now
+			}
+		}
+	}
+	if last < 4*time.Minute {
+		t.Errorf("the second host was last evacuated at %v of 5 minutes, since then the first one keeps the slot", last)
+	}
+}
