fleetplan: failing test, an idle host that is left to its pool keeps a wave's slot

What callers would see: a wave that does not end: none of its hosts is taken while one idle host of it is left to a pool that lacks workers. Cause: maintainWave counts a slot for every candidate before it knows whether it gives an order: for idle hosts that leftToPools passes over, and for hosts that may not be evacuated or have no known worker. Idle hosts come first in the order of costs. Evidence: one slot, an idle host of a pool with LongRunningShortfall 1 and no spare host: the wave's host in the other pool is not evacuated in a minute (the wave lasts 5 s).

--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -147,3 +147,25 @@
 		t.Errorf("the second host was last evacuated at %v of 5 minutes, since then the first one keeps the slot", last)
 	}
 }
+
+// lackingPool returns hosts of which the first is idle and of no use to the tasks that
+// its pool lacks a worker for, and the last three can be emptied. No host is spare.
+func lackingPool() *planned {
+	p, a, b := planned{}, Pool{Name: "a", LongRunningShortfall: 1}, Pool{Name: "b"}
+	p.addHost(&a, Worker{Idle: true})
+	for range 2 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: testCores})
+	}
+	for range 3 {
+		p.addHost(&b, Worker{LongRunningTasks: 1, Used: 1})
+	}
+	p.pools = []Pool{a, b}
+	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h0", "h3"}}}
+	return &p
+}
+
+func TestWaveReachesOtherPoolsBesideAnIdleHostOfAPoolThatLacksWorkers(t *testing.T) {
+	if !lackingPool().find(time.Minute, func(d Decision) bool { return d.Kind == Evacuate && d.Host == "h3" }) {
+		t.Error("the wave ended 55 s ago, and its host in another pool has not been reached")
+	}
+}
