fleetplan: failing test, an idle host that its pool cannot use is not maintained

What callers would see: a wave that does not end; passes on. Cause: leftToPools leaves every idle host of a pool that lacks workers to that pool. But lacking means that the tasks fit on none of its open workers: an idle one that they could use is Needed, and then not idle for the planner. What leftToPools holds back is of no use to them: too small, without their label, or set aside. Evidence: an idle host (Needed is false) of a pool with LongRunningShortfall 1 gets no order in a minute; the wave lasts 5 s.

--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -169,3 +169,9 @@
 		t.Error("the wave ended 55 s ago, and its host in another pool has not been reached")
 	}
 }
+
+func TestWaveTakesAnIdleHostThatItsPoolCannotUse(t *testing.T) {
+	if !lackingPool().find(time.Minute, func(d Decision) bool { return d.Kind == Maintain && d.Host == "h0" }) {
+		t.Error("the wave ended 55 s ago and has not taken an idle host that no task is about to use")
+	}
+}
