--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -102,3 +102,76 @@
 		t.Error("the evacuation of the third host has not begun after 2 minutes")
 	}
 }
+
+// The host falls between two pages of one list.
+func TestWaveIsNotCompleteBecauseOneListLacksItsHost(t *testing.T) {
+	p, a := planned{}, Pool{Name: "a"}
+	for range 3 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: 10})
+	}
+	p.pools = []Pool{a}
+	p.waves = []estate.Wave{{Number: 1, Duration: 20 * time.Second, MaxDown: 1, Hosts: []string{"h1"}}}
+	planner := New(testMigration, nil, nil, nil)
+	state := State{Now: tick, HostsAt: tick, Hosts: p.hosts, Pools: p.pools, Waves: p.waves}
+	planner.Plan(state)
+	state.Now, state.HostsAt = 6*tick, 6*tick
+	state.Hosts = []estate.Host{p.hosts[0], p.hosts[2]}
+	for _, dec := range planner.Plan(state) {
+		if dec.Kind == Complete {
+			t.Error("the wave is reported as complete after one list without its host, whose maintenance has not started")
+		}
+	}
+}
+
+// The tasks of the first host fit nowhere else for good, those of the second do so for a while.
+func TestWaveReturnsToAHostThatCouldNotBeEmptiedInTime(t *testing.T) {
+	p, a, b := planned{}, Pool{Name: "a"}, Pool{Name: "b"}
+	for range 2 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: 10})
+	}
+	for range 3 {
+		p.addHost(&b, Worker{LongRunningTasks: 2, Used: 10})
+	}
+	p.pools = []Pool{a, b}
+	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h0", "h2"}}}
+	planner := New(testMigration, nil, nil, nil)
+	var last time.Duration
+	for now := tick; now < 5*time.Minute; now += tick {
+		for _, dec := range planner.Plan(State{Now: now, HostsAt: now, Hosts: p.hosts, Pools: p.pools, Waves: p.waves}) {
+			if dec.Kind == Evacuate && dec.Host == "h2" {
+				last = now
+			}
+		}
+	}
+	if last < 4*time.Minute {
+		t.Errorf("the second host was last evacuated at %v of 5 minutes, since then the first one keeps the slot", last)
+	}
+}
+
+// lackingPool returns hosts of which the first is idle and of no use to the tasks that
+// its pool lacks a worker for, and the last three can be emptied. No host is spare.
+func lackingPool() *planned {
+	p, a, b := planned{}, Pool{Name: "a", LongRunningShortfall: 1}, Pool{Name: "b"}
+	p.addHost(&a, Worker{Idle: true})
+	for range 2 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: testCores})
+	}
+	for range 3 {
+		p.addHost(&b, Worker{LongRunningTasks: 1, Used: 1})
+	}
+	p.pools = []Pool{a, b}
+	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h0", "h3"}}}
+	return &p
+}
+
+func TestWaveReachesOtherPoolsBesideAnIdleHostOfAPoolThatLacksWorkers(t *testing.T) {
+	if !lackingPool().find(time.Minute, func(d Decision) bool { return d.Kind == Evacuate && d.Host == "h3" }) {
+		t.Error("the wave ended 55 s ago, and its host in another pool has not been reached")
+	}
+}
+
+func TestWaveTakesAnIdleHostThatItsPoolCannotUse(t *testing.T) {
+	if !lackingPool().find(time.Minute, func(d Decision) bool { return d.Kind == Maintain && d.Host == "h0" }) {
+		t.Error("the wave ended 55 s ago and has not taken an idle host that no task is about to use")
+	}
+}
