fleetplan: a wave is not complete because one host list lacks a host

Cause: a host that the latest list lacks counted as one that has left the estate. A host can fall between two pages of one list, which is why workers in use count as ended only after two lists without their host. Change: the planner counts the consecutive lists that lack a host of a wave; the same constant holds for hosts and workers. Why it works: Complete is final, so it now waits for a second list; a host that has left is missing in that one too.

--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -147,6 +147,10 @@
 	// orderTimeout is how long a host with an order is left alone if the host
 	// list does not confirm that the order was carried out.
 	orderTimeout = 8 * time.Second
+	// MinListsWithoutHost is the number of consecutive host lists without a host
+	// after which the host is taken to have left the estate. A host can fall
+	// between two pages of a single list.
+	MinListsWithoutHost = 2
 	// maxUnanswered bounds the orders in flight to what a fleet service that
 	// handles some hundred orders a second answers before the next few plans.
 	maxUnanswered = 60
@@ -182,6 +186,10 @@
 	shortfall     int
 	completed     map[int64]bool
 	waveFirstSeen map[int64]time.Duration
+	// absentLists counts, by host of a wave, the latest consecutive host lists
+	// without the host. countedList is when the last counted one was requested.
+	absentLists map[string]int
+	countedList time.Duration
 }
 
 // order is an order to the fleet service that the host list has not confirmed
@@ -207,6 +215,7 @@
 	p := &Planner{
 		migration: migration, demands: map[string]*demand{}, orders: map[string]order{}, maintenanceStarted: map[int64]map[string]bool{},
 		evacuating: map[string]string{}, evacuatingSince: map[string]time.Duration{}, undiscoveredSince: map[string]time.Duration{}, draining: map[string]string{}, completed: map[int64]bool{}, waveFirstSeen: map[int64]time.Duration{},
+		absentLists: map[string]int{},
 	}
 	p.forecast.surges = surges
 	maps.Copy(p.waveFirstSeen, waveFirstSeen)
@@ -369,6 +378,7 @@
 		}
 		v.confirmOrder(h)
 	}
+	v.countAbsences()
 	for _, o := range p.orders {
 		if o.answeredAt == 0 {
 			v.unanswered++
--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -32,6 +32,23 @@
 	}
 }
 
+// countAbsences counts the host lists that lack a host of a wave.
+func (v *view) countAbsences() {
+	if v.HostsAt == v.countedList || len(v.Hosts) == 0 {
+		return
+	}
+	v.countedList = v.HostsAt
+	absent := map[string]int{}
+	for _, w := range v.Waves {
+		for _, name := range w.Hosts {
+			if v.hosts[name] == nil {
+				absent[name] = v.absentLists[name] + 1
+			}
+		}
+	}
+	v.absentLists = absent
+}
+
 // maintainWave takes down idle hosts of a wave, up to the wave's MaxDown at a
 // time, and evacuates the next hosts. It adds the hosts that it evacuates to
 // selected.
@@ -49,11 +66,11 @@
 		} else if h != nil && h.State == estate.HostMaintenance {
 			down++
 		}
-		if v.maintenanceStarted[w.Number][name] || h == nil {
+		if v.maintenanceStarted[w.Number][name] || v.absentLists[name] >= MinListsWithoutHost {
 			continue // maintenance has started, or the host has left the estate
 		}
 		remaining++
-		if v.available(h) {
+		if h != nil && v.available(h) {
 			candidates = append(candidates, h)
 		}
 	}
--- a/internal/scheduler/workerhosts.go
+++ b/internal/scheduler/workerhosts.go
@@ -5,13 +5,9 @@
 	"time"
 
 	"github.com/egretpitch/egretpitch/internal/estate"
+	"github.com/egretpitch/egretpitch/internal/fleetplan"
 )
 
-// minListsWithoutHost is the number of consecutive host lists without a host
-// after which the host is taken to have left the estate. A host can fall
-// between two pages of a single list.
-const minListsWithoutHost = 2
-
 // WorkerHosts maps the ids of workers to the hosts on which this owner or a
 // previous one saw them.
 type WorkerHosts map[string]WorkerHost
@@ -51,7 +47,7 @@
 		case !ok:
 			w.missing++
 			m[id] = w
-			if w.missing >= minListsWithoutHost {
+			if w.missing >= fleetplan.MinListsWithoutHost {
 				left = append(left, id)
 			}
 		case h.Pool != w.Pool || noLongerOn(h, id):
