fleetplan: a host of a wave that gets no order takes no slot

Cause: a slot was counted for each candidate before it was known whether the host gets an order. Change: orders and evacuations count, candidates do not. Why it works: the bound on hosts that are down is kept by the orders; a host that is passed over is not down.

--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -87,11 +87,11 @@
 		if slots <= 0 || !v.mayOrder() {
 			return
 		}
-		slots--
 		if v.idle(h) && v.leftToPools(h, behindSchedule) {
 			continue
 		}
 		if v.idle(h) {
+			slots--
 			if v.mayLend(h) {
 				v.idleToMaintain--
 			}
@@ -99,6 +99,7 @@
 			continue
 		}
 		if v.mayEvacuate(h, selected, behindSchedule) {
+			slots--
 			selected[h.Name] = true
 			first := v.evacuating[h.Name] != h.WorkerID
 			if _, ok := v.evacuatingSince[h.Name]; !ok {
