fleetplan: an idle host that its pool's tasks cannot use is maintained

Cause: each idle host of a pool whose long-running tasks lack workers was left to that pool. Such tasks lack workers because they fit on none of the open ones: an idle worker that they can use is Needed, and not idle for the planner. What was held back in vain is a host that is too small for them or lacks their label. Change: only an emptied or draining host is left to its own pool, as its reservation is the reason why it is not Needed. TestLateWaveTakesNoIdleHostThatLongRunningTasksNeed went red with the change, as the fake fleet had pools lack workers beside an idle open worker that is not needed, which the engine never reports; the fake now marks idle open workers as needed first, as longRunningShortfall does, and the test asks for the same as before. Why it works: the next plan shows whether the released worker is needed.

--- a/internal/fleetplan/fleetplan_test.go
+++ b/internal/fleetplan/fleetplan_test.go
@@ -155,7 +155,13 @@
 		p := f.pools[name]
 		shortfall := p.spread
 		for _, w := range members[name] {
-			if w.Open {
+			if w.Open && w.LongRunningTasks > 0 {
+				shortfall--
+			}
+		}
+		for i := range members[name] {
+			if w := &members[name][i]; shortfall > 0 && w.Open && w.LongRunningTasks == 0 {
+				w.Needed = true
 				shortfall--
 			}
 		}
--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -112,14 +112,15 @@
 }
 
 // leftToPools reports whether an idle host is not taken down now, because a pool
-// that lacks workers can use it. A host that is idle because its worker was
-// evacuated is left only to the long-running tasks of its own pool: otherwise
-// tasks would have moved for nothing.
+// that lacks workers can use it. The long-running tasks of its own pool can use it
+// only if it is reserved: it would be needed otherwise. A host that is idle because
+// its worker was evacuated is left to no others: tasks would have moved for nothing.
 func (v *view) leftToPools(h *estate.Host, behindSchedule bool) bool {
+	evacuated := v.evacuating[h.Name] == h.WorkerID && h.WorkerID != ""
 	switch {
-	case v.lacking(h.Pool) > 0:
+	case v.lacking(h.Pool) > 0 && (evacuated || v.draining[h.Name] != ""):
 		return true
-	case v.evacuating[h.Name] == h.WorkerID && h.WorkerID != "":
+	case evacuated:
 		return false
 	case v.idleToMaintain <= 0 && v.mayLend(h):
 		return true
