fleetplan: evacuations that timed out take turns

Cause: the time of the first evacuation was kept until an order about the host, so all hosts that once took longer than 10 s had the same cost for good, and the first of them in the order of the wave kept the slot. Change: among hosts whose evacuation timed out the one that began longest ago comes first, and its time begins anew with its next turn. Hosts that were not tried yet still come before them, and hosts without a known worker last. Why it works: each host of the wave gets the slot for 10 s in turn.

--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -170,7 +170,7 @@
 	maintenanceStarted map[int64]map[string]bool
 	// evacuating maps hosts to the ids of their workers that are being
 	// evacuated. evacuatingSince maps hosts to the time of their first evacuation
-	// since their last order.
+	// since their last order, or since the last one that timed out.
 	evacuating      map[string]string
 	evacuatingSince map[string]time.Duration
 	// draining maps hosts to the ids of their workers that get no new tasks
--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -102,7 +103,7 @@
 			slots--
 			selected[h.Name] = true
 			first := v.evacuating[h.Name] != h.WorkerID
-			if _, ok := v.evacuatingSince[h.Name]; !ok {
+			if _, ok := v.evacuatingSince[h.Name]; !ok || (v.evacuating[h.Name] == "" && v.evacuationTimedOut(h)) {
 				v.evacuatingSince[h.Name] = v.Now
 			}
 			v.evacuating[h.Name] = h.WorkerID
@@ -175,10 +176,17 @@
 // from other hosts: its tasks may fit on no other worker.
 const evacuationTimeout = 10 * time.Second
 
+// evacuationTimedOut reports whether the last evacuation of a host did not end in
+// time.
+func (v *view) evacuationTimedOut(h *estate.Host) bool {
+	since, ok := v.evacuatingSince[h.Name]
+	return ok && v.Now-since >= evacuationTimeout
+}
+
 // maintenanceCost ranks the hosts of a wave by how much their maintenance costs
 // their pool, in the order: standby hosts, idle hosts, hosts that are being
 // evacuated, hosts with few long-running tasks in pools with a low load, hosts
-// whose evacuation does not end.
+// whose evacuation did not end in time, the longest ago first.
 func (v *view) maintenanceCost(h *estate.Host) float64 {
 	w := v.workers[h.WorkerID]
 	switch {
@@ -187,10 +195,9 @@
 	case v.idle(h):
 		return 0.5 + v.load(h.Pool)/10
 	case w == nil:
-		return 1000
-	}
-	if since, ok := v.evacuatingSince[h.Name]; ok && v.Now-since >= evacuationTimeout {
-		return 1000
+		return math.Inf(1)
+	case v.evacuationTimedOut(h):
+		return 1e6 + v.evacuatingSince[h.Name].Seconds()
 	}
 	if v.evacuating[h.Name] != "" {
 		return 1
