scheduler: failing test, tasks of a removed queue are started without their ticket

What callers would see: LOST. After a configuration has removed a queue with recommendation, its long-running tasks (and its waiting batch tasks) get no run any more: each start carries no ticket, and the worker refuses it. Cause: the engine looks the queue's recommendation up in the newest catalog (ticket.go, recommendation); for a removed queue it returns nil, which means that no ticket is needed. Accepted jobs outlive their queue. The refused start ends at once and asks for a pass, so that it is repeated with every decision.

--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -1,10 +1,12 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/fleetplan"
 )
 
@@ -108,3 +110,32 @@
 		t.Errorf("maintained 50 s after the end of the wave are %v, want %s among them; reserved are %v", got, last, s.planner.Reservations())
 	}
 }
+
+// removeQueue gives the owner a catalog without a queue.
+func (sim *simulation) removeQueue(owner *testOwner, name string) {
+	c := sim.catalog()
+	queues := slices.DeleteFunc(slices.Collect(maps.Values(c.Queues)), func(q *estate.Queue) bool { return q.Name == name })
+	sim.estateCatalog = estate.NewCatalog(c.Version+1, queues, slices.Collect(maps.Values(c.Pools)), c.Limits)
+	owner.SetCatalog(sim.estateCatalog)
+}
+
+func TestTaskOfARemovedQueueStillGetsItsTicket(t *testing.T) {
+	sim := newSimulation(t)
+	first := sim.addWorkerFor(nil, "w1", 2)
+	first.needsTicket = "t1"
+	owner := sim.newOwner()
+	job := longRunningJob(1, 1, 2)
+	job.Queue = "advised"
+	sim.submit(owner, job)
+	sim.run(time.Second, owner)
+	sim.addWorkerFor(owner, "w2", 8).needsTicket = "t2"
+	sim.run(time.Second, owner)
+	sim.removeQueue(owner, job.Queue)
+	ranAt := sim.now
+	sim.lose(first, owner, feedDelay)
+	owner.listsWithout(first.ID, hostListDelay)
+	sim.checkRestart(t, job, ranAt, ranAt, owner)
+	if got := owner.Stats().TicketsRefused; got > 0 {
+		t.Errorf("%d starts were refused for lack of a ticket, want none", got)
+	}
+}
