scheduler: failing test, jobs of a removed queue fail with their first failed run

What callers would see: LOST. A job that could be done is shown as failed, though fewer than max_attempts of its runs have failed. Cause: maxAttempts returns 1 for a queue that the newest catalog does not have (run.go). Priority, stretch and latency target are lost in the same way (rank.go), so such jobs count as late at once: Pools leaves their tasks out of Waiting. Evidence: MaxAttempts is 2, the queue is removed, one run fails, the job is failed.

--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/fleetplan"
+	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
 // Each owner is released before the wait for the worker that its predecessor never reached is over.
@@ -139,3 +141,20 @@
 		t.Errorf("%d starts were refused for lack of a ticket, want none", got)
 	}
 }
+
+func TestJobOfARemovedQueueKeepsItsAttempts(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorker("w1", "p", 2)
+	owner := sim.newOwner()
+	job := jobOf(1, 1, 1)
+	sim.submit(owner, job)
+	sim.run(100*time.Millisecond, owner)
+	sim.removeQueue(owner, job.Queue)
+	for _, r := range f.runs() {
+		f.end(r, platform.EndFailed, sim.now)
+	}
+	sim.run(2*time.Second, owner)
+	if state := sim.records[job.ID].progress.State; state != workload.Completed {
+		t.Errorf("the job is %v after one failed run, its queue permitted 2 when it was accepted", state)
+	}
+}
