scheduler: failing test, a refused host order keeps its worker closed

What callers would see: LOST. A long-running task that only one idle worker can take has no run as long as the fleet service refuses the order about its host (429, busy). Beside that, an order every 100 ms to a service that has refused it. Cause: Planner.Refused forgets the order, and the next plan decides it again before the engine has had a pass with the worker open: SetReservations says ordered each time, and ordered workers are no last resort. The shortfall, which would let the planner keep the worker, leaves out tasks that a mean worker cannot hold (furtherWorker): a label that less than half of the pool's workers have, or more than the mean capacity where workers are of unequal size.

--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -158,3 +158,23 @@
 		t.Errorf("the job is %v after one failed run, its queue permitted 2 when it was accepted", state)
 	}
 }
+
+// The order is refused as busy, and repeated with each plan.
+func TestTaskGetsTheLabelledWorkerWhoseHostOrderIsRefused(t *testing.T) {
+	s := newEstate(t, 1, map[string]int{"a": 4, "b": 2, "c": 2, "d": 2})
+	labelled := s.poolHosts("a")[3]
+	labelled.worker.Labels = []string{"gpu", "rack"}
+	s.advance(time.Second)
+	s.submitTasks("a", longRunningStep(2, 1, 1<<10, 0))
+	s.advance(3 * time.Second)
+	labelled.leaving = true
+	s.startWave([]string{labelled.name}, 10*time.Second, 1)
+	s.advance(10 * time.Second)
+	step := longRunningStep(1, 1, 1<<10, 0)
+	step.Requires = "gpu"
+	job := s.submitTasks("a", step)
+	s.advance(restartTime + outageBound)
+	if !s.hasRun(job) {
+		t.Errorf("the task has no run after %v, its worker is idle and %v", restartTime+outageBound, s.owner.workers[labelled.worker.ID].reservation)
+	}
+}
