scheduler: failing test, a worker that no ticket permits keeps a task from another

What callers would see: LOST. A long-running task has no run, though an emptying worker has the capacity and the policy of its queue permits the task there. Cause: placeStep asks for tickets of the last resort only if no usable worker has the capacity (place.go, ContainsFunc(open, s.fitsOn)), whether or not its ticket is to be had. requestTickets in evacuate.go decides the same way the other way round. The shortfall does not see it either: it lets the task have the usable worker (anyWorker; see TestWorkerThatNoTicketPermitsIsNotNeeded), so no host is asked for and an emptying worker is not reopened. "The workers that may run the step" do not change, so it lasts until the reservation ends. Evidence: no run for 20 s.

--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -178,3 +178,21 @@
 		t.Errorf("the task has no run after %v, its worker is idle and %v", restartTime+outageBound, s.owner.workers[labelled.worker.ID].reservation)
 	}
 }
+
+// A usable worker has the capacity, but no ticket permits the step there.
+func TestTaskStartsOnAnEmptyingWorkerIfNoTicketPermitsAnother(t *testing.T) {
+	sim := newSimulation(t)
+	emptying := sim.addWorkerFor(nil, "w1", 2)
+	emptying.needsTicket = "t1"
+	sim.addWorkerFor(nil, "w2", 2).needsTicket = "nobody"
+	owner := sim.newOwner()
+	sim.run(200*time.Millisecond, owner)
+	owner.SetReservations(map[string]fleetplan.Reservation{"w1": fleetplan.Emptying})
+	job := longRunningJob(1, 1, 2)
+	job.Queue = "advised"
+	sim.submit(owner, job)
+	sim.run(20*time.Second, owner)
+	if emptying.runsOf(job) != 1 {
+		t.Errorf("%d runs after 20 s on the only worker that the policy of the queue permits, want 1", emptying.runsOf(job))
+	}
+}
