scheduler: failing test, batch tasks wait beside a worker that cannot be emptied

What callers would see: a job that stays queued though a worker has capacity for it three times over and a tenth of the pool's processors are in use; after the end of the traffic that is LOST. Cause: since tasks are only evacuated if another worker can take them, an evacuation may not end. evacuationTimeout only lets other hosts of the wave go first; where none is left the worker stays reserved for good, and batch tasks have no last resort. Evidence: a pool of two workers without a spare host, tasks that spread over both: the job is queued a minute after it was accepted, 50 s after the end of the wave.

--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/fleetplan"
+	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
@@ -196,3 +197,22 @@
 		t.Errorf("%d runs after 20 s on the only worker that the policy of the queue permits, want 1", emptying.runsOf(job))
 	}
 }
+
+// The long-running tasks of the wave's host fit nowhere else, and no host is spare.
+func TestBatchTasksRunOnAWorkerThatCannotBeEmptied(t *testing.T) {
+	s := newEstate(t, 1, map[string]int{"a": 2, "b": 2, "c": 2, "d": 2})
+	s.advance(time.Second)
+	for _, pool := range simPools {
+		s.submitTasks(pool, longRunningStep(2, 1, 2<<10, 1))
+	}
+	s.submitTasks("a", longRunningStep(1, 1, 26<<10, 0))
+	s.advance(3 * time.Second)
+	host := s.workerOf("a", false)
+	s.startWave([]string{host.name}, 10*time.Second, 1)
+	s.advance(5 * time.Second)
+	job := s.submitTasks("a", workload.Step{Count: 1, Size: placement.Resources{Processors: 1, MemoryMB: 8 << 10}, Estimate: time.Second})
+	s.advance(time.Minute)
+	if state := s.records[job.ID].progress.State; state != workload.Completed {
+		t.Errorf("the job is %v after a minute, the worker with capacity for 3 such jobs is %v", state, s.owner.workers[host.worker.ID].reservation)
+	}
+}
