scheduler: failing tests, a draining worker keeps the task it took as last resort

What callers would see: a worker that gets no batch tasks, and a wave that does not end. Cause: workers that are emptied for other pools may now take long-running tasks as the last resort. drain never chooses a worker with long-running tasks, but nothing reopens or empties one that got some later: reopen needs a pool below its size, evacuations are for waves. So it stays reserved without end. Its task counts as one that needs a place (longRunningShortfall), so an idle worker of the pool is Needed for it, and therefore neither idle for a wave or another pool nor open to evacuation, though the task never moves. It also counts in lend = shortfall - len(draining), so that no other worker is drained for a pool that lacks one. The task needs another worker's place to become free between its start and the next plan, or an arriving host (Lacking = shortfall - arriving), or else the pool is grown by reopening the worker.

--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -216,3 +216,67 @@
 		t.Errorf("the job is %v after a minute, the worker with capacity for 3 such jobs is %v", state, s.owner.workers[host.worker.ID].reservation)
 	}
 }
+
+// drainingWorkerWithATask returns an estate in which a long-running task runs on a
+// worker that is emptied for another pool: when it was placed, it fitted on no other.
+func drainingWorkerWithATask(t *testing.T) *estateSimulation {
+	s := newEstate(t, 1, map[string]int{"a": 5, "b": 1, "c": 2, "d": 2})
+	batch := func(count, memoryMB int) *workload.Job {
+		return s.submitTasks("a", workload.Step{Count: count, MaxPerWorker: 1, Size: placement.Resources{Processors: 1, MemoryMB: memoryMB}, Estimate: 12 * time.Second})
+	}
+	s.advance(time.Second)
+	batch(5, 1<<10)
+	for _, pool := range []string{"c", "d"} {
+		s.submitTasks(pool, longRunningStep(2, 1, 1<<10, 1))
+	}
+	s.advance(500 * time.Millisecond)
+	s.submitTasks("b", longRunningStep(2, 1, 1<<10, 1))
+	s.advance(500 * time.Millisecond)
+	large := batch(3, 28<<10)
+	s.advance(500 * time.Millisecond)
+	s.submitTasks("a", longRunningStep(1, 1, 8<<10, 0))
+	s.run(50*time.Millisecond, s.owner)
+	for _, f := range sorted(s.workers) {
+		for _, r := range f.runs() {
+			if r.task.Job == large.ID && r.task.Index == 0 {
+				f.end(r, platform.EndDone, s.now) // before the next plan
+			}
+		}
+	}
+	s.run(20*time.Millisecond, s.owner)
+	s.advance(500 * time.Millisecond)
+	if got := s.reservedWithTasks(); len(got) != 1 {
+		t.Fatalf("reserved workers with long-running tasks are %v, want one", got)
+	}
+	return s
+}
+
+// reservedWithTasks returns the reserved workers that run long-running tasks.
+func (s *estateSimulation) reservedWithTasks() []string {
+	var list []string
+	for id := range s.planner.Reservations() {
+		if w := s.owner.workers[id]; w != nil && len(w.longRunning) > 0 {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+func TestDrainingWorkerWithALongRunningTaskIsReopenedOrEmptied(t *testing.T) {
+	s := drainingWorkerWithATask(t)
+	s.advance(40 * time.Second)
+	if got := s.reservedWithTasks(); len(got) > 0 {
+		t.Errorf("%v are closed to other tasks for 40 s, and their long-running tasks stay there", got)
+	}
+}
+
+func TestWaveTakesTheHostThatIsKeptForATaskOfADrainingWorker(t *testing.T) {
+	s := drainingWorkerWithATask(t)
+	s.advance(15 * time.Second)
+	hosts := slices.DeleteFunc(s.hostNames("a"), func(name string) bool { return slices.Contains(s.reservedWithTasks(), s.hosts[name].worker.ID) })
+	s.startWave(hosts, 10*time.Second, 1)
+	s.advance(time.Minute)
+	if got := s.planner.MaintenanceStarted(1); len(got) < len(hosts) {
+		t.Errorf("maintained 50 s after the end of the wave are %v of %v", got, hosts)
+	}
+}
