fleetplan: failing tests, a host whose orders are refused keeps others from theirs

What callers would see: long-running tasks without a run although a spare host is there; a wave that does not end. Some 10 calls a second that are refused. Cause: Refused forgets the order and nothing remembers the refusal, and the choice is the same with each plan: pick takes the first spare host, maintainWave the first idle one. A host refuses for long if it is about to leave (busy): one in a standby pool has no worker that would announce it, so it looks idle. A move also gets 400 for "a pool of other machines", for good, and 409 for a fence. Evidence: no other host is tried in a minute.

--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -197,3 +197,45 @@
 		}
 	}
 }
+
+// findRefusing is find if all orders about a host are refused and no others are answered.
+func (p *planned) findRefusing(d time.Duration, host string, wanted func(Decision) bool) bool {
+	planner := New(testMigration, nil, nil, nil)
+	for now := tick; now < d; now += tick {
+		for _, dec := range planner.Plan(State{Now: now, HostsAt: now, Hosts: p.hosts, Pools: p.pools, Waves: p.waves}) {
+			if wanted(dec) {
+				return true
+			}
+			if dec.Host == host && (dec.Kind == Move || dec.Kind == Maintain) {
+				planner.Refused(dec)
+			}
+		}
+	}
+	return false
+}
+
+func TestPoolGetsAnotherHostThanTheOneWhoseMoveIsRefused(t *testing.T) {
+	p, a, spare := planned{}, Pool{Name: "a", LongRunningShortfall: 1}, Pool{Name: "spare", Standby: true}
+	for range 2 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: testCores})
+	}
+	for range 2 {
+		p.addHost(&spare, Worker{})
+	}
+	p.pools = []Pool{a, spare}
+	if !p.findRefusing(time.Minute, "h2", func(d Decision) bool { return d.Kind == Move && d.Host == "h3" }) {
+		t.Error("the pool lacks a worker for a minute, and only the host whose move is refused was tried")
+	}
+}
+
+func TestWaveGoesOnBesideAHostWhoseMaintenanceIsRefused(t *testing.T) {
+	p, a := planned{}, Pool{Name: "a"}
+	for range 4 {
+		p.addHost(&a, Worker{Idle: true})
+	}
+	p.pools = []Pool{a}
+	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h0", "h1"}}}
+	if !p.findRefusing(time.Minute, "h0", func(d Decision) bool { return d.Kind == Maintain && d.Host == "h1" }) {
+		t.Error("only the host whose maintenance is refused was tried for a minute")
+	}
+}
