scheduler: failing test, a successor does not release a throttled filler

What callers would see: fillers that stay throttled, down to 0, for the rest of their runs after a change of the owner; a long-running one earns nothing any more. Cause: adopt sets throttledPercent to 100, but the percentage of a run is in no record and no answer of the worker. throttleFillers orders a change only if the percentage differs from the one it believes in, and 100 is its upper end. Beside that, stalled() leaves out throttled runs only, so a batch filler that stands at 0 counts as stalled: it is stopped, and its worker penalized for it.

--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -280,3 +280,32 @@
 		t.Errorf("maintained 50 s after the end of the wave are %v of %v", got, hosts)
 	}
 }
+
+// A successor adopts the filler, and the serving task is well below its target by then.
+func TestSuccessorReleasesAThrottledFiller(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorker("w1", "p", 8)
+	f.duration = forever
+	f.tailLatency = 200
+	owner := sim.newOwner()
+	job := jobOf(1, 1, 2)
+	job.Steps[0].LongRunning, job.Steps[0].TailTarget = true, 100*time.Millisecond
+	job.Steps = append(job.Steps, workload.Step{Count: 1, Size: placement.Resources{Processors: 8}, Filler: true, LongRunning: true, Estimate: time.Hour})
+	sim.submit(owner, job)
+	sim.run(10*time.Second, owner)
+	percent := func() int {
+		for _, r := range f.runs() {
+			if r.task.Step == 1 {
+				return r.throttlePercent
+			}
+		}
+		return -1
+	}
+	f.tailLatency = 20
+	before := percent()
+	owner = sim.newOwner()
+	sim.run(20*time.Second, owner)
+	if percent() < 100 {
+		t.Errorf("throttled to %d percent after 20 s under the successor, %d before", percent(), before)
+	}
+}
