--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -1,11 +1,16 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/fleetplan"
+	"github.com/egretpitch/egretpitch/internal/placement"
+	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
 // Each owner is released before the wait for the worker that its predecessor never reached is over.
@@ -108,3 +113,199 @@
 		t.Errorf("maintained 50 s after the end of the wave are %v, want %s among them; reserved are %v", got, last, s.planner.Reservations())
 	}
 }
+
+// removeQueue gives the owner a catalog without a queue.
+func (sim *simulation) removeQueue(owner *testOwner, name string) {
+	c := sim.catalog()
+	queues := slices.DeleteFunc(slices.Collect(maps.Values(c.Queues)), func(q *estate.Queue) bool { return q.Name == name })
+	sim.estateCatalog = estate.NewCatalog(c.Version+1, queues, slices.Collect(maps.Values(c.Pools)), c.Limits)
+	owner.SetCatalog(sim.estateCatalog)
+}
+
+func TestTaskOfARemovedQueueStillGetsItsTicket(t *testing.T) {
+	sim := newSimulation(t)
+	first := sim.addWorkerFor(nil, "w1", 2)
+	first.needsTicket = "t1"
+	owner := sim.newOwner()
+	job := longRunningJob(1, 1, 2)
+	job.Queue = "advised"
+	sim.submit(owner, job)
+	sim.run(time.Second, owner)
+	sim.addWorkerFor(owner, "w2", 8).needsTicket = "t2"
+	sim.run(time.Second, owner)
+	sim.removeQueue(owner, job.Queue)
+	ranAt := sim.now
+	sim.lose(first, owner, feedDelay)
+	owner.listsWithout(first.ID, hostListDelay)
+	sim.checkRestart(t, job, ranAt, ranAt, owner)
+	if got := owner.Stats().TicketsRefused; got > 0 {
+		t.Errorf("%d starts were refused for lack of a ticket, want none", got)
+	}
+}
+
+func TestJobOfARemovedQueueKeepsItsAttempts(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorker("w1", "p", 2)
+	owner := sim.newOwner()
+	job := jobOf(1, 1, 1)
+	sim.submit(owner, job)
+	sim.run(100*time.Millisecond, owner)
+	sim.removeQueue(owner, job.Queue)
+	for _, r := range f.runs() {
+		f.end(r, platform.EndFailed, sim.now)
+	}
+	sim.run(2*time.Second, owner)
+	if state := sim.records[job.ID].progress.State; state != workload.Completed {
+		t.Errorf("the job is %v after one failed run, its queue permitted 2 when it was accepted", state)
+	}
+}
+
+// The order is refused as busy, and repeated with each plan.
+func TestTaskGetsTheLabelledWorkerWhoseHostOrderIsRefused(t *testing.T) {
+	s := newEstate(t, 1, map[string]int{"a": 4, "b": 2, "c": 2, "d": 2})
+	labelled := s.poolHosts("a")[3]
+	labelled.worker.Labels = []string{"gpu", "rack"}
+	s.advance(time.Second)
+	s.submitTasks("a", longRunningStep(2, 1, 1<<10, 0))
+	s.advance(3 * time.Second)
+	labelled.leaving = true
+	s.startWave([]string{labelled.name}, 10*time.Second, 1)
+	s.advance(10 * time.Second)
+	step := longRunningStep(1, 1, 1<<10, 0)
+	step.Requires = "gpu"
+	job := s.submitTasks("a", step)
+	s.advance(restartTime + outageBound)
+	if !s.hasRun(job) {
+		t.Errorf("the task has no run after %v, its worker is idle and %v", restartTime+outageBound, s.owner.workers[labelled.worker.ID].reservation)
+	}
+}
+
+// A usable worker has the capacity, but no ticket permits the step there.
+func TestTaskStartsOnAnEmptyingWorkerIfNoTicketPermitsAnother(t *testing.T) {
+	sim := newSimulation(t)
+	emptying := sim.addWorkerFor(nil, "w1", 2)
+	emptying.needsTicket = "t1"
+	sim.addWorkerFor(nil, "w2", 2).needsTicket = "nobody"
+	owner := sim.newOwner()
+	sim.run(200*time.Millisecond, owner)
+	owner.SetReservations(map[string]fleetplan.Reservation{"w1": fleetplan.Emptying})
+	job := longRunningJob(1, 1, 2)
+	job.Queue = "advised"
+	sim.submit(owner, job)
+	sim.run(20*time.Second, owner)
+	if emptying.runsOf(job) != 1 {
+		t.Errorf("%d runs after 20 s on the only worker that the policy of the queue permits, want 1", emptying.runsOf(job))
+	}
+}
+
+// The long-running tasks of the wave's host fit nowhere else, and no host is spare.
+func TestBatchTasksRunOnAWorkerThatCannotBeEmptied(t *testing.T) {
+	s := newEstate(t, 1, map[string]int{"a": 2, "b": 2, "c": 2, "d": 2})
+	s.advance(time.Second)
+	for _, pool := range simPools {
+		s.submitTasks(pool, longRunningStep(2, 1, 2<<10, 1))
+	}
+	s.submitTasks("a", longRunningStep(1, 1, 26<<10, 0))
+	s.advance(3 * time.Second)
+	host := s.workerOf("a", false)
+	s.startWave([]string{host.name}, 10*time.Second, 1)
+	s.advance(5 * time.Second)
+	job := s.submitTasks("a", workload.Step{Count: 1, Size: placement.Resources{Processors: 1, MemoryMB: 8 << 10}, Estimate: time.Second})
+	s.advance(time.Minute)
+	if state := s.records[job.ID].progress.State; state != workload.Completed {
+		t.Errorf("the job is %v after a minute, the worker with capacity for 3 such jobs is %v", state, s.owner.workers[host.worker.ID].reservation)
+	}
+}
+
+// drainingWorkerWithATask returns an estate in which a long-running task runs on a
+// worker that is emptied for another pool: when it was placed, it fitted on no other.
+func drainingWorkerWithATask(t *testing.T) *estateSimulation {
+	s := newEstate(t, 1, map[string]int{"a": 5, "b": 1, "c": 2, "d": 2})
+	batch := func(count, memoryMB int) *workload.Job {
+		return s.submitTasks("a", workload.Step{Count: count, MaxPerWorker: 1, Size: placement.Resources{Processors: 1, MemoryMB: memoryMB}, Estimate: 12 * time.Second})
+	}
+	s.advance(time.Second)
+	batch(5, 1<<10)
+	for _, pool := range []string{"c", "d"} {
+		s.submitTasks(pool, longRunningStep(2, 1, 1<<10, 1))
+	}
+	s.advance(500 * time.Millisecond)
+	s.submitTasks("b", longRunningStep(2, 1, 1<<10, 1))
+	s.advance(500 * time.Millisecond)
+	large := batch(3, 28<<10)
+	s.advance(500 * time.Millisecond)
+	s.submitTasks("a", longRunningStep(1, 1, 8<<10, 0))
+	s.run(50*time.Millisecond, s.owner)
+	for _, f := range sorted(s.workers) {
+		for _, r := range f.runs() {
+			if r.task.Job == large.ID && r.task.Index == 0 {
+				f.end(r, platform.EndDone, s.now) // before the next plan
+			}
+		}
+	}
+	s.run(20*time.Millisecond, s.owner)
+	s.advance(500 * time.Millisecond)
+	if got := s.reservedWithTasks(); len(got) != 1 {
+		t.Fatalf("reserved workers with long-running tasks are %v, want one", got)
+	}
+	return s
+}
+
+// reservedWithTasks returns the reserved workers that run long-running tasks.
+func (s *estateSimulation) reservedWithTasks() []string {
+	var list []string
+	for id := range s.planner.Reservations() {
+		if w := s.owner.workers[id]; w != nil && len(w.longRunning) > 0 {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+func TestDrainingWorkerWithALongRunningTaskIsReopenedOrEmptied(t *testing.T) {
+	s := drainingWorkerWithATask(t)
+	s.advance(40 * time.Second)
+	if got := s.reservedWithTasks(); len(got) > 0 {
+		t.Errorf("%v are closed to other tasks for 40 s, and their long-running tasks stay there", got)
+	}
+}
+
+func TestWaveTakesTheHostThatIsKeptForATaskOfADrainingWorker(t *testing.T) {
+	s := drainingWorkerWithATask(t)
+	s.advance(15 * time.Second)
+	hosts := slices.DeleteFunc(s.hostNames("a"), func(name string) bool { return slices.Contains(s.reservedWithTasks(), s.hosts[name].worker.ID) })
+	s.startWave(hosts, 10*time.Second, 1)
+	s.advance(time.Minute)
+	if got := s.planner.MaintenanceStarted(1); len(got) < len(hosts) {
+		t.Errorf("maintained 50 s after the end of the wave are %v of %v", got, hosts)
+	}
+}
+
+// A successor adopts the filler, and the serving task is well below its target by then.
+func TestSuccessorReleasesAThrottledFiller(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorker("w1", "p", 8)
+	f.duration = forever
+	f.tailLatency = 200
+	owner := sim.newOwner()
+	job := jobOf(1, 1, 2)
+	job.Steps[0].LongRunning, job.Steps[0].TailTarget = true, 100*time.Millisecond
+	job.Steps = append(job.Steps, workload.Step{Count: 1, Size: placement.Resources{Processors: 8}, Filler: true, LongRunning: true, Estimate: time.Hour})
+	sim.submit(owner, job)
+	sim.run(10*time.Second, owner)
+	percent := func() int {
+		for _, r := range f.runs() {
+			if r.task.Step == 1 {
+				return r.throttlePercent
+			}
+		}
+		return -1
+	}
+	f.tailLatency = 20
+	before := percent()
+	owner = sim.newOwner()
+	sim.run(20*time.Second, owner)
+	if percent() < 100 {
+		t.Errorf("throttled to %d percent after 20 s under the successor, %d before", percent(), before)
+	}
+}
