fleetplan: a host whose order was refused gets no other one for a while

Cause: a refused order (busy, 429) was repeated by the next plan, 100 ms later. In between the worker was reserved as ordered, which closes it to all tasks, also as a last resort, and the host kept its slot of the wave or its place in the pool's need. Change: after a refusal the host gets no order for 200 ms, twice as long after each further one, at most 3.2 s; other hosts get theirs, and the worker is open unless it is being evacuated. Why it works: a pass comes every 100 ms while tasks wait, so a pause is long enough for a task to get the worker, which is then needed and gets no order.

--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -147,6 +147,11 @@
 	// orderTimeout is how long a host with an order is left alone if the host
 	// list does not confirm that the order was carried out.
 	orderTimeout = 8 * time.Second
+	// minRefusalPause is how long a host gets no other order after it, or the
+	// fleet service, refused one. It doubles with each refusal in a row, up to
+	// maxRefusalPause.
+	minRefusalPause = 200 * time.Millisecond
+	maxRefusalPause = 3200 * time.Millisecond
 	// MinListsWithoutHost is the number of consecutive host lists without a host
 	// after which the host is taken to have left the estate. A host can fall
 	// between two pages of a single list.
@@ -165,6 +170,7 @@
 	demands   map[string]*demand
 	forecast  forecast
 	orders    map[string]order
+	refusals  map[string]refusal
 	// maintenanceStarted holds, by wave number, the hosts whose maintenance has
 	// started.
 	maintenanceStarted map[int64]map[string]bool
@@ -206,6 +212,13 @@
 	wave       int64
 }
 
+// refusal is the last refusal of an order about a host.
+type refusal struct {
+	// until is when the host may get another order, pause for how long it got
+	// none.
+	until, pause time.Duration
+}
+
 // New returns a planner that continues the work of previous owners:
 // maintenanceStarted holds, by wave, the hosts whose maintenance they started,
 // surges the surges that they observed, and waveFirstSeen the time at which
@@ -213,7 +226,7 @@
 // it moves between pools.
 func New(migration time.Duration, maintenanceStarted map[int64][]string, surges []Surge, waveFirstSeen map[int64]time.Duration) *Planner {
 	p := &Planner{
-		migration: migration, demands: map[string]*demand{}, orders: map[string]order{}, maintenanceStarted: map[int64]map[string]bool{},
+		migration: migration, demands: map[string]*demand{}, orders: map[string]order{}, refusals: map[string]refusal{}, maintenanceStarted: map[int64]map[string]bool{},
 		evacuating: map[string]string{}, evacuatingSince: map[string]time.Duration{}, undiscoveredSince: map[string]time.Duration{}, draining: map[string]string{}, completed: map[int64]bool{}, waveFirstSeen: map[int64]time.Duration{},
 		absentLists: map[string]int{},
 	}
@@ -297,6 +310,7 @@
 	o.answeredAt = now
 	o.worker = ""
 	p.orders[d.Host] = o
+	delete(p.refusals, d.Host)
 	delete(p.evacuating, d.Host)
 	delete(p.evacuatingSince, d.Host)
 	delete(p.draining, d.Host)
@@ -306,8 +320,13 @@
 }
 
 // Refused records that an order was not carried out. Its host may get another
-// order.
-func (p *Planner) Refused(d Decision) { delete(p.orders, d.Host) }
+// order after a pause, in which its worker is open to tasks and other hosts get
+// orders.
+func (p *Planner) Refused(d Decision) {
+	pause := min(max(2*p.refusals[d.Host].pause, minRefusalPause), maxRefusalPause)
+	p.refusals[d.Host] = refusal{until: p.orders[d.Host].orderedAt + pause, pause: pause}
+	delete(p.orders, d.Host)
+}
 
 // OutcomeUnknown records that an order got no answer and may have been carried
 // out. Its host gets no other order until a later host list shows it up or
@@ -407,8 +426,10 @@
 	return 2*up > len(v.Hosts)
 }
 
-// expireOrders drops the orders that orderTimeout has passed.
+// expireOrders drops the orders that orderTimeout has passed, and the refusals
+// that no other one followed.
 func (p *Planner) expireOrders(now time.Duration) {
+	maps.DeleteFunc(p.refusals, func(_ string, r refusal) bool { return now > r.until+maxRefusalPause })
 	for host, o := range p.orders {
 		if now-o.orderedAt > orderTimeout {
 			p.dropOrder(host)
@@ -441,6 +462,9 @@
 	return !ordered && h.State == estate.HostUp
 }
 
+// refused reports whether a host gets no order because of a refusal.
+func (v *view) refused(h *estate.Host) bool { return v.Now < v.refusals[h.Name].until }
+
 // standby reports whether a host is in a standby pool.
 func (v *view) standby(h *estate.Host) bool {
 	pool := v.pools[h.Pool]
--- a/internal/fleetplan/move.go
+++ b/internal/fleetplan/move.go
@@ -301,7 +301,7 @@
 	var spare []spareHost
 	for i := range v.Hosts {
 		h := &v.Hosts[i]
-		if !v.available(h) || !v.idle(h) || v.evacuating[h.Name] != "" {
+		if !v.available(h) || v.refused(h) || !v.idle(h) || v.evacuating[h.Name] != "" {
 			continue
 		}
 		if v.standby(h) {
--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -88,6 +88,12 @@
 		if slots <= 0 || !v.mayOrder() {
 			return
 		}
+		if v.idle(h) && v.refused(h) {
+			if v.evacuating[h.Name] != "" {
+				selected[h.Name] = true // its worker stays empty
+			}
+			continue
+		}
 		if v.idle(h) && v.leftToPools(h, behindSchedule) {
 			continue
 		}
