fleetplan: a host that one list lacks may still be down

Cause: hosts that are down for a wave were counted from the latest list alone, and a host can fall between two pages of it. Only the owner that gave the order remembers it, until a list confirms it.

--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -62,9 +62,7 @@
 	remaining := 0
 	for _, name := range w.Hosts {
 		h := v.hosts[name]
-		if o, ok := v.orders[name]; ok && o.kind == Maintain && o.wave == w.Number {
-			down++
-		} else if h != nil && h.State == estate.HostMaintenance {
+		if v.mayBeDown(name, w.Number) {
 			down++
 		}
 		if v.maintenanceStarted[w.Number][name] || v.absentLists[name] >= MinListsWithoutHost {
@@ -118,6 +116,18 @@
 	}
 }
 
+// mayBeDown reports whether a host of a wave is in maintenance, or may be. One that
+// a single list lacks may be if its maintenance has started.
+func (v *view) mayBeDown(name string, wave int64) bool {
+	if o, ok := v.orders[name]; ok && o.kind == Maintain && o.wave == wave {
+		return true
+	}
+	if h := v.hosts[name]; h != nil {
+		return h.State == estate.HostMaintenance
+	}
+	return v.maintenanceStarted[wave][name] && v.absentLists[name] < MinListsWithoutHost
+}
+
 // leftToPools reports whether an idle host is not taken down now, because a pool
 // that lacks workers can use it. The long-running tasks of its own pool can use it
 // only if it is reserved: it would be needed otherwise. A host that is idle because
