scheduler, node: jobs of a removed queue keep its settings

What callers could see: LOST. Cause: the settings were looked up in the current configuration at each decision; a queue that it lacks had one attempt and no recommendation. Change: a job keeps the latest settings of its queue that its owner has seen. They are stored with the job when it is accepted, for owners that know only later configurations; rows of earlier releases lack them and are handled as before. Why it works: an accepted job is owed what its queue promised at acceptance; a queue that is still there is looked up as before.

--- a/internal/node/jobsapi.go
+++ b/internal/node/jobsapi.go
@@ -125,7 +125,7 @@
 			return nil, errors.Errorf("job %s: team, pool, sizes and deadline are for jobs of a single command; give queue and steps", s.ID)
 		}
 		j := jobOf(s, queue.Pool)
-		j.AcceptedMS = now
+		j.AcceptedMS, j.Terms = now, queue
 		if err := j.Check(); err != nil {
 			return nil, errors.Wrapf(err, "job %s", s.ID)
 		}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -87,6 +88,22 @@
 	}
 }
 
+func TestStoredJobKeepsTheTermsOfItsQueue(t *testing.T) {
+	n, rows, e := testNode(t)
+	request(e, http.MethodPost, "/q/"+testID, testBody)
+	stored, _, err := rows.ReadRows(context.Background(), jobTable, jobRow(jobTable, testID, "").Part, "", "")
+	if err != nil || len(stored) != 1 {
+		t.Fatalf("rows %v, error %v, want the row of the job", stored, err)
+	}
+	job, err := workload.DecodeJob(stored[0].Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(n.catalog.Load().Queues["q"], job.Terms); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // TestLostAnswerIsNotTakenForARefusal loses the store's answer to a transaction
 // that was applied. The caller must be answered that the job is stored.
 func TestLostAnswerIsNotTakenForARefusal(t *testing.T) {
--- a/internal/node/queueapi.go
+++ b/internal/node/queueapi.go
@@ -179,7 +179,7 @@
 	if err != nil {
 		return response{status: http.StatusBadRequest, reason: err.Error()}
 	}
-	job.AcceptedMS = h.node.Clock.StoreMS(h.node.Clock.Now())
+	job.AcceptedMS, job.Terms = h.node.Clock.StoreMS(h.node.Clock.Now()), r.queue
 	switch h.node.acceptor.submit(r.Request().Context(), job, r.deadline) {
 	case submitStored:
 		return response{status: http.StatusOK, body: h.codec.EncodeState(workload.Queued), reason: "stored"}
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -57,7 +57,7 @@
 func (e *Engine) lateCores(w *worker, now time.Duration) float64 {
 	sum := 0.0
 	for _, r := range w.runs {
-		if s := r.task.step; !s.LongRunning && r.finishAge(now) > e.objective(s.job) {
+		if s := r.task.step; !s.LongRunning && r.finishAge(now) > s.job.objective() {
 			sum += s.Requests().Processors
 		}
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/event"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
@@ -22,6 +23,9 @@
 	// inherited is set if a previous owner may have started runs of the job.
 	inherited bool
 	cancelled bool
+	// queue holds the latest known settings of the job's queue, nil if none are
+	// known.
+	queue *estate.Queue
 	// started is set once a worker has confirmed, listed or ended a run, also
 	// under a previous owner.
 	started bool
@@ -176,9 +180,10 @@
 	e.knownJobs[spec.ID] = struct{}{}
 	j := &job{
 		Job: spec, progress: *progress, version: version, accepted: accepted, inherited: inherited,
-		started: progress.State != workload.Queued, occurrences: map[int]*occurrence{},
+		started: progress.State != workload.Queued, occurrences: map[int]*occurrence{}, queue: spec.Terms,
 	}
 	e.jobs[spec.ID] = j
+	e.updateQueue(j)
 	p := e.pool(spec.Pool)
 	p.observeJob(spec)
 	if spec.Schedule == nil {
@@ -189,6 +194,17 @@
 	p.needsPass = true
 }
 
+// updateQueue applies the current settings of the job's queue. A job of a queue
+// that the configuration has no more keeps the last ones.
+func (e *Engine) updateQueue(j *job) {
+	if e.catalog == nil {
+		return
+	}
+	if q := e.catalog.Queues[j.Queue]; q != nil {
+		j.queue = q
+	}
+}
+
 // observeJob adds a job to the statistics of its pool and queue.
 func (p *pool) observeJob(spec *workload.Job) {
 	const memory = 50 // jobs over which the mean is taken
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -64,8 +64,8 @@
 func (e *Engine) rank(s *step, now time.Duration) rank {
 	j := s.job
 	r := rank{longRunning: s.LongRunning, accepted: s.occ.releaseTime(j)}
-	if q := e.catalog.Queues[j.Queue]; q != nil {
-		r.priority = q.Priority
+	if j.queue != nil {
+		r.priority = j.queue.Priority
 	}
 	r.timeliness = e.timeliness(j, s.occ, now)
 	r.value = e.weight(j) / max(s.occ.workLeft(), minWork)
@@ -85,8 +85,8 @@
 }
 
 // objective returns the age at which the job should be complete.
-func (e *Engine) objective(j *job) time.Duration {
-	q := e.catalog.Queues[j.Queue]
+func (j *job) objective() time.Duration {
+	q := j.queue
 	if q == nil {
 		return j.criticalPath
 	}
@@ -96,7 +96,7 @@
 // timeliness returns the class of an occurrence by its expected end.
 func (e *Engine) timeliness(j *job, o *occurrence, now time.Duration) timeliness {
 	finish := now - o.releaseTime(j) + o.criticalPathLeft()
-	objective := e.objective(j)
+	objective := j.objective()
 	switch {
 	case finish <= objective:
 		return onTime
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -369,16 +369,16 @@
 	t.failedAt(w)
 	e.penalize(w, t, now)
 	e.markDirty(j, true, now)
-	if t.failures >= e.maxAttempts(j) {
+	if t.failures >= j.maxAttempts() {
 		e.endJob(j, workload.Failed, now)
 	}
 }
 
 // maxAttempts returns the number of failed runs of one task after which the job
 // fails.
-func (e *Engine) maxAttempts(j *job) int {
-	if q := e.catalog.Queues[j.Queue]; q != nil && q.MaxAttempts > 0 {
-		return q.MaxAttempts
+func (j *job) maxAttempts() int {
+	if j.queue != nil && j.queue.MaxAttempts > 0 {
+		return j.queue.MaxAttempts
 	}
 	return 1
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -234,6 +234,9 @@
 		return
 	}
 	e.catalog = c
+	for _, j := range e.jobs {
+		e.updateQueue(j)
+	}
 	for _, p := range e.pools {
 		p.needsPass = true
 	}
--- a/internal/scheduler/ticket.go
+++ b/internal/scheduler/ticket.go
@@ -35,7 +35,7 @@
 // recommendation returns the recommendation settings of a step's queue, nil if
 // the step needs no tickets.
 func (e *Engine) recommendation(s *step) *estate.Recommendation {
-	if q := e.catalog.Queues[s.job.Queue]; q != nil {
+	if q := s.job.queue; q != nil {
 		return q.Recommendation
 	}
 	return nil
--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -160,6 +160,26 @@
 	}
 }
 
+func TestSuccessorKeepsTheAttemptsOfARemovedQueue(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorker("w1", "p", 2)
+	owner := sim.newOwner()
+	job := jobOf(1, 1, 1)
+	job.Terms = sim.catalog().Queues[job.Queue]
+	sim.submit(owner, job)
+	sim.removeQueue(owner, job.Queue)
+	sim.run(100*time.Millisecond, owner)
+	owner = sim.newOwner()
+	sim.run(100*time.Millisecond, owner)
+	for _, r := range f.runs() {
+		f.end(r, platform.EndFailed, sim.now)
+	}
+	sim.run(2*time.Second, owner)
+	if state := sim.records[job.ID].progress.State; state != workload.Completed {
+		t.Errorf("the job is %v after one failed run, its queue permitted 2 when it was accepted", state)
+	}
+}
+
 // The order is refused as busy, and repeated with each plan.
 func TestTaskGetsTheLabelledWorkerWhoseHostOrderIsRefused(t *testing.T) {
 	s := newEstate(t, 1, map[string]int{"a": 4, "b": 2, "c": 2, "d": 2})
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/placement"
 )
 
@@ -20,7 +21,10 @@
 	// Pool is the pool that served the queue when the job was accepted. It runs
 	// the job to its end, even if the queue is assigned to another pool in the
 	// meantime.
-	Pool  string
+	Pool string
+	// Terms are the settings of the queue when the job was accepted. They hold
+	// once a configuration has no such queue. Nil in rows of old releases.
+	Terms *estate.Queue `json:",omitempty"`
 	Spec  string
 	Steps []Step
 	// Schedule is nil for a job that runs once and starts immediately.
