scheduler: answers, not start times, tell which incarnation is the latest

A worker that crashed and came back under its id with an earlier start time was lost to the engine: every answer and entry of it was ignored as that of an older incarnation, and its task had no run for good (40 s watched).

Cause: two incarnations were ordered by their start times, which are readings of the time of day of the worker's host. That clock can be set back.

An incarnation answers only while it lives, and the incarnation that the engine knows had started before the poll was sent. So the answer of another one to a poll that was sent to the known one is that of a successor, whatever the start times. Entries arrive in any order with answers. One of another incarnation replaces a worker at once only if nothing can be lost by it (no answer yet, or no runs), or if an entry of the known incarnation was read before and the start time is later; else the worker is probed, and the answer decides. Entries with later start times could end a live incarnation before (a late entry from before the clock was set back); that would run tasks twice now that start times may go back, so it is excluded in the same change.

Equal start times of two incarnations, to the millisecond, remain unseen.

--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -55,6 +55,13 @@
 	rapid.Check(t, func(t *rapid.T) { playHistory(t, faultClasses{ordersOutlive: true}).judge(t) })
 }
 
+// Start times do not tell which of two incarnations is the later one.
+func TestNoTaskRunsTwiceWhenClocksStep(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		playHistory(t, faultClasses{clocksStep: true, ownersStarve: rapid.Bool().Draw(t, "owners starve"), answersOvertake: rapid.Bool().Draw(t, "answers overtake")}).judge(t)
+	})
+}
+
 // A lease that is renewed late counts from the arrival of the poll.
 func TestNoTaskRunsTwiceWhenALeaseOutlastsItsDeadline(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) { playHistory(t, faultClasses{leaseFromArrival: true}).judge(t) })
@@ -97,12 +104,15 @@
 	// service and lists them again. Owners replace the record of the workers in
 	// use, instead of adding to it.
 	entriesVanish bool
+	// clocksStep sets the clocks of hosts forward or back before their workers
+	// restart, and lets entries reach the owner up to 2 s late.
+	clocksStep bool
 	// longTasks adds only what each of the classes adds.
 	longTasks bool
 }
 
 var everyFault = faultClasses{
-	ordersOutlive: true, leaseFromArrival: true, poolsChange: true, ownersStarve: true, answersOvertake: true, entriesVanish: true,
+	ordersOutlive: true, leaseFromArrival: true, poolsChange: true, ownersStarve: true, answersOvertake: true, entriesVanish: true, clocksStep: true,
 }
 
 func (c faultClasses) wide() bool { return c != faultClasses{} }
@@ -207,6 +217,9 @@
 	if classes.entriesVanish {
 		actions = append(actions, 8, 8, 15, 15, 15, 15)
 	}
+	if classes.clocksStep {
+		actions = append(actions, 16, 16, 16, 16)
+	}
 	steps := draw(5, 40, "steps")
 	for range steps {
 		host := draw(0, len(ids)-1, "worker")
@@ -283,8 +296,22 @@
 				f.restart(sim.now)
 				sim.tracef("%s restarts", f.ID)
 			}
+		case 16:
+			f.crash()
+			// No request is under way any more; ordersOutlive is for those that are.
+			sim.after(450*time.Millisecond, func() {
+				if !f.up && !f.removed {
+					f.clockStep = time.Duration(draw(-60_000, 60_000, "clock step ms")) * time.Millisecond
+					f.restart(sim.now)
+					sim.tracef("%s restarts, its clock is %v fast", f.ID, f.clockStep)
+				}
+			})
 		}
-		if !classes.entriesVanish || !sim.storeDown {
+		switch {
+		case classes.entriesVanish && sim.storeDown:
+		case classes.clocksStep:
+			current.discoverLate(time.Duration(draw(0, 2000, "entries late ms")) * time.Millisecond)
+		default:
 			current.discover()
 		}
 		sim.run(time.Duration(draw(5, 900, "pause"))*time.Millisecond, owners...)
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -47,6 +47,8 @@
 			if w.inherited || w.occupied() || (w.listed && !w.Draining && !e.standby(w.Pool)) {
 				e.poll(w, true, now)
 			}
+		case w.otherEntry != nil:
+			e.poll(w, true, now)
 		case sweep && w.needsProbe(now):
 			e.poll(w, true, now)
 		case w.polling:
@@ -211,12 +213,13 @@
 		return
 	}
 	if w.otherIncarnation(status.StartedMS) {
-		if status.StartedMS > w.StartedMS {
-			e.replaceIncarnation(w, status.StartedMS, now)
-		}
+		e.answeredByOther(w, o, status.StartedMS, now)
 		return
 	}
 	w.answeredSentAt = max(w.answeredSentAt, o.sentAt)
+	if w.otherEntry != nil && o.sentAt > w.otherEntryAt {
+		w.otherEntry = nil // it was of a previous incarnation
+	}
 	e.answeredAt = now
 	overtaken := status.ClockMS > 0 && status.ClockMS < w.clockMS // a later answer was handled before
 	if !overtaken {
@@ -237,6 +240,19 @@
 	}
 }
 
+// answeredByOther handles an answer of another incarnation than the known one. A
+// worker answers only while it lives, and the known incarnation had started before
+// the poll was sent: the other one is its successor, whatever their start times.
+func (e *Engine) answeredByOther(w *worker, o *PollOrder, startedMS int64, now time.Duration) {
+	if o.Worker.StartedMS != w.StartedMS {
+		return // the known incarnation may have started since
+	}
+	e.replaceIncarnation(w, startedMS, now)
+	if entry := w.otherEntry; entry != nil && entry.StartedMS == startedMS {
+		e.WorkerListed(*entry, now)
+	}
+}
+
 // recordContact records an answer of the worker with its clock in milliseconds,
 // 0 if the answer has none.
 func (w *worker) recordContact(clockMS int64, now time.Duration, e *Engine) {
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
@@ -481,6 +482,75 @@
 	sim.checkRestart(t, job, ranAt, ranAt, owner)
 }
 
+// setBack restarts a worker with a start time an hour before that of the previous
+// incarnation, which it returns.
+func (f *fakeWorker) setBack(now time.Duration) estate.Worker {
+	previous := f.Worker
+	f.crash()
+	f.clockStep -= time.Hour
+	f.restart(now)
+	return previous
+}
+
+func TestEntryWithAnEarlierStartTimeIsCheckedAtOnce(t *testing.T) {
+	for _, tasks := range []int{0, 1} {
+		sim := newSimulation(t)
+		f := sim.addWorkerFor(nil, "w1", 8)
+		owner := sim.newOwner()
+		if tasks > 0 {
+			sim.submit(owner, longRunningJob(1, tasks, 2))
+		}
+		sim.run(2*time.Second, owner)
+		f.setBack(sim.now)
+		owner.discover()
+		sim.run(100*time.Millisecond, owner)
+		if w := owner.workers["w1"]; w.StartedMS != f.StartedMS || !w.usable(sim.now) || len(w.runs) != tasks {
+			t.Errorf("%d tasks: incarnation %d with %d runs, usable %t; want %d with all runs", tasks, w.StartedMS, len(w.runs), w.usable(sim.now), f.StartedMS)
+		}
+		sim.check()
+	}
+}
+
+func TestWorkerThatRestartsAtAnotherAddressServesAgain(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorkerFor(nil, "w1", 8)
+	sim.addWorker("w2", "p", 1)
+	owner := sim.newOwner()
+	job := longRunningJob(1, 1, 2)
+	sim.submit(owner, job)
+	sim.run(2*time.Second, owner)
+	sim.heartbeats(owner)
+	f.setBack(sim.now)
+	f.Address = "w1:2"
+	sim.injectFault = func(o Order) orderFault {
+		p, ok := o.(*PollOrder)
+		return orderFault{lost: ok && p.Worker.ID == f.ID && p.Worker.Address != f.Address}
+	}
+	sim.checkRestart(t, job, sim.now, sim.now, owner)
+}
+
+func TestLateEntryOfThePreviousIncarnationEndsNoRun(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorkerFor(nil, "w1", 8)
+	owner := sim.newOwner()
+	job := longRunningJob(1, 1, 2)
+	sim.submit(owner, job)
+	sim.run(2*time.Second, owner)
+	previous := f.setBack(sim.now)
+	sim.run(2*time.Second, owner)
+	if !sim.hasRun(job) {
+		t.Fatal("the task has no run on the next incarnation")
+	}
+	owner.WorkerListed(sim.addWorker("w2", "p", 8).Worker, sim.now)
+	before := owner.Stats()
+	owner.WorkerListed(previous, sim.now)
+	sim.run(2*time.Second, owner)
+	sim.check()
+	if s := owner.Stats(); s.LostRuns != before.LostRuns || s.Starts != before.Starts {
+		t.Errorf("%d runs given up and %d starts after the late entry, want none", s.LostRuns-before.LostRuns, s.Starts-before.Starts)
+	}
+}
+
 // In half of the histories no host list shows that a host is lost; one host is then
 // lost at most, no order is and no owner changes.
 func TestLongRunningTasksRestartAfterAnyDisruption(t *testing.T) {
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -114,6 +114,8 @@
 	unlisted, removed bool
 	// startedAt is when this incarnation started; its clock counts from there.
 	startedAt time.Duration
+	// clockStep is how far the clock that gives start times was set forward.
+	clockStep time.Duration
 	token     int64
 	leaseMS   int64
 	running   map[runKey]*fakeRun
@@ -186,7 +188,7 @@
 // restart starts a new incarnation under the same id.
 func (f *fakeWorker) restart(now time.Duration) {
 	f.incarnation++
-	f.StartedMS = now.Milliseconds() + 1
+	f.StartedMS = (now + f.clockStep).Milliseconds() + 1
 	f.startedAt = now
 	f.token, f.leaseMS, f.lastEnd = 0, 0, 0
 	f.running, f.ended, f.highestRun = map[runKey]*fakeRun{}, nil, map[workload.TaskID]int{}
@@ -440,6 +442,8 @@
 	// is set while it does so.
 	recordedAt time.Duration
 	recording  bool
+	// entriesReadAt is when the owner last read late entries.
+	entriesReadAt time.Duration
 	// expired owners cannot reach the table service.
 	expired bool
 }
@@ -519,6 +523,25 @@
 	owner.recordAtOnce()
 }
 
+// discoverLate is discover with entries that reach the owner late, in the order in
+// which they were written.
+func (owner *testOwner) discoverLate(late time.Duration) {
+	sim := owner.sim
+	var entries []estate.Worker
+	for _, f := range sorted(sim.workers) {
+		if f.up && f.reachable && !f.unlisted {
+			entries = append(entries, f.Worker)
+		}
+	}
+	owner.entriesReadAt = max(owner.entriesReadAt, sim.now+late)
+	sim.after(owner.entriesReadAt-sim.now, func() {
+		for _, entry := range entries {
+			owner.WorkerListed(entry, sim.now)
+		}
+		owner.recordAtOnce()
+	})
+}
+
 // recordAtOnce adds the workers in use to the record, unless it is replaced at
 // intervals.
 func (owner *testOwner) recordAtOnce() {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -25,6 +25,12 @@
 	token int64
 	// listed is set while discovery has an entry of the worker.
 	listed bool
+	// ownEntry is set once an entry of this incarnation was read. otherEntry is
+	// the latest entry if it is of another incarnation and may be older: the
+	// answer to a poll that is sent after otherEntryAt decides.
+	ownEntry     bool
+	otherEntry   *estate.Worker
+	otherEntryAt time.Duration
 	// fenced is set once the worker has answered a poll with this owner's
 	// token, so that it refuses the orders of every previous owner.
 	fenced bool
@@ -68,7 +74,8 @@
 	lastContact      time.Duration
 	// silentSince is when the first of the failed polls failed.
 	silentSince time.Duration
-	// answeredSentAt is when the latest answered poll was sent. silentAt is when
+	// answeredSentAt is when the latest answered poll was sent, 0 if none was
+	// answered. silentAt is when
 	// the first poll failed that was sent after the worker's lease, 0 if none
 	// did since its last answer.
 	answeredSentAt, silentAt time.Duration
@@ -107,8 +114,9 @@
 func (e *Engine) WorkerListed(entry estate.Worker, now time.Duration) {
 	w := e.workers[entry.ID]
 	if w != nil && w.otherIncarnation(entry.StartedMS) {
-		if entry.StartedMS < w.StartedMS {
-			return // an entry of an incarnation that has ended
+		if w.mayOutlive(entry) {
+			w.otherEntry, w.otherEntryAt = &entry, now
+			return
 		}
 		w = e.replaceIncarnation(w, entry.StartedMS, now)
 	}
@@ -132,6 +140,16 @@
 		w.leavesAt = now + entry.Remaining
 	}
 	w.Worker = entry
+	w.ownEntry, w.otherEntry = true, nil
+}
+
+// mayOutlive reports whether the worker has something to lose and may still live,
+// though the latest entry is of another incarnation: that may be a previous one,
+// as entries and answers arrive in any order. Start times alone do not tell, since
+// clocks are set back.
+func (w *worker) mayOutlive(entry estate.Worker) bool {
+	later := w.ownEntry && entry.StartedMS > w.StartedMS
+	return !later && w.answeredSentAt > 0 && w.occupied()
 }
 
 // otherIncarnation reports whether startedMS belongs to another incarnation of
@@ -171,7 +189,11 @@
 // WorkerUnlisted handles the removal of a worker's discovery entry. Its runs
 // are given up only when its lease has expired.
 func (e *Engine) WorkerUnlisted(id string, now time.Duration) {
-	if w := e.workers[id]; w != nil && w.listed {
+	w := e.workers[id]
+	if w != nil {
+		w.otherEntry = nil
+	}
+	if w != nil && w.listed {
 		w.listed = false
 		w.pool.needsPass = true
 		event.WorkerUnlisted.Log(e.opts.Log, zap.String("worker", id), zap.String("pool", w.Pool), zap.Int("runs", len(w.runs)))
