fleetplan: failing test, idle workers are closed in turn while orders get no answer

What callers would see: LOST. A long-running task has no run beside two idle workers of its pool, as long as the fleet service leaves orders about their hosts unanswered and undone (its lists arrive). Cause: an ordered worker is closed, also as last resort. The task counts as a shortfall of 1, which would make the planner leave the host to the pool (leftToPools) once a list has dropped the order. But hosts with an order count as arriving, and Lacking = shortfall - arriving: at the plan in which the order about one host is dropped, the other host's order stands, nothing is lacking, and the first host is ordered again. Evidence: neither worker is open at any plan within 56 s. A maintenance that gets no answer brings nobody a worker; with one idle host, or both ordered in the same plan, the worker is opened.

--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -239,3 +239,46 @@
 		t.Error("only the host whose maintenance is refused was tried for a minute")
 	}
 }
+
+// The fleet service answers no order, and the orders about the two idle hosts are not given at the same time.
+func TestIdleWorkerIsReopenedForALongRunningTaskWhileOrdersGetNoAnswer(t *testing.T) {
+	p, a := planned{}, Pool{Name: "a"}
+	for range 4 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: testCores})
+	}
+	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 2, Hosts: []string{"h0", "h1"}}}
+	planner := New(testMigration, nil, nil, nil)
+	idleFrom := []time.Duration{0, 700 * time.Millisecond}
+	const shortFrom = 4 * time.Second
+	unanswered := map[time.Duration][]Decision{}
+	var hostsAt time.Duration
+	for now := tick; now < time.Minute; now += tick {
+		for _, dec := range unanswered[now] {
+			planner.OutcomeUnknown(dec, now)
+		}
+		if now%(5*tick) == 0 {
+			hostsAt = now
+		}
+		reserved := planner.Reservations()
+		a.LongRunningShortfall = 0
+		if now >= shortFrom {
+			a.LongRunningShortfall = 1
+		}
+		for i, from := range idleFrom {
+			w := &a.Workers[i]
+			if now >= from {
+				w.LongRunningTasks, w.Used, w.Idle = 0, 0, true
+			}
+			w.Open = reserved[w.ID] == Unreserved
+		}
+		if now > shortFrom+tick && (a.Workers[0].Open || a.Workers[1].Open) {
+			return
+		}
+		for _, dec := range planner.Plan(State{Now: now, HostsAt: hostsAt, Hosts: p.hosts, Pools: []Pool{a}, Waves: p.waves}) {
+			if dec.Kind == Maintain {
+				unanswered[now+12*tick] = append(unanswered[now+12*tick], dec)
+			}
+		}
+	}
+	t.Error("a task lacks a worker for 56 s beside two idle ones, which are closed for orders in turn")
+}
