fleetplan: failing test, a draining host that has left counts for good

What callers would see: long-running tasks (or a surge) without the host that another pool could lend, until the owner changes or the fleet service is away for 4 s. Cause: draining is cleared for a host by reopen, by an order that was carried out or dropped, and by releaseEmptying. A host that leaves the estate, or goes down for good, while it drains stays in the map, and move lends shortfall - len(draining). evacuating has a rule for such hosts, draining has none. Evidence: pool b lacks a worker, one of pool a is emptied for it, its host leaves: no other worker is reserved in a minute.

--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -282,3 +282,35 @@
 	}
 	t.Error("a task lacks a worker for 56 s beside two idle ones, which are closed for orders in turn")
 }
+
+// The host that is emptied for a pool that lacks a worker leaves the estate before it is idle.
+func TestAnotherWorkerIsEmptiedForAPoolAfterTheFirstHostHasLeft(t *testing.T) {
+	p, a, b := planned{}, Pool{Name: "a"}, Pool{Name: "b", LongRunningShortfall: 1}
+	for range 4 {
+		p.addHost(&a, Worker{Used: 40, Late: 40})
+	}
+	for range 2 {
+		p.addHost(&b, Worker{LongRunningTasks: 1, Used: testCores})
+	}
+	planner := New(testMigration, nil, nil, nil)
+	now := tick
+	plan := func(d time.Duration) map[string]Reservation {
+		for end := now + d; now < end; now += tick {
+			reserved := planner.Reservations()
+			for i := range a.Workers {
+				a.Workers[i].Open = reserved[a.Workers[i].ID] == Unreserved
+			}
+			planner.Plan(State{Now: now, HostsAt: now, Hosts: p.hosts, Pools: []Pool{a, b}})
+		}
+		return planner.Reservations()
+	}
+	if got := plan(time.Second); len(got) != 1 || got["w0"] != Emptying {
+		t.Fatalf("reserved are %v, want one worker, which is being emptied", got)
+	}
+	p.hosts, a.Workers = p.hosts[1:], a.Workers[1:]
+	got := plan(time.Minute)
+	delete(got, "w0")
+	if len(got) == 0 {
+		t.Error("no other worker has been emptied in a minute, the pool still lacks one")
+	}
+}
