fleetplan: failing test, no host of a pool that lacks a worker is ever evacuated

What callers would see: a wave that does not end. Cause: mayEvacuate refuses every host of a pool that lacks a worker, also one whose tasks would fit elsewhere, and however late the wave is. A pool may lack one for good: tasks that spread over more workers than there are, or that need a label few hosts have, and no spare host. The wave then waits for what cannot come; the refused host takes a slot of it beside that. Evacuations stop no task that fits nowhere, so nothing needs the bar. Evidence: no Evacuate in a minute, the wave lasts 5 s.

--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -314,3 +314,16 @@
 		t.Error("no other worker has been emptied in a minute, the pool still lacks one")
 	}
 }
+
+// The pool lacks a worker for good: no host is spare.
+func TestWaveEvacuatesHostsOfAPoolThatLacksAWorker(t *testing.T) {
+	p, a := planned{}, Pool{Name: "a", LongRunningShortfall: 1}
+	for range 4 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: 1})
+	}
+	p.pools = []Pool{a}
+	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h1"}}}
+	if !p.find(time.Minute, func(d Decision) bool { return d.Kind == Evacuate }) {
+		t.Error("the wave ended 55 s ago, and the evacuation of its host has not begun")
+	}
+}
