scheduler: failing test, an evacuation ends a long-running gang that fits nowhere

What callers would see: all tasks of a long-running gang end for the move of one, however small max_unavailable is (AVAIL), and the gang gets no run any more while its other workers are reserved (LOST): gangs start on usable workers only, all at once. Cause: holdCapacity gives each task of a gang a place of its own and stops those that have one; the platform then ends the others (broken). mayInterrupt counts one task, and held capacity leaves gangs out. Evidence: two workers are evacuated, a third one has the capacity for one of the gang's two tasks: one is stopped, want none.

--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -309,3 +309,20 @@
 		t.Errorf("throttled to %d percent after 20 s under the successor, %d before", percent(), before)
 	}
 }
+
+// Only one task of the gang fits elsewhere, and a gang ends with each of its tasks.
+func TestEvacuationStopsNoGangThatFitsNowhereElse(t *testing.T) {
+	sim := newSimulation(t)
+	sim.addWorkerFor(nil, "w1", 2)
+	sim.addWorkerFor(nil, "w2", 2)
+	owner := sim.newOwner()
+	job := longRunningJob(1, 2, 2)
+	job.Steps[0].Gang = true
+	sim.submit(owner, job)
+	sim.run(time.Second, owner)
+	sim.addWorkerFor(owner, "w3", 2)
+	sim.evacuateFor(2*time.Second, owner, "w1", "w2")
+	if s := owner.Stats(); s.Stops != 0 {
+		t.Errorf("%d tasks of the gang were stopped, want none", s.Stops)
+	}
+}
