fleetplan: a host whose order was not carried out gets no other one for a while

Cause: a list that shows the host still up drops the order, and the same plan gave the next one. The worker was closed all the while. That the task lacks a worker did not help: hosts with orders count as arriving, and the orders about two hosts were dropped in turn. Change: the pause after a refused order also follows one that got no answer and was not carried out. Why it works: the worker is open for two passes at least; once the task is placed there the host is not idle.

--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -147,9 +147,9 @@
 	// orderTimeout is how long a host with an order is left alone if the host
 	// list does not confirm that the order was carried out.
 	orderTimeout = 8 * time.Second
-	// minRefusalPause is how long a host gets no other order after it, or the
-	// fleet service, refused one. It doubles with each refusal in a row, up to
-	// maxRefusalPause.
+	// minRefusalPause is how long a host gets no other order after one that was
+	// refused, or got no answer and was not carried out. It doubles with each such
+	// order in a row, up to maxRefusalPause.
 	minRefusalPause = 200 * time.Millisecond
 	maxRefusalPause = 3200 * time.Millisecond
 	// MinListsWithoutHost is the number of consecutive host lists without a host
@@ -212,7 +212,7 @@
 	wave       int64
 }
 
-// refusal is the last refusal of an order about a host.
+// refusal is the last order about a host that was not carried out.
 type refusal struct {
 	// until is when the host may get another order, pause for how long it got
 	// none.
@@ -323,11 +323,16 @@
 // order after a pause, in which its worker is open to tasks and other hosts get
 // orders.
 func (p *Planner) Refused(d Decision) {
-	pause := min(max(2*p.refusals[d.Host].pause, minRefusalPause), maxRefusalPause)
-	p.refusals[d.Host] = refusal{until: p.orders[d.Host].orderedAt + pause, pause: pause}
+	p.pauseOrders(d.Host, p.orders[d.Host].orderedAt)
 	delete(p.orders, d.Host)
 }
 
+// pauseOrders begins a pause in the orders about a host.
+func (p *Planner) pauseOrders(host string, from time.Duration) {
+	pause := min(max(2*p.refusals[host].pause, minRefusalPause), maxRefusalPause)
+	p.refusals[host] = refusal{until: from + pause, pause: pause}
+}
+
 // OutcomeUnknown records that an order got no answer and may have been carried
 // out. Its host gets no other order until a later host list shows it up or
 // orderTimeout passes.
@@ -432,20 +437,25 @@
 	maps.DeleteFunc(p.refusals, func(_ string, r refusal) bool { return now > r.until+maxRefusalPause })
 	for host, o := range p.orders {
 		if now-o.orderedAt > orderTimeout {
-			p.dropOrder(host)
+			p.dropOrder(host, o.worker, now)
 		}
 	}
 }
 
 // confirmOrder drops the order about a host once a later host list shows the
-// host up again.
+// host up: again, or still if the order got no answer and was not carried out.
 func (v *view) confirmOrder(h *estate.Host) {
 	if o, ok := v.orders[h.Name]; ok && o.answeredAt > 0 && v.HostsAt > o.answeredAt && h.State == estate.HostUp {
-		v.dropOrder(h.Name)
+		v.dropOrder(h.Name, h.WorkerID, v.Now)
 	}
 }
 
-func (p *Planner) dropOrder(host string) {
+// dropOrder drops the order about a host that runs the given worker. If it is the
+// worker that the order was to end, the worker is open to tasks for a while.
+func (p *Planner) dropOrder(host, worker string, now time.Duration) {
+	if worker != "" && p.orders[host].worker == worker {
+		p.pauseOrders(host, now)
+	}
 	delete(p.orders, host)
 	delete(p.draining, host)
 }
