fleetplan: late waves reach the hosts of pools that lack workers

Cause: no host of a pool whose long-running tasks lack a worker was evacuated, however late the wave. A pool may lack one for good: tasks that spread over more workers than there are, or need a label that few have, and no spare host. Change: the bar falls once the wave is behind schedule, as that on busy pools. Why it works: an evacuation stops no task before another place is free, so it takes nothing from the tasks that lack a worker; the host comes back empty.

--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -242,7 +242,8 @@
 	// evacuated at the same time.
 	maxEvacuatingShare = 0.34
 	// busyLoad is the load above which a pool's workers are evacuated only for
-	// a wave that is behind schedule.
+	// a wave that is behind schedule. So are those of a pool whose long-running
+	// tasks lack workers.
 	busyLoad = 0.8
 )
 
@@ -260,7 +261,8 @@
 	if v.evacuating[h.Name] != "" {
 		return true
 	}
-	if v.lacking(h.Pool) > 0 || v.workers[h.WorkerID].Needed || (v.load(h.Pool) > busyLoad && !behindSchedule) {
+	busy := v.lacking(h.Pool) > 0 || v.load(h.Pool) > busyLoad
+	if v.workers[h.WorkerID].Needed || (busy && !behindSchedule) {
 		return false
 	}
 	evacuating := 0
