fleetplan: failing test, a host is evacuated again after its maintenance

What callers would see: long-running tasks that are interrupted for nothing, and a slot of the wave that is kept from other hosts, for 10 s where the tasks fit nowhere else. Cause: an order without an answer is dropped once a list shows the host up again (confirmOrder), without a look at what the lists showed in between: maintenance, or a new worker. maintenanceStarted is set by the answer alone. A successor is in the same place: it reads the record that lacks the host. The second order is answered "already done". Evidence: the list shows the host in maintenance for 2 s while the order is open, then up with another worker: Evacuate at once.

--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -327,3 +327,36 @@
 		t.Error("the wave ended 55 s ago, and the evacuation of its host has not begun")
 	}
 }
+
+// The order gets no answer, and the next lists show the host in maintenance and then up with another worker.
+func TestHostIsNotEvacuatedAgainAfterAMaintenanceWithoutAnswer(t *testing.T) {
+	p, a := planned{}, Pool{Name: "a"}
+	for range 4 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: 1})
+	}
+	h, w := &p.hosts[1], &a.Workers[1]
+	w.LongRunningTasks, w.Used, w.Idle = 0, 0, true
+	p.pools = []Pool{a}
+	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{h.Name}}}
+	planner := New(testMigration, nil, nil, nil)
+	var order *Decision
+	for now := tick; now < 20*time.Second; now += tick {
+		switch now {
+		case time.Second:
+			h.State, h.WorkerID, w.ID, w.Idle = estate.HostMaintenance, "", "", false
+		case 2 * time.Second:
+			planner.OutcomeUnknown(*order, now)
+		case 3 * time.Second:
+			h.State, h.WorkerID = estate.HostUp, "w9"
+			w.ID, w.LongRunningTasks, w.Used = "w9", 1, 1
+		}
+		for _, dec := range planner.Plan(State{Now: now, HostsAt: now, Hosts: p.hosts, Pools: p.pools, Waves: p.waves}) {
+			switch {
+			case dec.Kind == Maintain && order == nil:
+				order = &dec
+			case dec.Kind == Maintain || dec.Kind == Evacuate:
+				t.Fatalf("decision %+v at %v, after the list has shown the maintenance of the host", dec, now)
+			}
+		}
+	}
+}
