fleetplan: a maintenance that a list shows has started

Cause: an order without an answer was dropped once a list showed the host up, whatever the lists had shown in between; only the answer told that the maintenance had started. The host was evacuated a second time. Change: a list that was requested after the order and shows the host in maintenance tells so too, if only one wave has the host. With more than one it could be the late order of another owner, and a wave that is taken for complete breaks MIXED. Why it works: hosts are maintained for a wave that has them, and for nothing else.

--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -449,11 +449,25 @@
 // confirmOrder drops the order about a host once a later host list shows the
 // host up: again, or still if the order got no answer and was not carried out.
 func (v *view) confirmOrder(h *estate.Host) {
+	if o, ok := v.orders[h.Name]; ok && o.kind == Maintain && v.HostsAt > o.orderedAt && h.State == estate.HostMaintenance && v.wavesOf(h.Name) == 1 {
+		v.markMaintenanceStarted(o.wave, h.Name) // the answer may never come
+	}
 	if o, ok := v.orders[h.Name]; ok && o.answeredAt > 0 && v.HostsAt > o.answeredAt && h.State == estate.HostUp {
 		v.dropOrder(h.Name, h.WorkerID, v.Now)
 	}
 }
 
+// wavesOf returns how many waves a host belongs to.
+func (v *view) wavesOf(host string) int {
+	n := 0
+	for i := range v.Waves {
+		if slices.Contains(v.Waves[i].Hosts, host) {
+			n++
+		}
+	}
+	return n
+}
+
 // dropOrder drops the order about a host that runs the given worker. If it is the
 // worker that the order was to end, the worker is open to tasks for a while.
 func (p *Planner) dropOrder(host, worker string, now time.Duration) {
