scheduler: an evacuation stops a gang only if all of it can start again

Cause: each task of a gang got a place of its own, and those that had one were stopped. Change: a run of a gang moves only once each of its runs on workers that are being emptied or leave has a free place. Why it works: the tasks on workers that stay can start again where they are. Not changed: MaxUnavailable counts the tasks that are stopped, not those that end with them.

--- a/internal/scheduler/evacuate.go
+++ b/internal/scheduler/evacuate.go
@@ -69,7 +69,20 @@
 	for _, w := range p.workers {
 		w.held = held[w]
 	}
-	return free
+	return withoutPartialGangs(free, now)
+}
+
+// withoutPartialGangs leaves out the runs of gangs of which another run is on a
+// worker that leaves or is being evacuated and has no place yet: a gang ends with
+// each of its runs.
+func withoutPartialGangs(free []*run, now time.Duration) []*run {
+	return slices.DeleteFunc(slices.Clone(free), func(r *run) bool {
+		return r.task.step.Gang && !r.worker.endsSoon(now) && slices.ContainsFunc(r.task.step.tasks, func(t *task) bool {
+			return slices.ContainsFunc(t.runs, func(other *run) bool {
+				return (other.worker.leaving() || other.worker.evacuating) && !slices.Contains(free, other)
+			})
+		})
+	})
 }
 
 // losesRuns reports whether a worker of the pool has long-running tasks that are
