scheduler: fillers are released once no serving task is left beside them

What callers could see: a long-running filler that works at a few percent, or not at all, for good, though nothing runs beside it. Cause: throttles were looked at only on workers with fillers and serving tasks. Change: a worker without serving tasks counts as one far below their target.

--- a/internal/scheduler/throttle.go
+++ b/internal/scheduler/throttle.go
@@ -41,11 +41,8 @@
 
 // throttleFillers halves the percentage of fillers while the tail latency of a
 // serving task on the worker is close to its target, and releases them step by
-// step once it is low.
+// step once it is low, or no serving task is left.
 func (e *Engine) throttleFillers(w *worker, now time.Duration) {
-	if !w.mixed() {
-		return
-	}
 	worst := 0.0
 	for _, r := range w.runs {
 		if target := r.task.step.TailTarget; target > 0 && r.listed {
--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -330,6 +330,37 @@
 	}
 }
 
+func TestFillerIsReleasedOnceItsServingTaskHasLeft(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorker("w1", "p", 8)
+	f.duration = forever
+	f.tailLatency = 200
+	owner := sim.newOwner()
+	serving := jobOf(1, 1, 2)
+	serving.Steps[0].LongRunning, serving.Steps[0].TailTarget = true, 100*time.Millisecond
+	sim.submit(owner, serving)
+	filler := jobOf(2, 1, 8)
+	filler.Steps[0].LongRunning, filler.Steps[0].Filler = true, true
+	sim.submit(owner, filler)
+	sim.run(10*time.Second, owner)
+	percent := func() int {
+		for _, r := range f.runs() {
+			if r.task.Job == filler.ID {
+				return r.throttlePercent
+			}
+		}
+		return -1
+	}
+	if percent() == 100 {
+		t.Fatal("the filler is not throttled beside a slow serving task")
+	}
+	owner.Cancel(serving.ID, sim.now)
+	sim.run(20*time.Second, owner)
+	if percent() < 100 {
+		t.Errorf("throttled to %d percent 20 s after the serving task was cancelled", percent())
+	}
+}
+
 // Only one task of the gang fits elsewhere, and a gang ends with each of its tasks.
 func TestEvacuationStopsNoGangThatFitsNowhereElse(t *testing.T) {
 	sim := newSimulation(t)
