scheduler: a successor releases throttled fillers

Cause: a listed run does not tell its throttle, and adopted runs counted as not throttled. Change: the percentage of an adopted filler is unknown until its next change; below the release mark it is set to 100. Why it works: an order that sets the percentage is right whatever it was.

--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -222,6 +222,9 @@
 		return nil
 	}
 	r := &run{task: t, number: s.Run, worker: w, phase: runConfirmed, sentAt: now, confirmedAt: now, progressAt: now, throttledPercent: 100}
+	if t.step.Filler {
+		r.throttledPercent = unknownPercent
+	}
 	t.lastRun = s.Run
 	t.step.idle--
 	if t.step.idle == 0 {
--- a/internal/scheduler/throttle.go
+++ b/internal/scheduler/throttle.go
@@ -18,6 +18,8 @@
 	// throttleReleaseStep is by how many percentage points a filler is released
 	// at a time.
 	throttleReleaseStep = 20
+	// unknownPercent is the percentage of an adopted filler until it is changed.
+	unknownPercent = -1
 	// minThrottlePercent is the percentage below which a filler is throttled to
 	// 0.
 	minThrottlePercent = 15
@@ -55,7 +57,12 @@
 		}
 		percent := r.throttledPercent
 		switch {
+		case percent == unknownPercent && worst < releaseBelow:
+			percent = 100
 		case worst > throttleAbove:
+			if percent == unknownPercent {
+				percent = 100
+			}
 			if percent /= 2; percent < minThrottlePercent {
 				percent = 0
 			}
