scheduler: a host list from before a restart ends no worker

A worker that has crashed and restarted under its id was removed again by a host list that was requested before the restart and shows the crash: it served nothing until its next heartbeat, and a start without an answer, which the new incarnation may still carry out, was given up.

Cause: HostEnded spares a worker that answered a poll which was sent after the request of the list. An incarnation that was found by its entry, or by an answer to a poll to the previous one, had no such answer yet.

Now it also spares an incarnation that was not known when the list was requested.

TestHostListFromBeforeARestartEndsNoWorker, red before for both ways.

--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -121,10 +121,11 @@
 }
 
 // HostEnded handles a host list, requested at the given time, that shows the end
-// of a worker. A worker that has answered a later poll is another incarnation.
-// HostEnded reports whether the worker is known no more.
+// of a worker. A worker that has answered a later poll is another incarnation, and
+// one that was not known then may be. HostEnded reports whether the worker is known
+// no more.
 func (e *Engine) HostEnded(id string, requested, now time.Duration) bool {
-	if w := e.workers[id]; w != nil && w.answeredSentAt > requested {
+	if w := e.workers[id]; w != nil && max(w.answeredSentAt, w.knownSince) > requested {
 		return false
 	}
 	e.HostRemoved(id, now)
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -482,6 +482,30 @@
 	sim.checkRestart(t, job, ranAt, ranAt, owner)
 }
 
+// The list shows the crash; an answer or the entry shows the restart.
+func TestHostListFromBeforeARestartEndsNoWorker(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		sim := newSimulation(t)
+		f := sim.addWorkerFor(nil, "w1", 8)
+		owner := sim.newOwner()
+		sim.submit(owner, longRunningJob(1, 1, 2))
+		sim.run(2*time.Second, owner)
+		f.crash()
+		requested := sim.now
+		sim.run(testTick, owner)
+		f.restart(sim.now)
+		if listed {
+			owner.discover()
+		}
+		for owner.workers["w1"].StartedMS != f.StartedMS {
+			sim.run(testTick, owner)
+		}
+		if owner.HostEnded("w1", requested, sim.now) || owner.workers["w1"] == nil {
+			t.Errorf("listed %t: the worker is known no more", listed)
+		}
+	}
+}
+
 // setBack restarts a worker with a start time an hour before that of the previous
 // incarnation, which it returns.
 func (f *fakeWorker) setBack(now time.Duration) estate.Worker {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -23,6 +23,8 @@
 	// those of every previous incarnation under the same id, whose orders may be
 	// carried out late.
 	token int64
+	// knownSince is when the first entry or answer of this incarnation was read.
+	knownSince time.Duration
 	// listed is set while discovery has an entry of the worker.
 	listed bool
 	// ownEntry is set once an entry of this incarnation was read. otherEntry is
@@ -162,7 +164,7 @@
 	p := e.pool(entry.Pool)
 	e.added = min(e.added+1, 1<<incarnationBits-1)
 	w := &worker{
-		Worker: entry, pool: p, token: e.opts.Token<<incarnationBits | e.added, runs: map[runKey]*run{}, orphans: map[runKey]*orphan{}, lastContact: now,
+		Worker: entry, pool: p, token: e.opts.Token<<incarnationBits | e.added, runs: map[runKey]*run{}, orphans: map[runKey]*orphan{}, knownSince: now, lastContact: now,
 	}
 	p.add(w)
 	e.workers[entry.ID] = w
