scheduler: random histories ask that waves, evacuations and batch tasks go on

Change: the simulation of planner and engine checks, while the estate is calm (4 s after the last disruption and after an owner's first order): - a late wave begins the maintenance of another host within 16.5 s as long as a standby host is up; a history goes on until its waves have ended. 16.5 s are 1.5 s for the move of a host, 3 s until discovery has its worker (the platform's bound), 10 s for which an evacuation may keep a slot (evacuationTimeout) and 2 s of maintenance; - no worker is being emptied for 16.5 s in which none of its runs ends and no long-running task of its pool starts or ends; - no ready batch task waits for 0.5 s (five passes) while it fits on a usable worker with unheld capacity; - no capacity is held for 9 s (the platform's 6 s and 3 s) in which no long-running task of the pool starts or ends.

--- a/internal/scheduler/estate_simulation_test.go
+++ b/internal/scheduler/estate_simulation_test.go
@@ -77,6 +77,7 @@
 	hostCount, workerCount, jobCount int
 
 	livenessCheck
+	progressCheck
 	events []loggedEvent
 }
 
@@ -342,6 +343,7 @@
 		}
 		s.run(simPlanInterval, owners...)
 		s.checkLongRunning()
+		s.checkProgress()
 	}
 }
 
--- a/internal/scheduler/liveness_test.go
+++ b/internal/scheduler/liveness_test.go
@@ -318,7 +318,7 @@
 
 // A long-running task for which there is capacity must have a run within the bound.
 func TestLongRunningTasksRunInAnyHistory(t *testing.T) {
-	checkHistories(t, 4, func(t *rapid.T) { playEstate(t, true).verify() })
+	checkHistories(t, 4, func(t *rapid.T) { playEstate(t, true, drawnStandby).verify() })
 }
 
 // TestLongRunningTasksRunDuringPlannedWork leaves out all faults, and logs the
@@ -327,7 +327,7 @@
 	var longest, interruption time.Duration
 	histories := 0
 	checkHistories(t, 2, func(t *rapid.T) {
-		s := playEstate(t, false)
+		s := playEstate(t, false, ampleStandby)
 		s.verify()
 		histories++
 		longest, interruption = max(longest, s.longest), max(interruption, s.interruption)
@@ -339,7 +339,7 @@
 // order of a map.
 func TestSeedRepeatsItsEstate(t *testing.T) {
 	histories := rapid.Custom(func(t *rapid.T) []string {
-		s := playEstate(t, true)
+		s := playEstate(t, true, drawnStandby)
 		return append(s.trace, s.violation, s.broken)
 	})
 	for seed := range 2 {
@@ -387,11 +387,18 @@
 	return time.Duration(uniform(t, from, to, label)) * time.Millisecond
 }
 
+const (
+	// ampleStandby standby hosts are enough for the tasks of every history.
+	ampleStandby = 24
+	// drawnStandby draws their number.
+	drawnStandby = -1
+)
+
 // playEstate plays a random history to its end or to the first violation.
-func playEstate(t *rapid.T, faults bool) *estateSimulation {
+func playEstate(t *rapid.T, faults bool, standby int) *estateSimulation {
 	sizes := map[string]int{standbyPool: uniform(t, 0, 6, "standby hosts")}
-	if !faults {
-		sizes[standbyPool] = 24 // enough for the tasks of every history
+	if standby != drawnStandby {
+		sizes[standbyPool] = standby
 	}
 	hosts := 0
 	for _, pool := range simPools {
@@ -424,6 +431,7 @@
 		}
 	}
 	s.advance(25 * time.Second)
+	s.finishWaves()
 	return s
 }
 
