fleetplan, scheduler: a worker is emptied for a wave only if its tasks fit on others

What callers could see: batch tasks that wait up to 40 s beside a worker with 14 free cores. Cause: the worker is to be emptied for a wave, its long-running tasks fit on no other worker and no host is spare. Change: the engine tells the planner how many further workers a pool lacks to empty a worker (once batch tasks elsewhere have ended). Such a worker serves on. Its pool gets a spare host for the wave, after those that tasks without a run lack and before those for demand; the worker is emptied once its tasks have places. Two workers of a pool do not begin to be emptied in one plan, as they may need the same places, and an emptied worker no longer counts as serving in the plan that begins it, so that the host that came for it is not taken away. Evidence: TestWorkerWhoseTasksFitNowhereTakesBatchTasks fails without the change (closed for 16.5 s).

--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -12,6 +12,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -35,8 +36,15 @@
 	// Needed means that long-running tasks that lack a place are about to get
 	// one on the worker.
 	Needed bool
+	// LackingToEmpty is how many further workers the pool needs before the
+	// long-running tasks of the worker, which is to be emptied, fit on others.
+	// It is NoNumber if they would not fit on further ones either.
+	LackingToEmpty int
 }
 
+// NoNumber stands for a number of workers that does not suffice however large.
+const NoNumber = math.MaxInt
+
 // Pool is the planner's input about one pool.
 type Pool struct {
 	Name    string
@@ -137,8 +145,9 @@
 	// about now, 0 for none.
 	Expected int
 	// Lacking is how many further workers the pool needs for long-running tasks,
-	// beyond those that are about to serve it.
-	Lacking int
+	// beyond those that are about to serve it. Borrow is how many more it needs
+	// so that a host of a wave can be emptied.
+	Lacking, Borrow int
 }
 
 const (
@@ -175,6 +184,9 @@
 	// undiscoveredSince maps hosts to the time since which they have been up
 	// without a known worker.
 	undiscoveredSince map[string]time.Duration
+	// borrowing is how many workers pools lacked at the last plan to empty the
+	// next hosts of waves.
+	borrowing map[string]int
 	// anyPoolShort is whether a pool lacked workers at the last plan, and
 	// shortfall how many were still missing after all spare hosts were
 	// assigned.
@@ -328,7 +340,7 @@
 	}
 	v.needs = v.poolNeeds()
 	v.maintain()
-	p.anyPoolShort = v.missingWorkers() > 0
+	p.anyPoolShort = v.missingWorkers() > 0 || len(v.borrowing) > 0
 	v.move()
 	return v.decisions
 }
--- a/internal/fleetplan/move.go
+++ b/internal/fleetplan/move.go
@@ -44,7 +44,9 @@
 	// serving is the number of workers that serve the pool or soon will.
 	serving int
 	// lacking is how many workers long-running tasks lack. They come first.
-	lacking int
+	// borrow is how many more the pool needs so that a host of a wave can be
+	// emptied. They come next.
+	lacking, borrow int
 }
 
 // move moves hosts from pools with too many workers to pools that lack some, to
@@ -63,6 +65,11 @@
 		need.serving += before - len(spare)
 	}
 	v.shortfall = 0
+	for _, need := range poolNeeds {
+		before := len(spare)
+		spare = v.assignSpare(need.pool, need.borrow, spare, "maintenance")
+		v.shortfall += need.borrow - (before - len(spare))
+	}
 	for _, need := range poolNeeds {
 		missing := max(0, need.size-need.serving)
 		v.shortfall += max(0, missing-len(spare))
@@ -183,7 +190,7 @@
 			continue
 		}
 		s := v.size(pool, serving[pool.Name], arriving[pool.Name])
-		poolNeeds = append(poolNeeds, poolNeed{pool: pool, size: s.Size, keep: s.Keep, serving: s.Have, lacking: s.Lacking})
+		poolNeeds = append(poolNeeds, poolNeed{pool: pool, size: s.Size, keep: s.Keep, serving: s.Have, lacking: s.Lacking, borrow: s.Borrow})
 		if s.Size != d.reportedSize {
 			d.reportedSize = s.Size
 			v.decide(Decision{Kind: Resize, To: pool.Name, Sizing: s})
@@ -248,6 +255,7 @@
 		Have: have, Rate: d.rate, Waiting: pool.Waiting, Steady: pool.LongRunningCores, Used: pool.usedCores(), Late: pool.lateCores(),
 		Lacking: max(0, pool.LongRunningShortfall-arriving),
 	}
+	s.Borrow = max(0, pool.LongRunningShortfall+v.borrowing[pool.Name]-arriving) - s.Lacking
 	currentCores := s.Used - s.Late + waitingShare*pool.Waiting
 	arrivingCores := rateHeadroom*d.rate + pool.LongRunningCores
 	need := int(math.Ceil(max(currentCores, arrivingCores)/cores)) + spareWorkers
--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -14,6 +14,7 @@
 	waves := slices.Clone(v.Waves)
 	slices.SortFunc(waves, func(a, b estate.Wave) int { return cmp.Compare(a.Number, b.Number) })
 	selected := map[string]bool{}
+	v.borrowing = map[string]int{}
 	v.idleToMaintain = -v.lackingWorkers()
 	for i := range v.Hosts {
 		if h := &v.Hosts[i]; v.available(h) && v.idle(h) && v.mayLend(h) {
@@ -82,8 +83,19 @@
 			continue
 		}
 		if v.mayEvacuate(h, selected, behindSchedule) {
+			if lacking := v.workers[h.WorkerID].LackingToEmpty; lacking > 0 {
+				// The worker serves on until its tasks have places elsewhere.
+				delete(v.evacuatingSince, h.Name)
+				if lacking != NoNumber {
+					v.borrowing[h.Pool] = lacking
+				}
+				continue
+			}
 			selected[h.Name] = true
 			first := v.evacuating[h.Name] != h.WorkerID
+			if first {
+				v.servesNoMore(h)
+			}
 			if _, ok := v.evacuatingSince[h.Name]; !ok {
 				v.evacuatingSince[h.Name] = v.Now
 			}
@@ -93,6 +105,15 @@
 	}
 }
 
+// servesNoMore counts a host that is evacuated from now on as not serving.
+func (v *view) servesNoMore(h *estate.Host) {
+	for i := range v.needs {
+		if v.needs[i].pool.Name == h.Pool {
+			v.needs[i].serving--
+		}
+	}
+}
+
 // leftToPools reports whether an idle host is not taken down now, because a pool
 // that lacks workers can use it. A host that is idle because its worker was
 // evacuated is left only to the long-running tasks of its own pool: otherwise
@@ -159,7 +180,7 @@
 // maintenanceCost ranks the hosts of a wave by how much their maintenance costs
 // their pool, in the order: standby hosts, idle hosts, hosts that are being
 // evacuated, hosts with few long-running tasks in pools with a low load, hosts
-// whose evacuation does not end.
+// whose long-running tasks fit nowhere else, hosts whose evacuation does not end.
 func (v *view) maintenanceCost(h *estate.Host) float64 {
 	w := v.workers[h.WorkerID]
 	switch {
@@ -173,6 +194,9 @@
 	if since, ok := v.evacuatingSince[h.Name]; ok && v.Now-since >= evacuationTimeout {
 		return 1000
 	}
+	if w.LackingToEmpty > 0 {
+		return 900
+	}
 	if v.evacuating[h.Name] != "" {
 		return 1
 	}
@@ -224,6 +248,9 @@
 	evacuating := 0
 	for name := range selected {
 		if other := v.hosts[name]; other != nil && other.Pool == h.Pool {
+			if v.workers[other.WorkerID].Open {
+				return false // the tasks of the other host may need the same places
+			}
 			evacuating++
 		}
 	}
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -26,6 +26,7 @@
 		if !out.Standby {
 			out.LongRunningShortfall, needed = e.longRunningShortfall(p, now)
 		}
+		lackingToEmpty := e.lackingToEmpty(p, now)
 		for _, w := range p.workers {
 			out.LongRunningCores += w.longRunningRequests().Processors
 			if !w.listed {
@@ -34,7 +35,7 @@
 			out.Workers = append(out.Workers, fleetplan.Worker{
 				ID: w.ID, Cores: w.Capacity.Processors, Used: w.used.Processors, Late: e.lateCores(w, now), LongRunningTasks: len(w.longRunning),
 				Idle: !w.inherited && !w.occupied() && len(w.pendingEnds) == 0 && !w.Draining && w.failedPolls == 0,
-				Open: w.usable(now), Needed: needed[w],
+				Open: w.usable(now), Needed: needed[w], LackingToEmpty: lackingToEmpty[w],
 			})
 		}
 		for s := range p.ready {
