fleetplan: pools lend the idle hosts that they keep to spare

What callers could see: long-running tasks without a run, and waves that do not end, while workers of other pools are idle. Cause: a pool keeps one worker beyond its load, and two at least. Such hosts were spare for nobody. The host that came to a pool for a wave was moved on by the plan that began to empty the pool's worker: the tasks that were to use it counted from the next plan on. Change: what long-running tasks lack, and then what waves lack, comes from hosts that are idle and beyond their pool's load, if no host is spare; for waves not from those that a wave is still to maintain. A plan that begins to empty a worker leaves the idle hosts of its pool. Evidence: TestLongRunningTasksGetAHostThatAnotherPoolKeepsIdle and TestWaveEndsIfOneHostIsSpare fail without the change, TestHostThatCameForAWaveIsNotMovedOn without its last part.

--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -135,6 +135,9 @@
 // which it is computed. It is logged under its field names.
 type Sizing struct {
 	Size, Have int
+	// Loaded is the number of workers that the load fills: Size without workers
+	// to spare.
+	Loaded int
 	// Keep is the number of workers that the pool keeps while no other pool
 	// lacks hosts, so that late work can go on.
 	Keep int
@@ -357,6 +360,8 @@
 	needs     []poolNeed
 	expected  map[string]int
 	decisions []Decision
+	// toMaintain are the hosts of waves whose maintenance has not started.
+	toMaintain map[string]bool
 	// unanswered counts the orders in flight.
 	unanswered int
 	// idleToMaintain is how many idle hosts may be taken down for maintenance:
@@ -371,7 +376,7 @@
 func (p *Planner) view(s State) *view {
 	v := &view{
 		Planner: p, State: s, hosts: map[string]*estate.Host{}, byWorker: map[string]*estate.Host{},
-		pools: map[string]*Pool{}, workers: map[string]*Worker{},
+		pools: map[string]*Pool{}, workers: map[string]*Worker{}, toMaintain: map[string]bool{},
 	}
 	for i := range s.Hosts {
 		h := &s.Hosts[i]
--- a/internal/fleetplan/move.go
+++ b/internal/fleetplan/move.go
@@ -41,12 +41,16 @@
 	// size is the number of workers that the pool needs, keep the number that
 	// it may keep while no other pool lacks hosts.
 	size, keep int
+	// loaded is the number of workers that the pool's load fills.
+	loaded int
 	// serving is the number of workers that serve the pool or soon will.
 	serving int
 	// lacking is how many workers long-running tasks lack. They come first.
 	// borrow is how many more the pool needs so that a host of a wave can be
 	// emptied. They come next.
 	lacking, borrow int
+	// evacuates is set if this plan begins to empty a worker of the pool.
+	evacuates bool
 }
 
 // move moves hosts from pools with too many workers to pools that lack some, to
@@ -61,14 +65,16 @@
 	for i := range poolNeeds {
 		need := &poolNeeds[i]
 		before := len(spare)
-		spare = v.assignSpare(need.pool, min(need.lacking, need.size-need.serving), spare, "long-running tasks")
-		need.serving += before - len(spare)
+		n := min(need.lacking, need.size-need.serving)
+		spare = v.assignSpare(need.pool, n, spare, "long-running tasks")
+		need.serving += before - len(spare) + v.lendIdle(need.pool, n-(before-len(spare)), "long-running tasks", nil)
 	}
 	v.shortfall = 0
 	for _, need := range poolNeeds {
 		before := len(spare)
 		spare = v.assignSpare(need.pool, need.borrow, spare, "maintenance")
-		v.shortfall += need.borrow - (before - len(spare))
+		missing := need.borrow - (before - len(spare))
+		v.shortfall += missing - v.lendIdle(need.pool, missing, "maintenance", v.toMaintain)
 	}
 	for _, need := range poolNeeds {
 		missing := max(0, need.size-need.serving)
@@ -102,6 +108,39 @@
 	return spare
 }
 
+// lendIdle moves up to n idle hosts to a pool from those that keep them beyond their
+// load, except the given hosts, and returns how many.
+func (v *view) lendIdle(pool *Pool, n int, reason string, except map[string]bool) int {
+	lent := 0
+	for i := range v.Hosts {
+		h := &v.Hosts[i]
+		if lent >= n || !v.mayOrder() {
+			break
+		}
+		from := v.need(h.Pool)
+		if from == nil || from.pool == pool || from.lacking+from.borrow > 0 || from.evacuates || from.serving <= from.loaded {
+			continue
+		}
+		if !v.available(h) || !v.idle(h) || v.evacuating[h.Name] != "" || v.workers[h.WorkerID] == nil || except[h.Name] {
+			continue
+		}
+		from.serving--
+		lent++
+		v.decide(Decision{Kind: Move, Host: h.Name, Worker: h.WorkerID, From: h.Pool, To: pool.Name, Reason: reason})
+	}
+	return lent
+}
+
+// need returns the need of a pool, nil for a standby pool.
+func (v *view) need(pool string) *poolNeed {
+	for i := range v.needs {
+		if v.needs[i].pool.Name == pool {
+			return &v.needs[i]
+		}
+	}
+	return nil
+}
+
 // drain stops placing tasks on as many of the pool's workers as it has in
 // excess, so that their hosts become idle and can move. Workers with the least
 // work that can still complete in time come first.
@@ -190,7 +229,7 @@
 			continue
 		}
 		s := v.size(pool, serving[pool.Name], arriving[pool.Name])
-		poolNeeds = append(poolNeeds, poolNeed{pool: pool, size: s.Size, keep: s.Keep, serving: s.Have, lacking: s.Lacking, borrow: s.Borrow})
+		poolNeeds = append(poolNeeds, poolNeed{pool: pool, size: s.Size, keep: s.Keep, serving: s.Have, loaded: s.Loaded, lacking: s.Lacking, borrow: s.Borrow})
 		if s.Size != d.reportedSize {
 			d.reportedSize = s.Size
 			v.decide(Decision{Kind: Resize, To: pool.Name, Sizing: s})
@@ -258,7 +297,8 @@
 	s.Borrow = max(0, pool.LongRunningShortfall+v.borrowing[pool.Name]-arriving) - s.Lacking
 	currentCores := s.Used - s.Late + waitingShare*pool.Waiting
 	arrivingCores := rateHeadroom*d.rate + pool.LongRunningCores
-	need := int(math.Ceil(max(currentCores, arrivingCores)/cores)) + spareWorkers
+	s.Loaded = int(math.Ceil(max(currentCores, arrivingCores) / cores))
+	need := s.Loaded + spareWorkers
 	if _, surged := v.forecast.lastSurge(pool.Name); !surged {
 		// Before its first surge the pool's turn cannot be forecast, so it
 		// keeps its initial size.
@@ -316,7 +356,7 @@
 			spare = append(spare, spareHost{host: h, standby: true})
 			continue
 		}
-		if v.workers[h.WorkerID] == nil {
+		if need := v.need(h.Pool); v.workers[h.WorkerID] == nil || (need != nil && need.evacuates) {
 			continue
 		}
 		if v.draining[h.Name] == "" {
--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -54,6 +54,7 @@
 			continue // maintenance has started, or the host has left the estate
 		}
 		remaining++
+		v.toMaintain[name] = true
 		if v.available(h) {
 			candidates = append(candidates, h)
 		}
@@ -105,12 +106,12 @@
 	}
 }
 
-// servesNoMore counts a host that is evacuated from now on as not serving.
+// servesNoMore counts a host that is evacuated from now on as not serving. Its tasks
+// are about to use the idle hosts of its pool.
 func (v *view) servesNoMore(h *estate.Host) {
-	for i := range v.needs {
-		if v.needs[i].pool.Name == h.Pool {
-			v.needs[i].serving--
-		}
+	if need := v.need(h.Pool); need != nil {
+		need.serving--
+		need.evacuates = true
 	}
 }
 
@@ -136,12 +137,8 @@
 	if v.standby(h) {
 		return true
 	}
-	for _, need := range v.needs {
-		if need.pool.Name == h.Pool {
-			return need.serving > need.size
-		}
-	}
-	return false
+	need := v.need(h.Pool)
+	return need != nil && need.serving > need.size
 }
 
 // missingWorkers returns how many workers all pools together lack.
@@ -165,10 +162,8 @@
 
 // lacking returns how many workers the long-running tasks of a pool lack.
 func (v *view) lacking(pool string) int {
-	for _, need := range v.needs {
-		if need.pool.Name == pool {
-			return need.lacking
-		}
+	if need := v.need(pool); need != nil {
+		return need.lacking
 	}
 	return 0
 }
--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -102,3 +102,39 @@
 		t.Error("the evacuation of the third host has not begun after 2 minutes")
 	}
 }
+
+// The other pool has no load, but keeps two workers.
+func TestLongRunningTasksGetAHostThatAnotherPoolKeepsIdle(t *testing.T) {
+	p, a, b := planned{}, Pool{Name: "a", LongRunningShortfall: 1}, Pool{Name: "b"}
+	for range 2 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: testCores})
+		p.addHost(&b, Worker{Idle: true})
+	}
+	p.pools = []Pool{a, b}
+	if !p.find(10*time.Second, func(d Decision) bool { return d.Kind == Move && d.To == "a" }) {
+		t.Error("long-running tasks lack a worker for 10 s, and two workers of another pool are idle")
+	}
+}
+
+// Another pool lacks a host too.
+func TestHostThatCameForAWaveIsNotMovedOn(t *testing.T) {
+	p, a, b := planned{}, Pool{Name: "a"}, Pool{Name: "b", LongRunningShortfall: 1}
+	for range 2 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: 1})
+	}
+	p.addHost(&a, Worker{Idle: true})
+	p.addHost(&b, Worker{LongRunningTasks: 1, Used: testCores})
+	p.pools = []Pool{a, b}
+	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h0"}}}
+	evacuated := false
+	p.find(2*tick, func(d Decision) bool {
+		evacuated = evacuated || (d.Kind == Evacuate && d.Host == "h0")
+		if evacuated && d.Kind == Move {
+			t.Errorf("host %s is moved in the plan that begins to empty the other worker of its pool", d.Host)
+		}
+		return false
+	})
+	if !evacuated {
+		t.Error("the host of the wave is not evacuated")
+	}
+}
--- a/internal/scheduler/progress_test.go
+++ b/internal/scheduler/progress_test.go
@@ -272,6 +272,17 @@
 	s.verifyProgress()
 }
 
+func TestWaveEndsIfOneHostIsSpare(t *testing.T) {
+	s := estateWithFullPools(t, 1)
+	s.startWave(s.hostNames("a"), 30*time.Second, 3)
+	s.finishWaves()
+	s.verify()
+	s.verifyProgress()
+	if n, of := s.wavesInTime(); n != of || n != 3 {
+		t.Errorf("the maintenance of %d of %d hosts has begun in time", n, of)
+	}
+}
+
 // Waves, evacuations and batch tasks must go on.
 func TestWorkGoesOnInAnyHistory(t *testing.T) {
 	checkHistories(t, 4, func(t *rapid.T) { playEstate(t, true, drawnStandby).verifyProgress() })
