--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -15,6 +15,7 @@
 	waves := slices.Clone(v.Waves)
 	slices.SortFunc(waves, func(a, b estate.Wave) int { return cmp.Compare(a.Number, b.Number) })
 	selected := map[string]bool{}
+	v.borrowing = map[string]int{}
 	v.idleToMaintain = -v.lackingWorkers()
 	for i := range v.Hosts {
 		if h := &v.Hosts[i]; v.available(h) && v.idle(h) && v.mayLend(h) {
@@ -69,6 +70,7 @@
 			continue // maintenance has started, or the host has left the estate
 		}
 		remaining++
+		v.toMaintain[name] = true
 		if h != nil && v.available(h) {
 			candidates = append(candidates, h)
 		}
@@ -104,9 +106,20 @@
 			continue
 		}
 		if v.mayEvacuate(h, selected, behindSchedule) {
+			if lacking := v.workers[h.WorkerID].LackingToEmpty; lacking > 0 {
+				// The worker serves on until its tasks have places elsewhere.
+				delete(v.evacuatingSince, h.Name)
+				if least, ok := v.borrowing[h.Pool]; lacking != NoNumber && (!ok || lacking < least) {
+					v.borrowing[h.Pool] = lacking
+				}
+				continue
+			}
 			slots--
 			selected[h.Name] = true
 			first := v.evacuating[h.Name] != h.WorkerID
+			if first {
+				v.servesNoMore(h)
+			}
 			if _, ok := v.evacuatingSince[h.Name]; !ok || (v.evacuating[h.Name] == "" && v.evacuationTimedOut(h)) {
 				v.evacuatingSince[h.Name] = v.Now
 			}
@@ -116,6 +129,15 @@
 	}
 }
 
+// servesNoMore counts a host that is evacuated from now on as not serving. Its tasks
+// are about to use the idle hosts of its pool.
+func (v *view) servesNoMore(h *estate.Host) {
+	if need := v.need(h.Pool); need != nil {
+		need.serving--
+		need.evacuates = true
+	}
+}
+
 // mayBeDown reports whether a host of a wave is in maintenance, or may be. One that
 // a single list lacks may be if its maintenance has started.
 func (v *view) mayBeDown(name string, wave int64) bool {
@@ -151,12 +173,8 @@
 	if v.standby(h) {
 		return true
 	}
-	for _, need := range v.needs {
-		if need.pool.Name == h.Pool {
-			return need.serving > need.size
-		}
-	}
-	return false
+	need := v.need(h.Pool)
+	return need != nil && need.serving > need.size
 }
 
 // missingWorkers returns how many workers all pools together lack.
@@ -180,10 +198,8 @@
 
 // lacking returns how many workers the long-running tasks of a pool lack.
 func (v *view) lacking(pool string) int {
-	for _, need := range v.needs {
-		if need.pool.Name == pool {
-			return need.lacking
-		}
+	if need := v.need(pool); need != nil {
+		return need.lacking
 	}
 	return 0
 }
@@ -202,7 +218,8 @@
 // maintenanceCost ranks the hosts of a wave by how much their maintenance costs
 // their pool, in the order: standby hosts, idle hosts, hosts that are being
 // evacuated, hosts with few long-running tasks in pools with a low load, hosts
-// whose evacuation did not end in time, the longest ago first.
+// whose long-running tasks fit nowhere else, hosts whose evacuation did not end in
+// time, the longest ago first.
 func (v *view) maintenanceCost(h *estate.Host) float64 {
 	w := v.workers[h.WorkerID]
 	switch {
@@ -215,6 +232,9 @@
 	case v.evacuationTimedOut(h):
 		return 1e6 + v.evacuatingSince[h.Name].Seconds()
 	}
+	if w.LackingToEmpty > 0 {
+		return 900
+	}
 	if v.evacuating[h.Name] != "" {
 		return 1
 	}
@@ -268,6 +288,9 @@
 	evacuating := 0
 	for name := range selected {
 		if other := v.hosts[name]; other != nil && other.Pool == h.Pool {
+			if v.workers[other.WorkerID].Open {
+				return false // the tasks of the other host may need the same places
+			}
 			evacuating++
 		}
 	}
