scheduler: a worker that no ticket permits is not needed

An idle worker was kept from waves and from other pools for a long-running task whose tickets do not permit it there: 20 s and more, without end.

Cause: the capacity of every worker of the pool counted as a place for a task, whatever the recommendation service had said. Counting such a worker as lacking is wrong too: tickets cover 30 workers at a time and expire, so that the pool would ask for hosts without end.

What the service says about a worker does not change while the worker lives, so each long-running step now remembers the verdicts. A task takes a place on a worker that is permitted, else on one that was not asked about yet: these are needed, a denied one is not. If there is neither, the pool lacks a worker, except that a step for which three workers were denied asks for none while one of the denied could hold the task.

A new owner forgets the verdicts and may ask for three again.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -66,6 +66,9 @@
 	// of this step.
 	criticalPath time.Duration
 	tickets      *tickets
+	// verdicts holds, by worker, what the recommendation service said last. Only
+	// long-running steps have them.
+	verdicts map[string]verdict
 	// requesting is set while a request for tickets is in flight. nextRequest
 	// is the earliest time of the next one, and requestOffset counts the
 	// workers that earlier requests were about.
--- a/internal/scheduler/places.go
+++ b/internal/scheduler/places.go
@@ -32,7 +32,7 @@
 // placeCursor holds the indices at which the searches for the next task of a
 // step begin: earlier places have rejected the step, and their capacity only
 // shrinks.
-type placeCursor struct{ free, unclaimed int }
+type placeCursor struct{ free, unclaimed, unknown int }
 
 func newPlaces(workers []*worker) *places {
 	p := &places{list: make([]place, 0, len(workers)), cursors: map[*step]*placeCursor{}}
@@ -47,9 +47,6 @@
 	p.list = append(p.list, place{worker: w, free: w.free(), unclaimed: w.Capacity.Sub(w.longRunningRequests())})
 }
 
-// anyWorker permits every worker.
-func anyWorker(*worker) bool { return true }
-
 // assign gives one more task of a step free capacity on a permitted worker. It
 // reports false if there is none.
 func (p *places) assign(s *step, permitted func(*worker) bool) bool {
@@ -62,6 +59,12 @@
 	return p.search(s, &p.cursor(s).unclaimed, permitted, func(at *place) placement.Resources { return at.unclaimed })
 }
 
+// assignUnknown is assign for workers that may be permitted, after assign has found
+// none that is.
+func (p *places) assignUnknown(s *step, possible func(*worker) bool) bool {
+	return p.search(s, &p.cursor(s).unknown, possible, func(at *place) placement.Resources { return at.free })
+}
+
 func (p *places) cursor(s *step) *placeCursor {
 	c := p.cursors[s]
 	if c == nil {
--- a/internal/scheduler/shortfall.go
+++ b/internal/scheduler/shortfall.go
@@ -12,7 +12,9 @@
 // longRunningShortfall returns how many further workers the pool needs for its
 // long-running tasks that have no run or whose run will not last where it is,
 // and the workers of the pool that have the capacity for the others. Tasks that
-// a further worker cannot hold are left out.
+// a further worker cannot hold are left out. A worker that no ticket permits for a
+// task is not needed for it, but a task that such a worker could hold asks for few
+// further ones: they may be denied as well.
 func (e *Engine) longRunningShortfall(p *pool, now time.Duration) (shortfall int, needed map[*worker]bool) {
 	tasks := p.tasksToPlace(func(r *run) bool {
 		w := r.worker
@@ -28,14 +30,27 @@
 		}
 	}
 	free := newPlaces(serving)
+	var onDenied *places
 	further := e.furtherWorker(p)
 	for _, t := range tasks {
-		if free.assign(t.step, anyWorker) || !t.step.fitsOn(further) {
+		s := t.step
+		permitted := func(w *worker) bool { ok, _ := e.verdict(s, w); return ok }
+		denied := func(w *worker) bool { _, no := e.verdict(s, w); return no }
+		possible := func(w *worker) bool { return !denied(w) }
+		if free.assign(s, permitted) || free.assignUnknown(s, possible) || !s.fitsOn(further) {
 			continue
 		}
+		if s.denials() >= maxDenials {
+			if onDenied == nil {
+				onDenied = newPlaces(serving)
+			}
+			if onDenied.assign(s, denied) {
+				continue
+			}
+		}
 		shortfall++
 		free.add(further)
-		free.assign(t.step, anyWorker)
+		free.assignUnknown(s, possible)
 	}
 	needed = map[*worker]bool{}
 	for _, at := range free.list {
--- a/internal/scheduler/ticket.go
+++ b/internal/scheduler/ticket.go
@@ -32,6 +32,16 @@
 	validTo  time.Duration
 }
 
+// verdict is what the recommendation service last said about a worker for a step.
+type verdict struct {
+	startedMS int64
+	permitted bool
+}
+
+// maxDenials is the number of denied workers from which no further one is asked
+// for, while one of them has the capacity for the task.
+const maxDenials = 3
+
 // recommendation returns the recommendation settings of a step's queue, nil if
 // the step needs no tickets.
 func (e *Engine) recommendation(s *step) *estate.Recommendation {
@@ -86,9 +96,48 @@
 	if len(t.ByWorker) == 0 {
 		s.nextRequest = now + recommendationRetry
 	}
+	if s.LongRunning {
+		e.recordVerdicts(s, o.Workers, t.ByWorker)
+	}
 	s.tickets = &tickets{byWorker: t.ByWorker, validTo: now + time.Duration((1-ticketMargin)*float64(t.Validity))}
 }
 
+// recordVerdicts records which of the workers that a request named are permitted.
+// A ticket expires, but the answer does not change while the worker lives.
+func (e *Engine) recordVerdicts(s *step, asked []string, permitted map[string]string) {
+	if s.verdicts == nil {
+		s.verdicts = map[string]verdict{}
+	}
+	for _, id := range asked {
+		if w := e.workers[id]; w != nil {
+			_, ok := permitted[id]
+			s.verdicts[id] = verdict{w.StartedMS, ok}
+		}
+	}
+}
+
+// verdict reports whether the recommendation service is known to permit the worker
+// for a long-running step, and whether it is known to deny it.
+func (e *Engine) verdict(s *step, w *worker) (permitted, denied bool) {
+	if e.recommendation(s) == nil {
+		return true, false
+	}
+	v, known := s.verdicts[w.ID]
+	known = known && v.startedMS == w.StartedMS
+	return known && v.permitted, known && !v.permitted
+}
+
+// denials counts the workers that were denied for the step.
+func (s *step) denials() int {
+	n := 0
+	for _, v := range s.verdicts {
+		if !v.permitted {
+			n++
+		}
+	}
+	return n
+}
+
 // ticket returns the step's ticket for a worker. The result is false if one is
 // needed and there is none.
 func (e *Engine) ticket(s *step, w *worker, now time.Duration) (string, bool) {
--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -66,11 +67,69 @@
 	sim.run(time.Second, owner)
 	sim.addWorkerFor(owner, "w2", 2).needsTicket = "nobody"
 	sim.run(20*time.Second, owner)
-	for _, w := range owner.load("p").Workers {
-		if w.ID == "w2" && w.Needed {
-			t.Error("the worker is kept for a task that its tickets have not permitted there for 20 s")
+	if owner.isNeeded("w2") {
+		t.Error("the worker is kept for a task that its tickets have not permitted there for 20 s")
+	}
+}
+
+// Workers join the pool one by one, as the planner sends hosts to a pool that lacks one.
+func TestTaskThatNoTicketPermitsAsksForFewWorkers(t *testing.T) {
+	sim := newSimulation(t)
+	sim.addWorkerFor(nil, "w10", 2).needsTicket = "t1"
+	owner := sim.newOwner()
+	for n := range 2 {
+		job := longRunningJob(1+n, 1, 2)
+		job.Queue = "advised"
+		sim.submit(owner, job)
+	}
+	sim.run(time.Second, owner)
+	lacking := func() bool { return owner.load("p").LongRunningShortfall > 0 }
+	joined := 0
+	for ; joined < 20 && lacking(); joined++ {
+		id := fmt.Sprintf("w%d", 11+joined)
+		sim.addWorkerFor(owner, id, 2).needsTicket = "nobody"
+		if !owner.isNeeded(id) || lacking() {
+			t.Errorf("%s has not been asked about: needed %t, a further worker is asked for %t", id, owner.isNeeded(id), lacking())
+		}
+		sim.run(3*time.Second, owner)
+		if owner.isNeeded(id) {
+			t.Errorf("%s is denied, but needed", id)
 		}
 	}
+	if joined != 3 {
+		t.Errorf("%d workers were asked for, want 3", joined)
+	}
+	f := sim.addWorkerFor(owner, "w99", 2)
+	f.needsTicket = "t99"
+	sim.run(5*time.Second, owner)
+	if len(f.running) != 1 {
+		t.Error("the task does not run on the worker that permits it")
+	}
+}
+
+func TestPermittedWorkerIsNeededRatherThanAnUnknownOne(t *testing.T) {
+	sim := newSimulation(t)
+	w2 := sim.addWorkerFor(nil, "w2", 2)
+	w3 := sim.addWorker("w3", "p", 2)
+	w2.needsTicket, w3.needsTicket = "t2", "t3"
+	owner := sim.newOwner()
+	job := longRunningJob(1, 1, 2)
+	job.Queue = "advised"
+	sim.submit(owner, job)
+	sim.run(2*time.Second, owner)
+	if len(w2.running) != 1 {
+		t.Fatal("the task does not run on w2")
+	}
+	sim.addWorkerFor(owner, "w1", 2).needsTicket = "nobody"
+	owner.SetReservations(map[string]fleetplan.Reservation{"w2": fleetplan.Emptying})
+	if owner.isNeeded("w1") || !owner.isNeeded("w3") {
+		t.Errorf("needed are w1 (never asked about): %t, w3 (permitted): %t; want w3 alone", owner.isNeeded("w1"), owner.isNeeded("w3"))
+	}
+}
+
+// isNeeded reports whether a worker of pool "p" is kept for long-running tasks.
+func (owner *testOwner) isNeeded(id string) bool {
+	return slices.ContainsFunc(owner.load("p").Workers, func(w fleetplan.Worker) bool { return w.ID == id && w.Needed })
 }
 
 // The answers of all workers come late at the same time.
