scheduler: a host list ends no worker that it shows

Cause: the pool of a host was compared before the worker that the list names. A worker that has its id again after its host changed pools was ended by the list that showed it there, unless it had answered a poll that was sent later. Change: a worker that is listed on its host has not ended. If it is a new incarnation, its answers tell. Why it works: answers are ordered by the times of their polls; host lists and pools say nothing about incarnations.

--- a/internal/scheduler/workerhosts.go
+++ b/internal/scheduler/workerhosts.go
@@ -30,7 +30,9 @@
 
 // update applies a host list. It returns the ids of the workers that have ended,
 // because their hosts changed pools or no longer run them, and of those whose
-// hosts have left the estate or that no host runs. An empty list tells nothing.
+// hosts have left the estate or that no host runs. A worker that is listed has not
+// ended; its answers tell whether it is a new incarnation. An empty list tells
+// nothing.
 func (m WorkerHosts) update(list []estate.Host) (ended, left []string) {
 	if len(list) == 0 {
 		return nil, nil
@@ -50,7 +52,7 @@
 			if w.missing >= fleetplan.MinListsWithoutHost {
 				left = append(left, id)
 			}
-		case h.Pool != w.Pool || noLongerOn(h, id):
+		case h.WorkerID != id && (h.Pool != w.Pool || noLongerOn(h)):
 			ended = append(ended, id)
 		default:
 			w.missing = 0
@@ -67,12 +69,10 @@
 	return ended, left
 }
 
-// noLongerOn reports whether a host that ran a worker no longer runs it. A
-// worker that is only cut off from the network is still listed; a host that
-// crashed is listed as down, without a worker.
-func noLongerOn(h estate.Host, worker string) bool {
-	return h.WorkerID != worker && (h.WorkerID != "" || h.State != estate.HostUp)
-}
+// noLongerOn reports whether a host that ran a worker no longer runs it, if it is
+// not listed with that worker. A worker that is only cut off from the network is
+// still listed; a host that crashed is listed as down, without a worker.
+func noLongerOn(h estate.Host) bool { return h.WorkerID != "" || h.State != estate.HostUp }
 
 // hostsByName indexes a host list by name.
 func hostsByName(list []estate.Host) map[string]estate.Host {
