--- a/internal/scheduler/shortfall.go
+++ b/internal/scheduler/shortfall.go
@@ -35,7 +35,7 @@
 	for _, t := range tasks {
 		s := t.step
 		permitted := func(w *worker) bool { ok, _ := e.verdict(s, w); return ok }
-		denied := func(w *worker) bool { _, no := e.verdict(s, w); return no }
+		denied := func(w *worker) bool { return e.denied(s, w) }
 		possible := func(w *worker) bool { return !denied(w) }
 		if free.assign(s, permitted) || free.assignUnknown(s, possible) || !s.fitsOn(further) {
 			continue
--- a/internal/scheduler/ticket.go
+++ b/internal/scheduler/ticket.go
@@ -127,6 +127,13 @@
 	return known && v.permitted, known && !v.permitted
 }
 
+// denied reports whether the recommendation service is known to deny the worker
+// for a long-running step.
+func (e *Engine) denied(s *step, w *worker) bool {
+	_, denied := e.verdict(s, w)
+	return denied
+}
+
 // denials counts the workers that were denied for the step.
 func (s *step) denials() int {
 	n := 0
