scheduler, node: a worker that no owner reached is waited for only once

Callers saw a long-running task without a run for as long as owners changed every few seconds: a lost worker that nothing shows as ended blocked recovery for the lease of the previous owner, also if that owner never reached the worker, so the wait began anew with each owner.

An owner extends leases and starts tasks only on workers that have answered it. One that fails to reach an inherited worker now records for it the epoch of the last owner that may have leased it, and heartbeats tell how long ago the owners up to an epoch gave their last order. A successor waits for the lease of that owner, worker by worker. The age is a duration, added to the time at which the heartbeat was read, so it needs no clock that two processes share, and a late heartbeat only lengthens the wait.

The epoch leaves the record before the next lease: a worker gets a lease or a task only while it is recorded without one, and a write of the record without an answer does not count. A late write is refused, as before, by the version of the record and the owner's fence.

Usual takeovers cost nothing: the epoch is recorded only after a poll has failed. A worker that answers after that gets its lease one write of the record later.

--- a/internal/node/execute_test.go
+++ b/internal/node/execute_test.go
@@ -62,7 +62,7 @@
 	o.engine = testEngine()
 	now := o.node.Clock.Now()
 	o.engine.WorkerListed(testWorker, now)
-	o.engine.Recorded([]estate.Worker{testWorker})
+	o.engine.Recorded([]scheduler.UsedWorker{{Worker: testWorker}})
 	for _, order := range o.engine.Decide(now, scheduler.OwnershipValid) {
 		o.engine.Polled(order.(*scheduler.PollOrder), platform.WorkerStatus{ClockMS: 1000, StartedMS: 1}, nil, now)
 	}
@@ -115,7 +115,7 @@
 	o.engine = testEngine()
 	now := o.node.Clock.Now()
 	o.engine.WorkerListed(testWorker, now)
-	o.engine.Recorded([]estate.Worker{testWorker})
+	o.engine.Recorded([]scheduler.UsedWorker{{Worker: testWorker}})
 	orders := o.engine.Decide(now, scheduler.OwnershipValid)
 	if len(orders) != 1 {
 		t.Fatalf("%d orders, want one poll", len(orders))
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -72,9 +72,12 @@
 	o.pendingMu.Lock()
 	heartbeat := ownership.Heartbeat{
 		Incarnation: n.incarnation, PendingKnown: o.pending != nil, Pending: maps.Clone(o.pending),
-		JobsVersion: o.pendingAsOf.Version, JobsMS: o.pendingAsOf.NowMS, Surges: o.surges, Waves: o.waves,
+		JobsVersion: o.pendingAsOf.Version, JobsMS: o.pendingAsOf.NowMS, Surges: o.surges, Waves: o.waves, LastOrderAgeMS: map[int64]int64{},
 	}
 	o.pendingMu.Unlock()
+	for epoch, at := range o.lastOrders {
+		heartbeat.LastOrderAgeMS[epoch] = (sent - at - time.Millisecond).Milliseconds() // rounded down
+	}
 	value, err := ownership.Encode(heartbeat)
 	if err != nil {
 		event.OwnershipLeaseExpired.Log(n.Log, zap.Error(err))
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -407,7 +407,7 @@
 	o := testOwner(t, standin.NewRows(), 1)
 	inherited := usedWorker{ID: "w1", Pool: "p", Host: "h1"}
 	o.engine = scheduler.New(scheduler.Options{Log: zap.NewNop()})
-	o.engine.Recover([]estate.Worker{inherited.worker(), {ID: "w2", Pool: "p"}}, 0, 0)
+	o.engine.Recover(workersOf([]usedWorker{inherited, {ID: "w2", Pool: "p"}}), o.lastOrder, 0)
 	o.fleetController = newFleetController(o, nil, workerHostsOf([]usedWorker{inherited}), 0)
 	used := o.withHosts(o.engine.InUse())
 	if !slices.Contains(used, inherited) {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -45,7 +45,10 @@
 	// previousHeartbeat is when the previous owner's last heartbeat was first
 	// seen.
 	previousHeartbeat time.Duration
-	lease             ownership.Lease
+	// lastOrders holds the latest times of the orders of all owners up to an
+	// epoch. It does not change during the ownership.
+	lastOrders map[int64]time.Duration
+	lease      ownership.Lease
 	// ownershipWasValid is whether the lease was valid when run last checked
 	// it, for the log.
 	ownershipWasValid bool
@@ -84,6 +87,7 @@
 		node: n, token: token, record: record, previous: previous, events: make(chan func(time.Duration), eventQueueLength),
 		cancel: cancel, done: make(chan struct{}), acquiredAt: n.Clock.Now(), ownershipWasValid: true, previousHeartbeat: n.view.Load().HeartbeatSeen,
 	}
+	o.lastOrders = o.previousLastOrders(n.view.Load())
 	o.lease.Renew(sent)
 	o.workerCalls = newWorkerCallLimiter(o)
 	n.owner.Store(o)
@@ -236,7 +240,7 @@
 	e := scheduler.New(opts)
 	e.SetCatalog(n.catalog.Load())
 	workerHosts := workerHostsOf(l.used)
-	e.Recover(workerHosts.PossiblyRunning(workersOf(l.used), l.hosts), o.previousLeaseEnd(), now)
+	e.Recover(workerHosts.PossiblyRunning(workersOf(l.used), l.hosts), o.lastOrder, now)
 	for _, w := range l.workers.Changed {
 		e.WorkerListed(w, now)
 	}
@@ -338,6 +342,30 @@
 	return o.previousHeartbeat + ownership.LeaseDuration
 }
 
+// previousLastOrders returns the latest times of the orders of all owners up to
+// an epoch, by epoch: that of the previous owner, and those that it knew.
+func (o *owner) previousLastOrders(view *ownership.View) map[int64]time.Duration {
+	orders := map[int64]time.Duration{o.record.Epoch - 1: o.previousLeaseEnd()}
+	for epoch, at := range view.LastOrders {
+		if epoch < o.record.Epoch-1 {
+			orders[epoch] = at
+		}
+	}
+	return orders
+}
+
+// lastOrder returns the latest time at which an owner up to the given epoch,
+// which is below that of this owner, can have given an order.
+func (o *owner) lastOrder(epoch int64) time.Duration {
+	last := o.previousLeaseEnd()
+	for e, at := range o.lastOrders {
+		if e >= epoch {
+			last = min(last, at)
+		}
+	}
+	return last
+}
+
 // release waits until this process gives no more orders and then stores an
 // owner record without an owner, so that any other process may take over at
 // once.
--- a/internal/node/usedworkers.go
+++ b/internal/node/usedworkers.go
@@ -59,10 +59,12 @@
 	StartedMS int64  `json:"born_ms,omitempty"`
 	// Host is the host of the worker, empty if it was not known.
 	Host string `json:"host,omitempty"`
+	// LeasedBy is that of scheduler.UsedWorker.
+	LeasedBy int64 `json:"leased_by,omitempty"`
 }
 
-func (u *usedWorker) worker() estate.Worker {
-	return estate.Worker{ID: u.ID, Pool: u.Pool, Address: u.Address, StartedMS: u.StartedMS}
+func (u *usedWorker) worker() scheduler.UsedWorker {
+	return scheduler.UsedWorker{Worker: estate.Worker{ID: u.ID, Pool: u.Pool, Address: u.Address, StartedMS: u.StartedMS}, LeasedBy: u.LeasedBy}
 }
 
 // usedWorkersPerRow is the maximum number of workers in one row. They take a
@@ -96,8 +98,8 @@
 }
 
 // workersOf returns the workers of a record.
-func workersOf(used []usedWorker) []estate.Worker {
-	list := make([]estate.Worker, len(used))
+func workersOf(used []usedWorker) []scheduler.UsedWorker {
+	list := make([]scheduler.UsedWorker, len(used))
 	for i := range used {
 		list[i] = used[i].worker()
 	}
@@ -166,10 +168,12 @@
 }
 
 // withHosts adds the names of the workers' hosts, where they are known.
-func (o *owner) withHosts(list []estate.Worker) []usedWorker {
+func (o *owner) withHosts(list []scheduler.UsedWorker) []usedWorker {
 	used := make([]usedWorker, len(list))
 	for i, w := range list {
-		used[i] = usedWorker{ID: w.ID, Pool: w.Pool, Address: w.Address, StartedMS: w.StartedMS, Host: o.fleetController.workerHosts[w.ID].Host}
+		used[i] = usedWorker{
+			ID: w.ID, Pool: w.Pool, Address: w.Address, StartedMS: w.StartedMS, Host: o.fleetController.workerHosts[w.ID].Host, LeasedBy: w.LeasedBy,
+		}
 	}
 	return used
 }
--- a/internal/node/usedworkers_test.go
+++ b/internal/node/usedworkers_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/egretpitch/egretpitch/internal/estate"
+	"github.com/egretpitch/egretpitch/internal/ownership"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/scheduler"
 	"github.com/egretpitch/egretpitch/internal/standin"
@@ -40,7 +42,7 @@
 func TestRecordIsWrittenAgainAfterAWriteWithoutAnswer(t *testing.T) {
 	o := testOwner(t, standin.NewRows(), 1)
 	o.engine = scheduler.New(scheduler.Options{Log: zap.NewNop()})
-	o.engine.Recover([]estate.Worker{{ID: "w1", Pool: "p"}}, 0, 0)
+	o.engine.Recover(workersOf([]usedWorker{{ID: "w1", Pool: "p"}}), o.lastOrder, 0)
 	o.fleetController = newFleetController(o, nil, scheduler.WorkerHosts{}, 0)
 	o.usedWorkersRecorded(o.withHosts(o.engine.InUse()), 1, 1, nil)
 	o.usedWorkersRecorded(nil, 1, 0, errors.New("no answer")) // a record without the worker may be stored
@@ -48,3 +50,58 @@
 		t.Error("the record counts as up to date, though another one may be stored")
 	}
 }
+
+// The owner before the last started a task on the worker; the last one did not reach it.
+func TestSuccessorCountsTheWaitFromTheOwnerThatReachedTheWorker(t *testing.T) {
+	rows := standin.NewRows()
+	o := testOwner(t, rows, 1)
+	ended := o.node.Clock.Now() - 3*time.Second
+	o.record.Epoch = 8
+	o.lastOrders = map[int64]time.Duration{7: ended}
+	o.engine = scheduler.New(scheduler.Options{Token: 1, Epoch: 8, MaxLease: time.Second, Log: zap.NewNop()})
+	o.engine.SetCatalog(testCatalog(1, "/q/"))
+	o.engine.Recover(workersOf([]usedWorker{{ID: "w1", Pool: "p"}}), o.lastOrder, 0)
+	o.fleetController = newFleetController(o, nil, scheduler.WorkerHosts{}, 0)
+	if used := o.withHosts(o.engine.InUse()); used[0].LeasedBy != 0 {
+		t.Errorf("the worker is recorded as leased by %d before it failed to answer, want unknown", used[0].LeasedBy)
+	}
+	for _, order := range o.engine.Decide(0, scheduler.OwnershipValid) {
+		if poll, ok := order.(*scheduler.PollOrder); ok {
+			o.engine.Polled(poll, platform.WorkerStatus{}, errors.New("no answer"), 0)
+		}
+	}
+	ctx := t.Context()
+	txn, err := o.usedWorkersTxn(o.withHosts(o.engine.InUse()))
+	if err == nil {
+		_, err = rows.CommitRows(ctx, txn)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.sendHeartbeat(ctx, o.node.Clock.Now())
+
+	n := o.node
+	control, _, err := rows.ReadRows(ctx, controlTable, controlPart, "", "")
+	if err == nil {
+		err = n.observeControl(control, n.Clock.Now())
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	successor := &owner{node: n, record: ownership.Record{Epoch: 9}, previousHeartbeat: n.view.Load().HeartbeatSeen}
+	successor.lastOrders = successor.previousLastOrders(n.view.Load())
+	stored, _, err := rows.ReadRows(ctx, usedWorkersTable, controlPart, "", "")
+	if err != nil || len(stored) != 1 {
+		t.Fatalf("%d rows, %v; want 1", len(stored), err)
+	}
+	var used []usedWorker
+	if err := json.Unmarshal(stored[0].Value, &used); err != nil || len(used) != 1 {
+		t.Fatalf("record %s, %v; want one worker", stored[0].Value, err)
+	}
+	if got := successor.lastOrder(used[0].LeasedBy); got < ended || got > ended+time.Second {
+		t.Errorf("the last order is taken to be %v after the owner's end, want 0 to 1 s", got-ended)
+	}
+	if got, want := successor.lastOrder(8), successor.previousLeaseEnd(); got != want {
+		t.Errorf("the last order of the previous owner is at %v, want %v", got, want)
+	}
+}
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -50,7 +50,7 @@
 		for w := range workers {
 			entry := estate.Worker{ID: fmt.Sprintf("w%d-%d", p, w), Pool: fmt.Sprintf("p%d", p), Capacity: placement.Resources{Processors: 1, MemoryMB: 1}}
 			e.WorkerListed(entry, 0)
-			e.Recorded([]estate.Worker{entry})
+			e.Recorded([]UsedWorker{{Worker: entry}})
 			e.workers[entry.ID].fenced = true
 		}
 	}
--- a/internal/scheduler/estate_simulation_test.go
+++ b/internal/scheduler/estate_simulation_test.go
@@ -292,7 +292,7 @@
 		}
 	}
 	running := s.hostOf.PossiblyRunning(sorted(s.inUse), hosts)
-	s.inUse = map[string]estate.Worker{}
+	s.inUse = map[string]UsedWorker{}
 	for _, w := range running {
 		s.inUse[w.ID] = w
 	}
--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -60,10 +60,15 @@
 	rapid.Check(t, func(t *rapid.T) { playHistory(t, faultClasses{leaseFromArrival: true}).judge(t) })
 }
 
+// An owner that did not reach a worker passes on when its leases end.
+func TestNoTaskRunsTwiceWhenOwnersFollowEachOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { playHistory(t, faultClasses{ownersHurry: true}).judge(t) })
+}
+
 // TestSeedRepeatsItsHistory guards against a simulation that depends on the
 // order of a map: a failure of such a history cannot be reproduced.
 func TestSeedRepeatsItsHistory(t *testing.T) {
-	for _, classes := range []faultClasses{{}, everyFault} {
+	for _, classes := range []faultClasses{{}, everyFault, {ownersHurry: true}} {
 		histories := rapid.Custom(func(t *rapid.T) []string {
 			sim := playHistory(t, classes)
 			return append(sim.trace, sim.violation)
@@ -97,6 +102,9 @@
 	// service and lists them again. Owners replace the record of the workers in
 	// use, instead of adding to it.
 	entriesVanish bool
+	// ownersHurry lets owners follow each other within seconds, while workers are
+	// unreachable and the record of the workers in use is written late.
+	ownersHurry bool
 	// longTasks adds only what each of the classes adds.
 	longTasks bool
 }
@@ -129,6 +137,9 @@
 		f.overcommits = overcommits
 		f.stopTakes = stopTakes
 		f.duration = func(task workload.TaskID) (time.Duration, platform.RunEnd) {
+			if classes.ownersHurry {
+				return time.Duration(4+task.Index*3) * time.Second, platform.EndDone
+			}
 			if classes.wide() && task.Job[15]%3 == 0 {
 				return time.Duration(2+task.Index*2) * time.Second, platform.EndDone
 			}
@@ -146,7 +157,7 @@
 	if classes.poolsChange {
 		sim.poolOf["r"] = "other"
 	}
-	sim.replaceRecord = classes.entriesVanish
+	sim.replaceRecord = classes.entriesVanish || classes.ownersHurry
 	if classes.answersOvertake {
 		sim.requestDelay = func() time.Duration { return time.Duration(draw(1, 400, "request ms")) * time.Millisecond }
 	}
@@ -185,6 +196,11 @@
 		ft.fromArrival = classes.leaseFromArrival && nextDraw()%4 > 0
 		return ft
 	}
+	if classes.ownersHurry {
+		sim.recordFault = func([]UsedWorker) recordFault {
+			return recordFault{lost: faults && nextDraw() < 2*loss, applied: nextDraw()%2 == 0, delay: time.Duration(nextDraw()) * 20 * time.Millisecond}
+		}
+	}
 	owners := []*testOwner{sim.newOwner()}
 	current := owners[0]
 	jobs := 0
@@ -207,6 +223,9 @@
 	if classes.entriesVanish {
 		actions = append(actions, 8, 8, 15, 15, 15, 15)
 	}
+	if classes.ownersHurry {
+		actions = []int{0, 3, 3, 3, 3, 16, 16}
+	}
 	steps := draw(5, 40, "steps")
 	for range steps {
 		host := draw(0, len(ids)-1, "worker")
@@ -239,6 +258,13 @@
 			sim.run(2*time.Second, owners...)
 			current = sim.newOwnerAfter(0)
 			owners = append(owners, current)
+		case 16:
+			// The owner releases its ownership; it gave its last order just before.
+			current.expired = true
+			vacant := time.Duration(draw(0, 500, "vacant ms")) * time.Millisecond
+			sim.run(vacant, owners...)
+			current = sim.newOwnerAfter(vacant)
+			owners = append(owners, current)
 		case 9:
 			sim.storeDown = !sim.storeDown
 		case 11:
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -61,6 +61,11 @@
 			if now >= w.lastContact+unrecordedPollInterval {
 				e.poll(w, true, now)
 			}
+		case w.occupied() && !w.recorded:
+			// A long poll would delay the renewal of its lease.
+			if now >= w.lastContact+unrecordedPollInterval {
+				e.poll(w, true, now)
+			}
 		case w.occupied():
 			e.poll(w, false, now)
 		case len(w.pendingEnds) > 0:
@@ -145,7 +150,7 @@
 	if number := w.lastRecordedEnd(); number > w.lastAckedEnd && fresh && e.ownership != OwnershipExpired {
 		o.Acknowledged = number
 	}
-	if lease := e.lease(); w.fenced && w.failedPolls == 0 && lease > 0 {
+	if lease := e.lease(); w.fenced && w.recorded && w.failedPolls == 0 && lease > 0 {
 		o.DeadlineMS = w.clock(now) + lease.Milliseconds()
 		w.leaseMS = max(w.leaseMS, o.DeadlineMS)
 	}
@@ -227,6 +232,7 @@
 	if !w.fenced {
 		w.fenced = true
 		w.inherited = false
+		w.leasedBy = 0
 		w.pool.needsPass = true
 		event.WorkerFenced.Log(e.opts.Log, zap.String("worker", w.ID), zap.Int64("token", w.token),
 			zap.Int("runs", len(status.Runs)), zap.Int("ends", len(status.Ends)))
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -148,9 +148,11 @@
 	seq        uint64
 	retryAt    []time.Duration
 
-	// recoveryDeadline is when runs of previous owners that were not found are
-	// given up.
-	recoveryDeadline time.Duration
+	// firstPollsEnd is until when workers of previous owners may answer a first
+	// poll, even if their leases have expired. givenUp counts those that answered
+	// none in time.
+	firstPollsEnd time.Duration
+	givenUp       int
 	// requesting counts the recommendation requests in flight.
 	requesting int
 	recovering bool
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -264,7 +264,7 @@
 	} {
 		f.running[runKey{r.task, r.run}] = &r
 	}
-	sim.inUse[f.ID] = f.Worker
+	sim.inUse[f.ID] = UsedWorker{Worker: f.Worker}
 	next := sim.newOwner()
 	sim.submit(next, jobOf(3, 2, 4))
 	sim.run(2*time.Second, next)
@@ -283,7 +283,7 @@
 	f.leaseMS = 5000
 	unknown := workload.TaskID{Job: "00000000000000ff"}
 	f.running[runKey{unknown, 1}] = &fakeRun{task: unknown, run: 1}
-	sim.inUse[f.ID] = f.Worker
+	sim.inUse[f.ID] = UsedWorker{Worker: f.Worker}
 	next := sim.newOwner()
 	job := jobOf(1, 1, 2)
 	sim.submit(next, job)
--- a/internal/scheduler/settle_test.go
+++ b/internal/scheduler/settle_test.go
@@ -416,7 +416,7 @@
 	sim.submit(first, jobOf(1, 1, 2))
 	sim.run(500*time.Millisecond, first)
 	f.leaseMS = f.clock(sim.now) + testMaxLease.Milliseconds()
-	sim.inUse["w1"] = old
+	sim.inUse["w1"] = UsedWorker{Worker: old}
 	successor := sim.newOwnerAfter(0)
 	sim.run(100*time.Millisecond, successor)
 	f.reachable = false
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -34,10 +35,17 @@
 	// storeDown loses commits before they are applied.
 	storeDown bool
 	// inUse holds the workers that owners recorded as used.
-	inUse map[string]estate.Worker
+	inUse map[string]UsedWorker
+	// lastOrders holds the latest times of the orders of all owners up to an
+	// epoch.
+	lastOrders map[int64]time.Duration
 	// replaceRecord lets owners replace the record of workers in use every
 	// usedWorkersInterval.
 	replaceRecord bool
+	// recordVersion counts the writes of that record. recordFault, if set, returns
+	// the fault of the next one.
+	recordVersion int64
+	recordFault   func([]UsedWorker) recordFault
 	// catalogVersion counts the catalogs, and poolOf holds the pools of queues
 	// that are not in pool "p".
 	catalogVersion int64
@@ -74,6 +82,14 @@
 	handled bool
 }
 
+// recordFault is what goes wrong with a write of the record of workers in use.
+type recordFault struct {
+	// lost writes get no answer. applied ones are applied nevertheless, after a
+	// delay.
+	lost, applied bool
+	delay         time.Duration
+}
+
 type timedEvent struct {
 	at  time.Duration
 	seq int
@@ -150,7 +166,7 @@
 const testMaxLease = 6 * time.Second
 
 func newSimulation(t testingT) *simulation {
-	return &simulation{t: t, workers: map[string]*fakeWorker{}, records: map[string]*storedJob{}, inUse: map[string]estate.Worker{},
+	return &simulation{t: t, workers: map[string]*fakeWorker{}, records: map[string]*storedJob{}, inUse: map[string]UsedWorker{}, lastOrders: map[int64]time.Duration{},
 		catalogVersion: 1, poolOf: map[string]string{}, log: zap.NewNop(),
 		requestDelay: func() time.Duration { return orderDelay }, answerDelay: func() time.Duration { return orderDelay },
 	}
@@ -440,6 +456,8 @@
 	// is set while it does so.
 	recordedAt time.Duration
 	recording  bool
+	// recordVersion is the version of the record that the owner replaces next.
+	recordVersion int64
 	// expired owners cannot reach the table service.
 	expired bool
 }
@@ -482,9 +500,10 @@
 		Parts: 2, PartOf: func(job string) int { return int(job[15]) % 2 },
 		UnixMS: func(now time.Duration) int64 { return now.Milliseconds() }, Log: sim.log,
 	})
-	owner := &testOwner{Engine: e, sim: sim, token: sim.fence}
+	owner := &testOwner{Engine: e, sim: sim, token: sim.fence, recordVersion: sim.recordVersion}
 	e.SetCatalog(sim.catalog())
-	e.Recover(sorted(sim.inUse), sim.now-ago, sim.now)
+	sim.lastOrders[epoch-1] = sim.now - ago
+	e.Recover(sorted(sim.inUse), sim.lastOrder, sim.now)
 	owner.discover()
 	for _, j := range sorted(sim.records) {
 		p := j.progress
@@ -497,6 +516,17 @@
 	return owner
 }
 
+// lastOrder returns when an owner up to an epoch can have given its last order.
+func (sim *simulation) lastOrder(epoch int64) time.Duration {
+	last := time.Duration(math.MaxInt64)
+	for e, at := range sim.lastOrders {
+		if e >= epoch {
+			last = min(last, at)
+		}
+	}
+	return last
+}
+
 // ownershipState returns the state of an owner that learns of a successor at
 // once.
 func (owner *testOwner) ownershipState() OwnershipState {
@@ -545,20 +575,46 @@
 	}
 	owner.recording = true
 	list := owner.InUse()
+	version := owner.recordVersion
+	if sim.recordFault != nil {
+		if ft := sim.recordFault(list); ft.lost {
+			if ft.applied {
+				sim.after(ft.delay, func() { sim.replaceUsedWorkers(owner, list, version) })
+			}
+			sim.after(500*time.Millisecond, func() { owner.recording, owner.recordedAt = false, -usedWorkersInterval })
+			return
+		}
+	}
 	sim.after(storeDelay, func() {
 		owner.recording = false
 		if sim.storeDown || owner.ownershipState() != OwnershipValid {
 			return
 		}
 		owner.recordedAt = sim.now
-		sim.inUse = map[string]estate.Worker{}
-		for _, u := range list {
-			sim.inUse[u.ID] = u
+		applied := sim.replaceUsedWorkers(owner, list, version)
+		owner.recordVersion = sim.recordVersion
+		if !applied {
+			owner.recordedAt = -usedWorkersInterval
+			return
 		}
 		owner.Recorded(list)
 	})
 }
 
+// replaceUsedWorkers applies a write of the record of workers in use if its
+// fence and the version of the record match.
+func (sim *simulation) replaceUsedWorkers(owner *testOwner, list []UsedWorker, version int64) bool {
+	if owner.token != sim.fence || version != sim.recordVersion {
+		return false
+	}
+	sim.recordVersion++
+	sim.inUse = map[string]UsedWorker{}
+	for _, u := range list {
+		sim.inUse[u.ID] = u
+	}
+	return true
+}
+
 // submit stores a job and adds it to the owner's engine, if there is one.
 func (sim *simulation) submit(owner *testOwner, spec *workload.Job) {
 	sim.version++
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -29,7 +29,8 @@
 	// token, so that it refuses the orders of every previous owner.
 	fenced bool
 	// recorded is set once it is stored that this worker may be used, so that a
-	// successor finds it.
+	// successor finds it and waits for the leases of this owner. Without it, the
+	// worker gets no lease and no tasks.
 	recorded bool
 	// inherited is set while the worker may have undiscovered runs of a
 	// previous owner.
@@ -80,6 +81,9 @@
 	// inheritedLeaseEnd is when the last lease that a previous owner can have
 	// granted has expired.
 	inheritedLeaseEnd time.Duration
+	// leasedBy is the epoch of the last owner that can have granted one, 0 if
+	// that is to be recorded as unknown. It is set only while inherited is.
+	leasedBy int64
 
 	// lastSeenEnd is the number of the last end that was handled, lastAckedEnd
 	// that of the last one that the worker may discard.
@@ -210,7 +214,7 @@
 	entry.StartedMS = startedMS
 	next := e.addWorker(entry, now)
 	next.listed, next.recorded = w.listed, w.recorded
-	next.inheritedLeaseEnd = w.inheritedLeaseEnd
+	next.inheritedLeaseEnd, next.leasedBy = w.inheritedLeaseEnd, w.leasedBy
 	next.inherited = w.inherited // starts of a previous owner may arrive until this incarnation has seen a higher token
 	for _, r := range open {
 		r.withdraw()
@@ -382,15 +386,20 @@
 // InUse returns the workers that a successor has to fence before it may start a
 // task again. A worker that has not answered this owner has no task of it: it may
 // have ended long before its entry lapses. One that is left out gets no task
-// before it is recorded again.
-func (e *Engine) InUse() []estate.Worker {
-	var list []estate.Worker
+// before it is recorded again. One that this owner has failed to reach is to be
+// recorded as leased by its predecessor, so that a successor does not wait for
+// leases of this owner.
+func (e *Engine) InUse() []UsedWorker {
+	var list []UsedWorker
 	for _, w := range e.workers {
-		if w.inherited || w.occupied() || len(w.pendingEnds) > 0 || w.toRecord(e) {
-			list = append(list, w.Worker)
-		} else {
-			w.recorded = false
+		if w.inherited && w.leasedBy == 0 && w.failedPolls > 0 {
+			w.leasedBy = e.opts.Epoch - 1
 		}
+		inUse := w.inherited || w.occupied() || len(w.pendingEnds) > 0 || w.toRecord(e)
+		if inUse {
+			list = append(list, UsedWorker{Worker: w.Worker, LeasedBy: w.leasedBy})
+		}
+		w.recorded = w.recorded && inUse && w.leasedBy == 0
 	}
 	return list
 }
@@ -408,9 +417,9 @@
 
 // Recorded marks workers as stored in the record of workers in use, where a
 // successor finds them. Tasks may be started on them from then on.
-func (e *Engine) Recorded(list []estate.Worker) {
-	for _, entry := range list {
-		if w := e.workers[entry.ID]; w != nil && !w.otherIncarnation(entry.StartedMS) && !w.recorded {
+func (e *Engine) Recorded(list []UsedWorker) {
+	for _, u := range list {
+		if w := e.workers[u.ID]; w != nil && u.LeasedBy == 0 && !w.otherIncarnation(u.StartedMS) && !w.recorded {
 			w.recorded = true
 			w.pool.needsPass = true
 		}
@@ -420,7 +429,7 @@
 // Unrecorded reports whether a worker has to be recorded before it can be used.
 func (e *Engine) Unrecorded() bool {
 	for _, w := range e.workers {
-		if !w.recorded && w.toRecord(e) {
+		if !w.recorded && w.fenced && (w.occupied() || w.toRecord(e)) {
 			return true
 		}
 	}
--- a/internal/scheduler/workerhosts.go
+++ b/internal/scheduler/workerhosts.go
@@ -27,9 +27,9 @@
 
 // PossiblyRunning applies a host list and returns the workers in use other than
 // those that it shows as ended.
-func (m WorkerHosts) PossiblyRunning(used []estate.Worker, list []estate.Host) []estate.Worker {
+func (m WorkerHosts) PossiblyRunning(used []UsedWorker, list []estate.Host) []UsedWorker {
 	ended, _ := m.update(list)
-	return slices.DeleteFunc(slices.Clone(used), func(w estate.Worker) bool { return slices.Contains(ended, w.ID) })
+	return slices.DeleteFunc(slices.Clone(used), func(w UsedWorker) bool { return slices.Contains(ended, w.ID) })
 }
 
 // update applies a host list. It returns the ids of the workers that have ended,
--- a/internal/scheduler/workerhosts_test.go
+++ b/internal/scheduler/workerhosts_test.go
@@ -15,9 +15,9 @@
 		"down": {Pool: "p", Host: "h4"}, "unknown": {Pool: "p"}, "maintained": {Pool: "p", Host: "h5"},
 		"down, still listed": {Pool: "p", Host: "h6"}, "no longer listed": {Pool: "p", Host: "h7"},
 	}
-	var used []estate.Worker
+	var used []UsedWorker
 	for _, id := range []string{"moved", "replaced", "same", "down", "unknown", "maintained", "down, still listed", "no longer listed"} {
-		used = append(used, estate.Worker{ID: id, Pool: "p"})
+		used = append(used, UsedWorker{Worker: estate.Worker{ID: id, Pool: "p"}})
 	}
 	hosts := []estate.Host{
 		{Name: "h1", Pool: "q", State: estate.HostUp}, {Name: "h2", Pool: "p", State: estate.HostUp, WorkerID: "other"},
