node: a new owner knows at once which hosts are to be maintained

Cause: workers whose hosts are to be maintained are the second choice for such tasks, but the engine learned which these are only with the first fleet plan, 3.35 s after the takeover. Change: it learns them from the first host list and the waves. Evidence: TestNewOwnerPlacesNoEvacuatedTaskBackOnAHostOfAWave fails without the change (w1 instead of w2). The simulation does the same as the controller. Why it works: no order about a host is needed to avoid it.

--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -167,11 +167,16 @@
 // reconcile makes a fleet plan and carries it out. The caller has checked that
 // the ownership lease is valid.
 func (f *fleetController) reconcile(ctx context.Context, now time.Duration) {
-	if now < f.firstOrderAt || now-f.lastPlan < planInterval {
+	if now-f.lastPlan < planInterval {
 		return
 	}
 	f.lastPlan = now
 	o := f.owner
+	if now < f.firstOrderAt {
+		// Tasks that the previous owner moved must not come back meanwhile.
+		o.engine.SetPendingRemoval(f.planner.PendingRemoval(fleetplan.State{Hosts: f.hosts, Waves: o.node.waves.list()}))
+		return
+	}
 	state := fleetplan.State{
 		Now: now, Pools: o.engine.Pools(now), Hosts: f.hosts, HostsAt: f.hostsAt, Waves: o.node.waves.list(),
 	}
--- a/internal/node/usedworkers_test.go
+++ b/internal/node/usedworkers_test.go
@@ -10,9 +10,11 @@
 
 	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/ownership"
+	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/scheduler"
 	"github.com/egretpitch/egretpitch/internal/standin"
+	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
 // The list shows the host down, as it was before the worker started again.
@@ -129,3 +131,43 @@
 		t.Error("the worker has been removed, and its runs given up, by a list that shows it")
 	}
 }
+
+// The new owner may not give orders about hosts yet.
+func TestNewOwnerPlacesNoEvacuatedTaskBackOnAHostOfAWave(t *testing.T) {
+	o := testOwner(t, standin.NewRows(), 2)
+	o.engine = scheduler.New(scheduler.Options{
+		Token: 1, Epoch: 2, MaxLease: 6 * time.Second, Parts: 1, PartOf: func(string) int { return 0 }, Log: zap.NewNop(),
+		UnixMS: func(now time.Duration) int64 { return now.Milliseconds() },
+	})
+	o.engine.SetCatalog(testCatalog(1, "/q/"))
+	o.fleetController = newFleetController(o, nil, scheduler.WorkerHosts{}, 0)
+	o.fleetController.firstOrderAt = time.Hour
+	o.node.waves.add([]estate.Wave{{Number: 1, Hosts: []string{"h1"}, MaxDown: 1, Duration: time.Minute}})
+	const now = time.Second
+	size := placement.Resources{Processors: 4, MemoryMB: 4096}
+	var hosts []estate.Host
+	for _, n := range []string{"1", "2"} {
+		w := estate.Worker{ID: "w" + n, Pool: "p", StartedMS: 1, Capacity: size}
+		o.engine.WorkerListed(w, now)
+		hosts = append(hosts, estate.Host{Name: "h" + n, Pool: "p", State: estate.HostUp, WorkerID: w.ID})
+	}
+	o.fleetController.setHosts(hosts, now, now)
+	for _, order := range o.engine.Decide(now, scheduler.OwnershipValid) {
+		if poll, ok := order.(*scheduler.PollOrder); ok {
+			o.engine.Polled(poll, platform.WorkerStatus{Outcome: platform.OrderDone, StartedMS: 1, ClockMS: 1}, nil, now)
+		}
+	}
+	o.engine.Recorded(o.engine.InUse())
+	o.fleetController.reconcile(t.Context(), now)
+	job := &workload.Job{ID: testID, Queue: "q", Pool: "p", Steps: []workload.Step{{Count: 1, LongRunning: true, Size: placement.Resources{Processors: 1}}}}
+	o.engine.AddJob(job, &workload.Progress{Queue: "q", State: workload.Running}, 1, 0, true, now)
+	started := ""
+	for _, order := range o.engine.Decide(now+50*time.Millisecond, scheduler.OwnershipValid) {
+		if start, ok := order.(*scheduler.StartOrder); ok {
+			started = start.Worker.ID
+		}
+	}
+	if started != "w2" {
+		t.Errorf("the task is started on %q, want w2: the host of w1 is to be maintained", started)
+	}
+}
--- a/internal/scheduler/estate_simulation_test.go
+++ b/internal/scheduler/estate_simulation_test.go
@@ -365,6 +365,7 @@
 // control makes a fleet plan and carries it out, as the fleet controller does.
 func (s *estateSimulation) control() {
 	if s.now < s.firstOrderAt {
+		s.owner.SetPendingRemoval(s.planner.PendingRemoval(fleetplan.State{Hosts: s.listed, Waves: s.waves}))
 		return
 	}
 	state := fleetplan.State{Now: s.now, Pools: s.owner.Pools(s.now), Hosts: s.listed, HostsAt: s.listedAt, Waves: s.waves}
