fleetplan: a worker with long-running tasks is not drained for good

What callers could see: a worker that takes no tasks for as long as its pool is large enough. Cause: a worker is drained because its pool is too large, then gets a long-running task as a last resort. Workers with such tasks are not chosen for this, but one that was chosen stayed. Change: it is reopened. TestWorkerWithLongRunningTasksIsNotDrained fails without the change.

--- a/internal/fleetplan/move.go
+++ b/internal/fleetplan/move.go
@@ -170,15 +170,21 @@
 	}
 }
 
-// reopen reopens draining workers of a pool that needs them again, those with
-// the most used cores first.
+// reopen reopens draining workers that have got long-running tasks, and those of a
+// pool that needs them again, those with the most used cores first.
 func (v *view) reopen(need *poolNeed) {
 	var list []*estate.Host
 	for i := range v.Hosts {
 		h := &v.Hosts[i]
-		if h.Pool == need.pool.Name && v.draining[h.Name] != "" && v.available(h) && v.workers[h.WorkerID] != nil {
-			list = append(list, h)
+		if h.Pool != need.pool.Name || v.draining[h.Name] == "" || !v.available(h) || v.workers[h.WorkerID] == nil {
+			continue
+		}
+		if v.workers[h.WorkerID].LongRunningTasks > 0 { // does not become idle
+			need.serving++
+			delete(v.draining, h.Name)
+			continue
 		}
+		list = append(list, h)
 	}
 	slices.SortStableFunc(list, func(a, b *estate.Host) int {
 		return cmp.Compare(v.workers[b.WorkerID].Used, v.workers[a.WorkerID].Used)
--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -138,3 +138,34 @@
 		t.Error("the host of the wave is not evacuated")
 	}
 }
+
+// A long-running task started on the worker as a last resort.
+func TestWorkerWithLongRunningTasksIsNotDrained(t *testing.T) {
+	p, a := planned{}, Pool{Name: "a"}
+	for range 5 {
+		p.addHost(&a, Worker{Used: 1})
+	}
+	p.pools = []Pool{a}
+	planner := New(testMigration, nil, []Surge{{Pool: "a"}}, nil)
+	now := tick
+	plan := func() map[string]Reservation {
+		planner.Plan(State{Now: now, HostsAt: now, Hosts: p.hosts, Pools: p.pools})
+		now += tick
+		return planner.Reservations()
+	}
+	before := plan()
+	if len(before) == 0 {
+		t.Fatal("no worker of the pool is drained, which is too large")
+	}
+	for i := range a.Workers {
+		if w := &a.Workers[i]; before[w.ID] != Unreserved {
+			w.LongRunningTasks, w.Open = 1, false
+		}
+	}
+	reserved := plan()
+	for id := range before {
+		if reserved[id] != Unreserved {
+			t.Errorf("worker %s is drained, but runs a long-running task", id)
+		}
+	}
+}
