fleetplan: a pool borrows a host for each worker that a wave is to empty

Cause: a pool borrowed one host at a time, however many of its hosts a wave may take down. Change: it borrows one for each host that has a slot of the wave, up to the share of its workers that may be emptied at a time.

--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -88,7 +88,7 @@
 				// The worker serves on until its tasks have places elsewhere.
 				delete(v.evacuatingSince, h.Name)
 				if lacking != NoNumber {
-					v.borrowing[h.Pool] = lacking
+					v.borrowing[h.Pool] += lacking
 				}
 				continue
 			}
@@ -240,7 +240,7 @@
 	if v.lacking(h.Pool) > 0 || v.workers[h.WorkerID].Needed || (v.load(h.Pool) > busyLoad && !behindSchedule) {
 		return false
 	}
-	evacuating := 0
+	evacuating := v.borrowing[h.Pool]
 	for name := range selected {
 		if other := v.hosts[name]; other != nil && other.Pool == h.Pool {
 			if v.workers[other.WorkerID].Open {
