fleetplan: a plan that begins to empty a worker drains none of its pool

What callers could see: a wave that does not get on, its next worker reserved and released in turn with each plan. Cause: the pool has an idle worker for the tasks of the one that is emptied, and is too large: the plan that began to empty the one drained the other, so that the tasks had no place in the next plan, which released both. Change: as with moves, such a plan leaves the other workers alone; from the next one on the idle worker counts as needed. Evidence: found by TestWorkGoesOnDuringPlannedWork (11 hosts remain, none begun for 16.5 s), which passes now. TestPlaceOfAnEvacuatedTaskIsNotDrained fails without the change.

--- a/internal/fleetplan/move.go
+++ b/internal/fleetplan/move.go
@@ -145,6 +145,9 @@
 // excess, so that their hosts become idle and can move. Workers with the least
 // work that can still complete in time come first.
 func (v *view) drain(need poolNeed, over int) {
+	if need.evacuates {
+		return
+	}
 	var list []*estate.Host
 	for i := range v.Hosts {
 		h := &v.Hosts[i]
--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -169,3 +169,19 @@
 		}
 	}
 }
+
+// The pool is too large beside the worker that is emptied.
+func TestPlaceOfAnEvacuatedTaskIsNotDrained(t *testing.T) {
+	p, a := planned{}, Pool{Name: "a"}
+	p.addHost(&a, Worker{LongRunningTasks: 1, Used: 1})
+	for range 5 {
+		p.addHost(&a, Worker{Idle: true})
+	}
+	p.pools = []Pool{a}
+	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h0"}}}
+	planner := New(testMigration, nil, []Surge{{Pool: "a"}}, nil)
+	planner.Plan(State{Now: tick, HostsAt: tick, Hosts: p.hosts, Pools: p.pools, Waves: p.waves})
+	if got := planner.Reservations(); len(got) != 1 || got["w0"] != Emptying {
+		t.Errorf("reserved are %v, want only the worker that is evacuated", got)
+	}
+}
