--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -84,6 +84,7 @@
 	slots := w.MaxDown - down
 	expectedStarted := float64(v.Now-v.waveFirstSeen[w.Number]) / (scheduleShare * float64(w.Duration)) * float64(len(w.Hosts))
 	behindSchedule := float64(len(w.Hosts)-remaining) < expectedStarted
+	waiting := 0 // hosts that can be emptied once their pools have borrowed others
 	for _, h := range candidates {
 		if slots <= 0 || !v.mayOrder() {
 			return
@@ -109,8 +110,9 @@
 			if lacking := v.workers[h.WorkerID].LackingToEmpty; lacking > 0 {
 				// The worker serves on until its tasks have places elsewhere.
 				delete(v.evacuatingSince, h.Name)
-				if least, ok := v.borrowing[h.Pool]; lacking != NoNumber && (!ok || lacking < least) {
-					v.borrowing[h.Pool] = lacking
+				if lacking != NoNumber && waiting < slots {
+					waiting++
+					v.borrowing[h.Pool] += lacking
 				}
 				continue
 			}
@@ -285,7 +287,7 @@
 	if v.workers[h.WorkerID].Needed || (busy && !behindSchedule) {
 		return false
 	}
-	evacuating := 0
+	evacuating := v.borrowing[h.Pool]
 	for name := range selected {
 		if other := v.hosts[name]; other != nil && other.Pool == h.Pool {
 			if v.workers[other.WorkerID].Open {
--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -396,3 +396,50 @@
 		t.Error("the host of the wave is not evacuated")
 	}
 }
+
+// A long-running task started on the worker as a last resort.
+func TestWorkerWithLongRunningTasksIsNotDrained(t *testing.T) {
+	p, a := planned{}, Pool{Name: "a"}
+	for range 5 {
+		p.addHost(&a, Worker{Used: 1})
+	}
+	p.pools = []Pool{a}
+	planner := New(testMigration, nil, []Surge{{Pool: "a"}}, nil)
+	now := tick
+	plan := func() map[string]Reservation {
+		planner.Plan(State{Now: now, HostsAt: now, Hosts: p.hosts, Pools: p.pools})
+		now += tick
+		return planner.Reservations()
+	}
+	before := plan()
+	if len(before) == 0 {
+		t.Fatal("no worker of the pool is drained, which is too large")
+	}
+	for i := range a.Workers {
+		if w := &a.Workers[i]; before[w.ID] != Unreserved {
+			w.LongRunningTasks, w.Open = 1, false
+		}
+	}
+	reserved := plan()
+	for id := range before {
+		if reserved[id] != Unreserved {
+			t.Errorf("worker %s is drained, but runs a long-running task", id)
+		}
+	}
+}
+
+// The pool is too large beside the worker that is emptied.
+func TestPlaceOfAnEvacuatedTaskIsNotDrained(t *testing.T) {
+	p, a := planned{}, Pool{Name: "a"}
+	p.addHost(&a, Worker{LongRunningTasks: 1, Used: 1})
+	for range 5 {
+		p.addHost(&a, Worker{Idle: true})
+	}
+	p.pools = []Pool{a}
+	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h0"}}}
+	planner := New(testMigration, nil, []Surge{{Pool: "a"}}, nil)
+	planner.Plan(State{Now: tick, HostsAt: tick, Hosts: p.hosts, Pools: p.pools, Waves: p.waves})
+	if got := planner.Reservations(); len(got) != 1 || got["w0"] != Emptying {
+		t.Errorf("reserved are %v, want only the worker that is evacuated", got)
+	}
+}
--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -323,10 +323,10 @@
 		}
 	}
 	s.run(20*time.Millisecond, s.owner)
-	s.advance(500 * time.Millisecond)
 	if got := s.reservedWithTasks(); len(got) != 1 {
 		t.Fatalf("reserved workers with long-running tasks are %v, want one", got)
 	}
+	s.advance(500 * time.Millisecond)
 	return s
 }
 
