fleetplan: failing test, the bound on an evacuation begins anew with each owner

What callers would see: a wave that does not end while owners change, as in a rolling restart. Cause: evacuatingSince is in the planner of one owner. waveFirstSeen goes to the successor with the heartbeat, this time does not; each owner waits 3.35 s for its first order beside that, so changes every 13 s are enough. Evidence: owners of 9 s each, one slot, the first host cannot be emptied: no Evacuate of the second one in two minutes.

--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -360,3 +360,27 @@
 		}
 	}
 }
+
+// Each owner lasts for 9 s, and the tasks of the first host fit nowhere else.
+func TestWaveReachesItsSecondHostThoughOwnersChange(t *testing.T) {
+	p, a, b := planned{}, Pool{Name: "a"}, Pool{Name: "b"}
+	for range 2 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: 10})
+	}
+	for range 3 {
+		p.addHost(&b, Worker{LongRunningTasks: 2, Used: 10})
+	}
+	waves := []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h0", "h2"}}}
+	planner := New(testMigration, nil, nil, nil)
+	for now := tick; now < 2*time.Minute; now += tick {
+		if now%(9*time.Second) == 0 {
+			planner = New(testMigration, nil, planner.Surges(), planner.WavesFirstSeen())
+		}
+		for _, dec := range planner.Plan(State{Now: now, HostsAt: now, Hosts: p.hosts, Pools: []Pool{a, b}, Waves: waves}) {
+			if dec.Kind == Evacuate && dec.Host == "h2" {
+				return
+			}
+		}
+	}
+	t.Error("the wave ended two minutes ago, and the evacuation of its second host has not begun")
+}
