scheduler: clocks step in the random histories of long-running tasks

Workers restart with start times up to 30 s before or after the time, drawn apart from the other faults, and each worker that was not lost has to serve again 15 s after the last disruption.

--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -617,6 +617,8 @@
 	*simulation
 	t      *testing.T
 	random *rand.Rand
+	// clocks draws how far the clocks of hosts are set before workers restart.
+	clocks *rand.Rand
 	owner  *testOwner
 	jobs   []*workload.Job
 	ranAt  map[string]time.Duration
@@ -628,7 +630,7 @@
 
 func newDisruptedHistory(t *testing.T, seed uint64) *disruptedHistory {
 	h := &disruptedHistory{
-		simulation: newSimulation(t), t: t, random: rand.New(rand.NewPCG(seed, 0)), ranAt: map[string]time.Duration{}, lost: map[string]bool{}, faults: true,
+		simulation: newSimulation(t), t: t, random: rand.New(rand.NewPCG(seed, 0)), clocks: rand.New(rand.NewPCG(seed, 1)), ranAt: map[string]time.Duration{}, lost: map[string]bool{}, faults: true,
 	}
 	for n := range 5 {
 		f := h.addWorkerFor(nil, fmt.Sprintf("w%d", n+1), 6)
@@ -679,6 +681,14 @@
 	}
 }
 
+// restart starts a new incarnation of a worker, which may have an earlier start
+// time than the one before.
+func (h *disruptedHistory) restart(f *fakeWorker) {
+	f.clockStep = time.Duration(h.clocks.IntN(60_001)-30_000) * time.Millisecond
+	f.restart(h.now)
+	f.reachable = true
+}
+
 // disrupt plays one random disruption.
 func (h *disruptedHistory) disrupt() {
 	f := h.workers[fmt.Sprintf("w%d", 1+h.random.IntN(5))]
@@ -702,8 +712,7 @@
 		})
 	case 2:
 		if !f.up && !h.lost[f.ID] {
-			f.restart(h.now)
-			f.reachable = true
+			h.restart(f)
 		}
 	case 3, 4:
 		if f.up {
@@ -737,7 +746,7 @@
 			continue
 		}
 		if !f.up {
-			f.restart(h.now)
+			h.restart(f)
 		}
 		f.reachable = true
 	}
@@ -750,5 +759,10 @@
 			}
 		}
 	}
+	for _, f := range sorted(h.workers) {
+		if w := h.owner.workers[f.ID]; !h.lost[f.ID] && (w == nil || w.StartedMS != f.StartedMS || w.closed(h.now) != "") {
+			h.t.Errorf("worker %s does not serve %v after the last disruption", f.ID, h.now-disruptedAt)
+		}
+	}
 	h.check()
 }
