node, scheduler: a release moves the tasks that have been stopped first

A process that was told to stop cancelled its ownership at once. A task that it had stopped 0.2 s before, for an evacuation, was left to the successor, which had to find out, and starts it only when no worker of the pool can still have an unknown run.

From the signal to the release the owner now begins no evacuation, no drain and no host order, and its ownership ends when no long-running task is between two runs: at once in the usual case, at most 1.2 s later (a stop and a start). Its heartbeats go on until then, so nobody takes over before.

TestReleaseLeavesNoStoppedTaskToTheSuccessor: before, the task was not started again before the release; passes, and the second task of the worker, which may not be away at the same time, is not stopped any more. go test -race ./internal/node: green.

--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -71,6 +72,10 @@
 	surges      []ownership.Surge
 	waves       map[int64]int64
 
+	// deciding is set once the stored state is loaded, and handingOver once the
+	// ownership is to be released: run then ends when no task is moving.
+	deciding, handingOver atomic.Bool
+
 	used usedWorkersRecord
 	// lastSweep is when the heartbeat's contents and the record of workers in
 	// use were last updated.
@@ -190,6 +195,7 @@
 	}
 	now := n.Clock.Now()
 	o.setUpEngine(l, now)
+	o.deciding.Store(true)
 	go o.watchJobs(ctx, l.jobStamp.Version)
 	go o.watchWorkers(ctx, l.workers.Version)
 	go o.watchHosts(ctx)
@@ -210,6 +216,9 @@
 			return errors.New("a worker has seen the fencing token of a later owner")
 		}
 		o.reconcile(ctx)
+		if o.handingOver.Load() && !o.engine.Moving(handoverTimeout, n.Clock.Now()) {
+			return nil
+		}
 	}
 }
 
@@ -317,7 +326,10 @@
 		o.lastSweep = now
 		o.updateHeartbeat()
 	}
-	if valid {
+	switch {
+	case o.handingOver.Load():
+		o.engine.HandOver()
+	case valid:
 		o.fleetController.reconcile(ctx, now)
 	}
 	for _, order := range o.engine.Decide(now, ownershipState) {
@@ -366,14 +378,26 @@
 	return last
 }
 
-// release waits until this process gives no more orders and then stores an
-// owner record without an owner, so that any other process may take over at
-// once.
+// handoverTimeout is how long a release waits for the tasks that have been
+// stopped to move them: a stop and a start.
+const handoverTimeout = 1200 * time.Millisecond
+
+// release begins nothing any more whose result would fall to the successor, and
+// waits until this process gives no more orders. It then stores an owner record
+// without an owner, so that any other process may take over at once.
 func (n *Node) release(ctx context.Context) {
 	o := n.owner.Load()
 	if o == nil {
 		return
 	}
+	o.handingOver.Store(true)
+	if o.deciding.Load() {
+		select {
+		case <-o.done:
+		case <-time.After(handoverTimeout):
+		case <-ctx.Done():
+		}
+	}
 	o.cancel()
 	<-o.done
 	record := o.record
--- /dev/null
+++ b/internal/node/release_test.go
@@ -0,0 +1,162 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/egretpitch/egretpitch/internal/estate"
+	"github.com/egretpitch/egretpitch/internal/placement"
+	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/workload"
+)
+
+// testWorkers are workers and their entries. A stopped run ends after stopTakes.
+type testWorkers struct {
+	platform.Fleet
+	mu        sync.Mutex
+	entries   platform.WorkerChanges
+	changed   chan struct{}
+	runs      map[string]map[workload.TaskID]int
+	ends      map[string][]platform.EndedRun
+	starts    map[string]int
+	stops     int
+	stopTakes time.Duration
+}
+
+func (f *testWorkers) list(entries ...estate.Worker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries.Version++
+	f.entries.Changed = entries
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *testWorkers) ReadWorkers(context.Context) (platform.WorkerChanges, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.entries, nil
+}
+
+func (f *testWorkers) WatchWorkers(ctx context.Context, after int64, wait time.Duration) (platform.WorkerChanges, error) {
+	f.mu.Lock()
+	changed, known := f.changed, f.entries.Version
+	f.mu.Unlock()
+	if known == after {
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return platform.WorkerChanges{}, ctx.Err()
+		}
+	}
+	return f.ReadWorkers(ctx)
+}
+
+func (f *testWorkers) ListHosts(context.Context) ([]estate.Host, error) { return nil, nil }
+
+func (f *testWorkers) StartRun(_ context.Context, w *estate.Worker, o platform.Start) (platform.OrderAnswer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.runs[w.ID] == nil {
+		f.runs[w.ID] = map[workload.TaskID]int{}
+	}
+	f.runs[w.ID][o.Task] = o.Run
+	f.starts[w.ID]++
+	return platform.OrderAnswer{ClockMS: 1000}, nil
+}
+
+func (f *testWorkers) StopRun(_ context.Context, w *estate.Worker, task workload.TaskID, run int, _ int64) (platform.OrderAnswer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stops++
+	time.AfterFunc(f.stopTakes, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.runs[w.ID], task)
+		f.ends[w.ID] = append(f.ends[w.ID], platform.EndedRun{Number: int64(len(f.ends[w.ID]) + 1), Task: task, Run: run, End: platform.EndStopped})
+	})
+	return platform.OrderAnswer{ClockMS: 1000}, nil
+}
+
+func (f *testWorkers) ThrottleRun(context.Context, *estate.Worker, workload.TaskID, int, int, int64) (platform.OrderAnswer, error) {
+	return platform.OrderAnswer{}, nil
+}
+
+func (f *testWorkers) PollWorker(_ context.Context, w *estate.Worker, _ platform.Poll) (platform.WorkerStatus, error) {
+	time.Sleep(10 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := platform.WorkerStatus{ClockMS: 1000, StartedMS: w.StartedMS, Ends: f.ends[w.ID]}
+	for task, run := range f.runs[w.ID] {
+		s.Runs = append(s.Runs, platform.RunStatus{Task: task, Run: run, Percent: 100})
+	}
+	return s, nil
+}
+
+func (f *testWorkers) counts(id string) (starts, stops int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts[id], f.stops
+}
+
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !condition(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("no %s within 10 s", what)
+		}
+	}
+}
+
+// Two tasks, one of which may be away at a time, leave a worker when the process is told to stop.
+func TestReleaseLeavesNoStoppedTaskToTheSuccessor(t *testing.T) {
+	n, rows, _ := testNode(t)
+	f := &testWorkers{
+		changed: make(chan struct{}), runs: map[string]map[workload.TaskID]int{}, ends: map[string][]platform.EndedRun{},
+		starts: map[string]int{}, stopTakes: 300 * time.Millisecond,
+	}
+	n.Runner, n.Discovery, n.Fleet = f, f, f
+	n.Scheduling.MaxLease, n.Scheduling.StopGrace = 6*time.Second, 900*time.Millisecond
+	job := &workload.Job{ID: testID, Queue: "q", Pool: "p", Steps: []workload.Step{{
+		Count: 2, Size: placement.Resources{Processors: 1, MemoryMB: 10}, LongRunning: true, MaxUnavailable: 1,
+	}}}
+	spec, err := job.Encode()
+	if err == nil {
+		_, err = rows.CommitRows(t.Context(), platform.RowTxn{Writes: []platform.RowWrite{{RowKey: jobRow(jobTable, testID, ""), Value: spec}}})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	w1, w2 := testWorker, testWorker
+	w1.ID, w2.ID = "w1", "w2"
+	f.list(w1)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	control, _, err := rows.ReadRows(ctx, controlTable, controlPart, "", "")
+	if err == nil {
+		err = n.observeControl(control, n.Clock.Now())
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.acquire(ctx)
+	waitFor(t, "start on w1", func() bool { starts, _ := f.counts("w1"); return starts == 2 })
+	time.Sleep(200 * time.Millisecond) // a poll lists the runs
+	w1.Draining, w1.Remaining = true, 20*time.Second
+	f.list(w1, w2)
+	waitFor(t, "stop", func() bool { _, stops := f.counts("w1"); return stops > 0 })
+	n.release(ctx)
+	if starts, stops := f.counts("w2"); starts != 1 || stops != 1 {
+		t.Errorf("%d tasks were stopped and %d started on the other worker before the release, want one", stops, starts)
+	}
+	stored, _, err := rows.ReadRows(ctx, controlTable, controlPart, "", "")
+	if err == nil {
+		err = n.observeControl(stored, n.Clock.Now())
+	}
+	if view := n.view.Load(); err != nil || view.Record.Owner != "" || view.RecordVersion == 0 {
+		t.Errorf("%v, the owner is %q after the release, want none", err, view.Record.Owner)
+	}
+}
--- a/internal/scheduler/evacuate.go
+++ b/internal/scheduler/evacuate.go
@@ -17,6 +17,29 @@
 	}
 }
 
+// HandOver ends the evacuations: the ownership is about to be released, and a
+// task that is stopped now would wait for the successor.
+func (e *Engine) HandOver() { e.handingOver = true }
+
+// Moving reports whether a long-running task has been stopped, or has become
+// ready to start, within the given time, and no start of it has been answered
+// yet.
+func (e *Engine) Moving(within, now time.Duration) bool {
+	for _, p := range e.pools {
+		for _, w := range p.workers {
+			if slices.ContainsFunc(w.longRunning, func(r *run) bool { return r.phase == runSent || (r.phase == runStopping && w.failedPolls == 0) }) {
+				return true
+			}
+		}
+		for s := range p.ready {
+			if s.LongRunning && slices.ContainsFunc(s.tasks, func(t *task) bool { return t.startable() && now-t.listedAt < within }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // leaveMargin is the remaining time of a worker that leaves from which the
 // MaxUnavailable of their steps no longer keeps its long-running tasks there:
 // they would all end with the worker.
@@ -34,7 +57,7 @@
 // evacuatePool is evacuate for one pool.
 func (e *Engine) evacuatePool(p *pool, now time.Duration) {
 	for _, r := range e.holdCapacity(p, now) {
-		if e.mayStop(r, now) { // its step may have had another run stopped
+		if !e.handingOver && e.mayStop(r, now) { // its step may have had another run stopped
 			reason := "worker is being evacuated"
 			if r.worker.leaving() {
 				reason = "worker leaves"
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -157,6 +157,8 @@
 	requesting int
 	recovering bool
 	ownership  OwnershipState
+	// handingOver is set once the ownership is about to be released.
+	handingOver bool
 	// superseded is set once a worker has seen a higher token.
 	superseded bool
 }
