node: the first heartbeats of a successor keep surges and waves

An owner sends heartbeats from its start, and passes on the surges of the demand and the times at which waves were first seen only once it has loaded the stored state. Its first heartbeats were empty of both. If one of them was read back before the load had ended (some 300 ms), the owner started without them, and with owners that change often they were lost for good: the time that a wave has left is counted anew, and the forecast forgets its surges.

The heartbeat before the ownership is now kept at its start; the first heartbeats repeat it and the planner starts from it.

TestFirstHeartbeatsOfASuccessorKeepWhatThePreviousOnesTold: before, none of either in the first heartbeat and in those after the load; passes. go test ./internal/node: green.

--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -144,19 +144,19 @@
 	return seen
 }
 
-// previousWaves returns when each wave was first seen according to the last
+// previousWaves returns when each wave was first seen according to the inherited
 // heartbeat.
 func (o *owner) previousWaves(now time.Duration) map[int64]time.Duration {
 	seen := map[int64]time.Duration{}
-	for wave, ms := range o.node.view.Load().Heartbeat.Waves {
+	for wave, ms := range o.inherited.Waves {
 		seen[wave] = o.node.Clock.FromStoreMS(ms, now)
 	}
 	return seen
 }
 
-// previousSurges returns the surges listed in the last heartbeat.
+// previousSurges returns the surges listed in the inherited heartbeat.
 func (o *owner) previousSurges(now time.Duration) []fleetplan.Surge {
-	surges := o.node.view.Load().Heartbeat.Surges
+	surges := o.inherited.Surges
 	list := make([]fleetplan.Surge, len(surges))
 	for i, s := range surges {
 		list[i] = fleetplan.Surge{Pool: s.Pool, At: o.node.Clock.FromStoreMS(s.StoreMS, now), Workers: s.Workers}
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -46,6 +46,9 @@
 	// previousHeartbeat is when the previous owner's last heartbeat was first
 	// seen.
 	previousHeartbeat time.Duration
+	// inherited is the last heartbeat before this ownership. The first heartbeats
+	// of this owner replace it before it has loaded the stored state.
+	inherited ownership.Heartbeat
 	// lastOrders holds the latest times of the orders of all owners up to an
 	// epoch. It does not change during the ownership.
 	lastOrders map[int64]time.Duration
@@ -90,9 +93,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	o := &owner{
 		node: n, token: token, record: record, previous: previous, events: make(chan func(time.Duration), eventQueueLength),
-		cancel: cancel, done: make(chan struct{}), acquiredAt: n.Clock.Now(), ownershipWasValid: true, previousHeartbeat: n.view.Load().HeartbeatSeen,
+		cancel: cancel, done: make(chan struct{}), acquiredAt: n.Clock.Now(), ownershipWasValid: true,
 	}
-	o.lastOrders = o.previousLastOrders(n.view.Load())
+	view := n.view.Load()
+	o.previousHeartbeat, o.inherited = view.HeartbeatSeen, view.Heartbeat
+	o.lastOrders = o.previousLastOrders(view)
+	o.surges, o.waves = o.inherited.Surges, o.inherited.Waves
 	o.lease.Renew(sent)
 	o.workerCalls = newWorkerCallLimiter(o)
 	n.owner.Store(o)
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/egretpitch/egretpitch/internal/estate"
+	"github.com/egretpitch/egretpitch/internal/ownership"
 	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/workload"
@@ -160,3 +161,61 @@
 		t.Errorf("%v, the owner is %q after the release, want none", err, view.Record.Owner)
 	}
 }
+
+// blockedDiscovery answers once it is released.
+type blockedDiscovery struct {
+	platform.Discovery
+	release chan struct{}
+}
+
+func (d *blockedDiscovery) ReadWorkers(ctx context.Context) (platform.WorkerChanges, error) {
+	select {
+	case <-d.release:
+		return d.Discovery.ReadWorkers(ctx)
+	case <-ctx.Done():
+		return platform.WorkerChanges{}, ctx.Err()
+	}
+}
+
+// An owner sends its first heartbeats before it has loaded the stored state.
+func TestFirstHeartbeatsOfASuccessorKeepWhatThePreviousOnesTold(t *testing.T) {
+	n, rows, _ := testNode(t)
+	f := &testWorkers{changed: make(chan struct{})}
+	blocked := &blockedDiscovery{Discovery: f, release: make(chan struct{})}
+	n.Runner, n.Discovery, n.Fleet = f, blocked, f
+	previous, err := ownership.Encode(ownership.Heartbeat{Incarnation: 5, Waves: map[int64]int64{3: 1}, Surges: []ownership.Surge{{Pool: "p", StoreMS: 1, Workers: 2}}})
+	if err == nil {
+		_, err = rows.CommitRows(t.Context(), platform.RowTxn{Writes: []platform.RowWrite{{RowKey: heartbeatRow, Value: previous}}})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	observe := func() ownership.Heartbeat {
+		t.Helper()
+		control, _, err := rows.ReadRows(t.Context(), controlTable, controlPart, "", "")
+		if err == nil {
+			err = n.observeControl(control, n.Clock.Now())
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		return n.view.Load().Heartbeat
+	}
+	observe()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	n.acquire(ctx)
+	for _, what := range []string{"first heartbeat", "heartbeat after the load"} {
+		var got ownership.Heartbeat
+		waitFor(t, what, func() bool {
+			got = observe()
+			return got.Incarnation == n.incarnation && (got.PendingKnown || what == "first heartbeat")
+		})
+		if len(got.Waves) != 1 || len(got.Surges) != 1 {
+			t.Errorf("the %s tells of waves %v and surges %v, want one each", what, got.Waves, got.Surges)
+		}
+		if what == "first heartbeat" {
+			close(blocked.release)
+		}
+	}
+}
