--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -12,6 +12,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -35,8 +36,15 @@
 	// Needed means that long-running tasks that lack a place are about to get
 	// one on the worker.
 	Needed bool
+	// LackingToEmpty is how many further workers the pool needs before the
+	// long-running tasks of the worker, which is to be emptied, fit on others.
+	// It is NoNumber if they would not fit on further ones either.
+	LackingToEmpty int
 }
 
+// NoNumber stands for a number of workers that does not suffice however large.
+const NoNumber = math.MaxInt
+
 // Pool is the planner's input about one pool.
 type Pool struct {
 	Name    string
@@ -127,6 +135,9 @@
 // which it is computed. It is logged under its field names.
 type Sizing struct {
 	Size, Have int
+	// Loaded is the number of workers that the load fills: Size without workers
+	// to spare.
+	Loaded int
 	// Keep is the number of workers that the pool keeps while no other pool
 	// lacks hosts, so that late work can go on.
 	Keep int
@@ -137,8 +148,9 @@
 	// about now, 0 for none.
 	Expected int
 	// Lacking is how many further workers the pool needs for long-running tasks,
-	// beyond those that are about to serve it.
-	Lacking int
+	// beyond those that are about to serve it. Borrow is how many more it needs
+	// so that a host of a wave can be emptied.
+	Lacking, Borrow int
 }
 
 const (
@@ -147,6 +159,15 @@
 	// orderTimeout is how long a host with an order is left alone if the host
 	// list does not confirm that the order was carried out.
 	orderTimeout = 8 * time.Second
+	// minRefusalPause is how long a host gets no other order after one that was
+	// refused, or got no answer and was not carried out. It doubles with each such
+	// order in a row, up to maxRefusalPause.
+	minRefusalPause = 200 * time.Millisecond
+	maxRefusalPause = 3200 * time.Millisecond
+	// MinListsWithoutHost is the number of consecutive host lists without a host
+	// after which the host is taken to have left the estate. A host can fall
+	// between two pages of a single list.
+	MinListsWithoutHost = 2
 	// maxUnanswered bounds the orders in flight to what a fleet service that
 	// handles some hundred orders a second answers before the next few plans.
 	maxUnanswered = 60
@@ -161,12 +182,13 @@
 	demands   map[string]*demand
 	forecast  forecast
 	orders    map[string]order
+	refusals  map[string]refusal
 	// maintenanceStarted holds, by wave number, the hosts whose maintenance has
 	// started.
 	maintenanceStarted map[int64]map[string]bool
 	// evacuating maps hosts to the ids of their workers that are being
 	// evacuated. evacuatingSince maps hosts to the time of their first evacuation
-	// since their last order.
+	// since their last order, or since the last one that timed out.
 	evacuating      map[string]string
 	evacuatingSince map[string]time.Duration
 	// draining maps hosts to the ids of their workers that get no new tasks
@@ -175,6 +197,9 @@
 	// undiscoveredSince maps hosts to the time since which they have been up
 	// without a known worker.
 	undiscoveredSince map[string]time.Duration
+	// borrowing is how many workers pools lacked at the last plan to empty the
+	// next hosts of waves.
+	borrowing map[string]int
 	// anyPoolShort is whether a pool lacked workers at the last plan, and
 	// shortfall how many were still missing after all spare hosts were
 	// assigned.
@@ -182,6 +207,10 @@
 	shortfall     int
 	completed     map[int64]bool
 	waveFirstSeen map[int64]time.Duration
+	// absentLists counts, by host of a wave, the latest consecutive host lists
+	// without the host. countedList is when the last counted one was requested.
+	absentLists map[string]int
+	countedList time.Duration
 }
 
 // order is an order to the fleet service that the host list has not confirmed
@@ -198,6 +227,13 @@
 	wave       int64
 }
 
+// refusal is the last order about a host that was not carried out.
+type refusal struct {
+	// until is when the host may get another order, pause for how long it got
+	// none.
+	until, pause time.Duration
+}
+
 // New returns a planner that continues the work of previous owners:
 // maintenanceStarted holds, by wave, the hosts whose maintenance they started,
 // surges the surges that they observed, and waveFirstSeen the time at which
@@ -205,8 +241,9 @@
 // it moves between pools.
 func New(migration time.Duration, maintenanceStarted map[int64][]string, surges []Surge, waveFirstSeen map[int64]time.Duration) *Planner {
 	p := &Planner{
-		migration: migration, demands: map[string]*demand{}, orders: map[string]order{}, maintenanceStarted: map[int64]map[string]bool{},
+		migration: migration, demands: map[string]*demand{}, orders: map[string]order{}, refusals: map[string]refusal{}, maintenanceStarted: map[int64]map[string]bool{},
 		evacuating: map[string]string{}, evacuatingSince: map[string]time.Duration{}, undiscoveredSince: map[string]time.Duration{}, draining: map[string]string{}, completed: map[int64]bool{}, waveFirstSeen: map[int64]time.Duration{},
+		absentLists: map[string]int{},
 	}
 	p.forecast.surges = surges
 	maps.Copy(p.waveFirstSeen, waveFirstSeen)
@@ -288,6 +325,7 @@
 	o.answeredAt = now
 	o.worker = ""
 	p.orders[d.Host] = o
+	delete(p.refusals, d.Host)
 	delete(p.evacuating, d.Host)
 	delete(p.evacuatingSince, d.Host)
 	delete(p.draining, d.Host)
@@ -297,8 +335,18 @@
 }
 
 // Refused records that an order was not carried out. Its host may get another
-// order.
-func (p *Planner) Refused(d Decision) { delete(p.orders, d.Host) }
+// order after a pause, in which its worker is open to tasks and other hosts get
+// orders.
+func (p *Planner) Refused(d Decision) {
+	p.pauseOrders(d.Host, p.orders[d.Host].orderedAt)
+	delete(p.orders, d.Host)
+}
+
+// pauseOrders begins a pause in the orders about a host.
+func (p *Planner) pauseOrders(host string, from time.Duration) {
+	pause := min(max(2*p.refusals[host].pause, minRefusalPause), maxRefusalPause)
+	p.refusals[host] = refusal{until: from + pause, pause: pause}
+}
 
 // OutcomeUnknown records that an order got no answer and may have been carried
 // out. Its host gets no other order until a later host list shows it up or
@@ -328,7 +376,7 @@
 	}
 	v.needs = v.poolNeeds()
 	v.maintain()
-	p.anyPoolShort = v.missingWorkers() > 0
+	p.anyPoolShort = v.missingWorkers() > 0 || len(v.borrowing) > 0
 	v.move()
 	return v.decisions
 }
@@ -345,6 +393,8 @@
 	needs     []poolNeed
 	expected  map[string]int
 	decisions []Decision
+	// toMaintain are the hosts of waves whose maintenance has not started.
+	toMaintain map[string]bool
 	// unanswered counts the orders in flight.
 	unanswered int
 	// idleToMaintain is how many idle hosts may be taken down for maintenance:
@@ -359,7 +409,7 @@
 func (p *Planner) view(s State) *view {
 	v := &view{
 		Planner: p, State: s, hosts: map[string]*estate.Host{}, byWorker: map[string]*estate.Host{},
-		pools: map[string]*Pool{}, workers: map[string]*Worker{},
+		pools: map[string]*Pool{}, workers: map[string]*Worker{}, toMaintain: map[string]bool{},
 	}
 	for i := range s.Hosts {
 		h := &s.Hosts[i]
@@ -369,6 +419,11 @@
 		}
 		v.confirmOrder(h)
 	}
+	v.countAbsences()
+	maps.DeleteFunc(p.draining, func(host, worker string) bool {
+		h, ordered := v.hosts[host], p.orders[host].worker != ""
+		return !ordered && (h == nil || h.WorkerID != worker)
+	})
 	for _, o := range p.orders {
 		if o.answeredAt == 0 {
 			v.unanswered++
@@ -397,24 +452,45 @@
 	return 2*up > len(v.Hosts)
 }
 
-// expireOrders drops the orders that orderTimeout has passed.
+// expireOrders drops the orders that orderTimeout has passed, and the refusals
+// that no other one followed.
 func (p *Planner) expireOrders(now time.Duration) {
+	maps.DeleteFunc(p.refusals, func(_ string, r refusal) bool { return now > r.until+maxRefusalPause })
 	for host, o := range p.orders {
 		if now-o.orderedAt > orderTimeout {
-			p.dropOrder(host)
+			p.dropOrder(host, o.worker, now)
 		}
 	}
 }
 
 // confirmOrder drops the order about a host once a later host list shows the
-// host up again.
+// host up: again, or still if the order got no answer and was not carried out.
 func (v *view) confirmOrder(h *estate.Host) {
+	if o, ok := v.orders[h.Name]; ok && o.kind == Maintain && v.HostsAt > o.orderedAt && h.State == estate.HostMaintenance && v.wavesOf(h.Name) == 1 {
+		v.markMaintenanceStarted(o.wave, h.Name) // the answer may never come
+	}
 	if o, ok := v.orders[h.Name]; ok && o.answeredAt > 0 && v.HostsAt > o.answeredAt && h.State == estate.HostUp {
-		v.dropOrder(h.Name)
+		v.dropOrder(h.Name, h.WorkerID, v.Now)
 	}
 }
 
-func (p *Planner) dropOrder(host string) {
+// wavesOf returns how many waves a host belongs to.
+func (v *view) wavesOf(host string) int {
+	n := 0
+	for i := range v.Waves {
+		if slices.Contains(v.Waves[i].Hosts, host) {
+			n++
+		}
+	}
+	return n
+}
+
+// dropOrder drops the order about a host that runs the given worker. If it is the
+// worker that the order was to end, the worker is open to tasks for a while.
+func (p *Planner) dropOrder(host, worker string, now time.Duration) {
+	if worker != "" && p.orders[host].worker == worker {
+		p.pauseOrders(host, now)
+	}
 	delete(p.orders, host)
 	delete(p.draining, host)
 }
@@ -431,6 +507,9 @@
 	return !ordered && h.State == estate.HostUp
 }
 
+// refused reports whether a host gets no order because of a refusal.
+func (v *view) refused(h *estate.Host) bool { return v.Now < v.refusals[h.Name].until }
+
 // standby reports whether a host is in a standby pool.
 func (v *view) standby(h *estate.Host) bool {
 	pool := v.pools[h.Pool]
--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -14,6 +15,7 @@
 	waves := slices.Clone(v.Waves)
 	slices.SortFunc(waves, func(a, b estate.Wave) int { return cmp.Compare(a.Number, b.Number) })
 	selected := map[string]bool{}
+	v.borrowing = map[string]int{}
 	v.idleToMaintain = -v.lackingWorkers()
 	for i := range v.Hosts {
 		if h := &v.Hosts[i]; v.available(h) && v.idle(h) && v.mayLend(h) {
@@ -32,6 +34,23 @@
 	}
 }
 
+// countAbsences counts the host lists that lack a host of a wave.
+func (v *view) countAbsences() {
+	if v.HostsAt == v.countedList || len(v.Hosts) == 0 {
+		return
+	}
+	v.countedList = v.HostsAt
+	absent := map[string]int{}
+	for _, w := range v.Waves {
+		for _, name := range w.Hosts {
+			if v.hosts[name] == nil {
+				absent[name] = v.absentLists[name] + 1
+			}
+		}
+	}
+	v.absentLists = absent
+}
+
 // maintainWave takes down idle hosts of a wave, up to the wave's MaxDown at a
 // time, and evacuates the next hosts. It adds the hosts that it evacuates to
 // selected.
@@ -44,16 +63,15 @@
 	remaining := 0
 	for _, name := range w.Hosts {
 		h := v.hosts[name]
-		if o, ok := v.orders[name]; ok && o.kind == Maintain && o.wave == w.Number {
-			down++
-		} else if h != nil && h.State == estate.HostMaintenance {
+		if v.mayBeDown(name, w.Number) {
 			down++
 		}
-		if v.maintenanceStarted[w.Number][name] || h == nil {
+		if v.maintenanceStarted[w.Number][name] || v.absentLists[name] >= MinListsWithoutHost {
 			continue // maintenance has started, or the host has left the estate
 		}
 		remaining++
-		if v.available(h) {
+		v.toMaintain[name] = true
+		if h != nil && v.available(h) {
 			candidates = append(candidates, h)
 		}
 	}
@@ -70,11 +88,17 @@
 		if slots <= 0 || !v.mayOrder() {
 			return
 		}
-		slots--
+		if v.idle(h) && v.refused(h) {
+			if v.evacuating[h.Name] != "" {
+				selected[h.Name] = true // its worker stays empty
+			}
+			continue
+		}
 		if v.idle(h) && v.leftToPools(h, behindSchedule) {
 			continue
 		}
 		if v.idle(h) {
+			slots--
 			if v.mayLend(h) {
 				v.idleToMaintain--
 			}
@@ -82,9 +106,21 @@
 			continue
 		}
 		if v.mayEvacuate(h, selected, behindSchedule) {
+			if lacking := v.workers[h.WorkerID].LackingToEmpty; lacking > 0 {
+				// The worker serves on until its tasks have places elsewhere.
+				delete(v.evacuatingSince, h.Name)
+				if least, ok := v.borrowing[h.Pool]; lacking != NoNumber && (!ok || lacking < least) {
+					v.borrowing[h.Pool] = lacking
+				}
+				continue
+			}
+			slots--
 			selected[h.Name] = true
 			first := v.evacuating[h.Name] != h.WorkerID
-			if _, ok := v.evacuatingSince[h.Name]; !ok {
+			if first {
+				v.servesNoMore(h)
+			}
+			if _, ok := v.evacuatingSince[h.Name]; !ok || (v.evacuating[h.Name] == "" && v.evacuationTimedOut(h)) {
 				v.evacuatingSince[h.Name] = v.Now
 			}
 			v.evacuating[h.Name] = h.WorkerID
@@ -93,15 +129,37 @@
 	}
 }
 
+// servesNoMore counts a host that is evacuated from now on as not serving. Its tasks
+// are about to use the idle hosts of its pool.
+func (v *view) servesNoMore(h *estate.Host) {
+	if need := v.need(h.Pool); need != nil {
+		need.serving--
+		need.evacuates = true
+	}
+}
+
+// mayBeDown reports whether a host of a wave is in maintenance, or may be. One that
+// a single list lacks may be if its maintenance has started.
+func (v *view) mayBeDown(name string, wave int64) bool {
+	if o, ok := v.orders[name]; ok && o.kind == Maintain && o.wave == wave {
+		return true
+	}
+	if h := v.hosts[name]; h != nil {
+		return h.State == estate.HostMaintenance
+	}
+	return v.maintenanceStarted[wave][name] && v.absentLists[name] < MinListsWithoutHost
+}
+
 // leftToPools reports whether an idle host is not taken down now, because a pool
-// that lacks workers can use it. A host that is idle because its worker was
-// evacuated is left only to the long-running tasks of its own pool: otherwise
-// tasks would have moved for nothing.
+// that lacks workers can use it. The long-running tasks of its own pool can use it
+// only if it is reserved: it would be needed otherwise. A host that is idle because
+// its worker was evacuated is left to no others: tasks would have moved for nothing.
 func (v *view) leftToPools(h *estate.Host, behindSchedule bool) bool {
+	evacuated := v.evacuating[h.Name] == h.WorkerID && h.WorkerID != ""
 	switch {
-	case v.lacking(h.Pool) > 0:
+	case v.lacking(h.Pool) > 0 && (evacuated || v.draining[h.Name] != ""):
 		return true
-	case v.evacuating[h.Name] == h.WorkerID && h.WorkerID != "":
+	case evacuated:
 		return false
 	case v.idleToMaintain <= 0 && v.mayLend(h):
 		return true
@@ -115,12 +173,8 @@
 	if v.standby(h) {
 		return true
 	}
-	for _, need := range v.needs {
-		if need.pool.Name == h.Pool {
-			return need.serving > need.size
-		}
-	}
-	return false
+	need := v.need(h.Pool)
+	return need != nil && need.serving > need.size
 }
 
 // missingWorkers returns how many workers all pools together lack.
@@ -144,10 +198,8 @@
 
 // lacking returns how many workers the long-running tasks of a pool lack.
 func (v *view) lacking(pool string) int {
-	for _, need := range v.needs {
-		if need.pool.Name == pool {
-			return need.lacking
-		}
+	if need := v.need(pool); need != nil {
+		return need.lacking
 	}
 	return 0
 }
@@ -156,10 +208,18 @@
 // from other hosts: its tasks may fit on no other worker.
 const evacuationTimeout = 10 * time.Second
 
+// evacuationTimedOut reports whether the last evacuation of a host did not end in
+// time.
+func (v *view) evacuationTimedOut(h *estate.Host) bool {
+	since, ok := v.evacuatingSince[h.Name]
+	return ok && v.Now-since >= evacuationTimeout
+}
+
 // maintenanceCost ranks the hosts of a wave by how much their maintenance costs
 // their pool, in the order: standby hosts, idle hosts, hosts that are being
 // evacuated, hosts with few long-running tasks in pools with a low load, hosts
-// whose evacuation does not end.
+// whose long-running tasks fit nowhere else, hosts whose evacuation did not end in
+// time, the longest ago first.
 func (v *view) maintenanceCost(h *estate.Host) float64 {
 	w := v.workers[h.WorkerID]
 	switch {
@@ -168,10 +228,12 @@
 	case v.idle(h):
 		return 0.5 + v.load(h.Pool)/10
 	case w == nil:
-		return 1000
+		return math.Inf(1)
+	case v.evacuationTimedOut(h):
+		return 1e6 + v.evacuatingSince[h.Name].Seconds()
 	}
-	if since, ok := v.evacuatingSince[h.Name]; ok && v.Now-since >= evacuationTimeout {
-		return 1000
+	if w.LackingToEmpty > 0 {
+		return 900
 	}
 	if v.evacuating[h.Name] != "" {
 		return 1
@@ -200,7 +262,8 @@
 	// evacuated at the same time.
 	maxEvacuatingShare = 0.34
 	// busyLoad is the load above which a pool's workers are evacuated only for
-	// a wave that is behind schedule.
+	// a wave that is behind schedule. So are those of a pool whose long-running
+	// tasks lack workers.
 	busyLoad = 0.8
 )
 
@@ -218,12 +281,16 @@
 	if v.evacuating[h.Name] != "" {
 		return true
 	}
-	if v.lacking(h.Pool) > 0 || v.workers[h.WorkerID].Needed || (v.load(h.Pool) > busyLoad && !behindSchedule) {
+	busy := v.lacking(h.Pool) > 0 || v.load(h.Pool) > busyLoad
+	if v.workers[h.WorkerID].Needed || (busy && !behindSchedule) {
 		return false
 	}
 	evacuating := 0
 	for name := range selected {
 		if other := v.hosts[name]; other != nil && other.Pool == h.Pool {
+			if v.workers[other.WorkerID].Open {
+				return false // the tasks of the other host may need the same places
+			}
 			evacuating++
 		}
 	}
--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -175,3 +175,224 @@
 		t.Error("the wave ended 55 s ago and has not taken an idle host that no task is about to use")
 	}
 }
+
+// The host is missing in the list while its maintenance, which another owner ordered, goes on.
+func TestHostThatOneListLacksIsStillDown(t *testing.T) {
+	p, a := planned{}, Pool{Name: "a"}
+	for range 5 {
+		p.addHost(&a, Worker{Idle: true})
+	}
+	a.Workers = a.Workers[1:]
+	p.pools = []Pool{a}
+	p.hosts[0].State, p.hosts[0].WorkerID = estate.HostMaintenance, ""
+	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h0", "h1"}}}
+	planner := New(testMigration, map[int64][]string{1: {"h0"}}, nil, nil)
+	state := State{Now: tick, HostsAt: tick, Hosts: p.hosts, Pools: p.pools, Waves: p.waves}
+	planner.Plan(state)
+	state.Now, state.HostsAt = 6*tick, 6*tick
+	state.Hosts = p.hosts[1:]
+	for _, dec := range planner.Plan(state) {
+		if dec.Kind == Maintain {
+			t.Errorf("%s is taken down beside h0, though the wave permits one at a time", dec.Host)
+		}
+	}
+}
+
+// findRefusing is find if all orders about a host are refused and no others are answered.
+func (p *planned) findRefusing(d time.Duration, host string, wanted func(Decision) bool) bool {
+	planner := New(testMigration, nil, nil, nil)
+	for now := tick; now < d; now += tick {
+		for _, dec := range planner.Plan(State{Now: now, HostsAt: now, Hosts: p.hosts, Pools: p.pools, Waves: p.waves}) {
+			if wanted(dec) {
+				return true
+			}
+			if dec.Host == host && (dec.Kind == Move || dec.Kind == Maintain) {
+				planner.Refused(dec)
+			}
+		}
+	}
+	return false
+}
+
+func TestPoolGetsAnotherHostThanTheOneWhoseMoveIsRefused(t *testing.T) {
+	p, a, spare := planned{}, Pool{Name: "a", LongRunningShortfall: 1}, Pool{Name: "spare", Standby: true}
+	for range 2 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: testCores})
+	}
+	for range 2 {
+		p.addHost(&spare, Worker{})
+	}
+	p.pools = []Pool{a, spare}
+	if !p.findRefusing(time.Minute, "h2", func(d Decision) bool { return d.Kind == Move && d.Host == "h3" }) {
+		t.Error("the pool lacks a worker for a minute, and only the host whose move is refused was tried")
+	}
+}
+
+func TestWaveGoesOnBesideAHostWhoseMaintenanceIsRefused(t *testing.T) {
+	p, a := planned{}, Pool{Name: "a"}
+	for range 4 {
+		p.addHost(&a, Worker{Idle: true})
+	}
+	p.pools = []Pool{a}
+	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h0", "h1"}}}
+	if !p.findRefusing(time.Minute, "h0", func(d Decision) bool { return d.Kind == Maintain && d.Host == "h1" }) {
+		t.Error("only the host whose maintenance is refused was tried for a minute")
+	}
+}
+
+// The fleet service answers no order, and the orders about the two idle hosts are not given at the same time.
+func TestIdleWorkerIsReopenedForALongRunningTaskWhileOrdersGetNoAnswer(t *testing.T) {
+	p, a := planned{}, Pool{Name: "a"}
+	for range 4 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: testCores})
+	}
+	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 2, Hosts: []string{"h0", "h1"}}}
+	planner := New(testMigration, nil, nil, nil)
+	idleFrom := []time.Duration{0, 700 * time.Millisecond}
+	const shortFrom = 4 * time.Second
+	unanswered := map[time.Duration][]Decision{}
+	var hostsAt time.Duration
+	for now := tick; now < time.Minute; now += tick {
+		for _, dec := range unanswered[now] {
+			planner.OutcomeUnknown(dec, now)
+		}
+		if now%(5*tick) == 0 {
+			hostsAt = now
+		}
+		reserved := planner.Reservations()
+		a.LongRunningShortfall = 0
+		if now >= shortFrom {
+			a.LongRunningShortfall = 1
+		}
+		for i, from := range idleFrom {
+			w := &a.Workers[i]
+			if now >= from {
+				w.LongRunningTasks, w.Used, w.Idle = 0, 0, true
+			}
+			w.Open = reserved[w.ID] == Unreserved
+		}
+		if now > shortFrom+tick && (a.Workers[0].Open || a.Workers[1].Open) {
+			return
+		}
+		for _, dec := range planner.Plan(State{Now: now, HostsAt: hostsAt, Hosts: p.hosts, Pools: []Pool{a}, Waves: p.waves}) {
+			if dec.Kind == Maintain {
+				unanswered[now+12*tick] = append(unanswered[now+12*tick], dec)
+			}
+		}
+	}
+	t.Error("a task lacks a worker for 56 s beside two idle ones, which are closed for orders in turn")
+}
+
+// The host that is emptied for a pool that lacks a worker leaves the estate before it is idle.
+func TestAnotherWorkerIsEmptiedForAPoolAfterTheFirstHostHasLeft(t *testing.T) {
+	p, a, b := planned{}, Pool{Name: "a"}, Pool{Name: "b", LongRunningShortfall: 1}
+	for range 4 {
+		p.addHost(&a, Worker{Used: 40, Late: 40})
+	}
+	for range 2 {
+		p.addHost(&b, Worker{LongRunningTasks: 1, Used: testCores})
+	}
+	planner := New(testMigration, nil, nil, nil)
+	now := tick
+	plan := func(d time.Duration) map[string]Reservation {
+		for end := now + d; now < end; now += tick {
+			reserved := planner.Reservations()
+			for i := range a.Workers {
+				a.Workers[i].Open = reserved[a.Workers[i].ID] == Unreserved
+			}
+			planner.Plan(State{Now: now, HostsAt: now, Hosts: p.hosts, Pools: []Pool{a, b}})
+		}
+		return planner.Reservations()
+	}
+	if got := plan(time.Second); len(got) != 1 || got["w0"] != Emptying {
+		t.Fatalf("reserved are %v, want one worker, which is being emptied", got)
+	}
+	p.hosts, a.Workers = p.hosts[1:], a.Workers[1:]
+	got := plan(time.Minute)
+	delete(got, "w0")
+	if len(got) == 0 {
+		t.Error("no other worker has been emptied in a minute, the pool still lacks one")
+	}
+}
+
+// The pool lacks a worker for good: no host is spare.
+func TestWaveEvacuatesHostsOfAPoolThatLacksAWorker(t *testing.T) {
+	p, a := planned{}, Pool{Name: "a", LongRunningShortfall: 1}
+	for range 4 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: 1})
+	}
+	p.pools = []Pool{a}
+	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h1"}}}
+	if !p.find(time.Minute, func(d Decision) bool { return d.Kind == Evacuate }) {
+		t.Error("the wave ended 55 s ago, and the evacuation of its host has not begun")
+	}
+}
+
+// The order gets no answer, and the next lists show the host in maintenance and then up with another worker.
+func TestHostIsNotEvacuatedAgainAfterAMaintenanceWithoutAnswer(t *testing.T) {
+	p, a := planned{}, Pool{Name: "a"}
+	for range 4 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: 1})
+	}
+	h, w := &p.hosts[1], &a.Workers[1]
+	w.LongRunningTasks, w.Used, w.Idle = 0, 0, true
+	p.pools = []Pool{a}
+	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{h.Name}}}
+	planner := New(testMigration, nil, nil, nil)
+	var order *Decision
+	for now := tick; now < 20*time.Second; now += tick {
+		switch now {
+		case time.Second:
+			h.State, h.WorkerID, w.ID, w.Idle = estate.HostMaintenance, "", "", false
+		case 2 * time.Second:
+			planner.OutcomeUnknown(*order, now)
+		case 3 * time.Second:
+			h.State, h.WorkerID = estate.HostUp, "w9"
+			w.ID, w.LongRunningTasks, w.Used = "w9", 1, 1
+		}
+		for _, dec := range planner.Plan(State{Now: now, HostsAt: now, Hosts: p.hosts, Pools: p.pools, Waves: p.waves}) {
+			switch {
+			case dec.Kind == Maintain && order == nil:
+				order = &dec
+			case dec.Kind == Maintain || dec.Kind == Evacuate:
+				t.Fatalf("decision %+v at %v, after the list has shown the maintenance of the host", dec, now)
+			}
+		}
+	}
+}
+
+// The other pool has no load, but keeps two workers.
+func TestLongRunningTasksGetAHostThatAnotherPoolKeepsIdle(t *testing.T) {
+	p, a, b := planned{}, Pool{Name: "a", LongRunningShortfall: 1}, Pool{Name: "b"}
+	for range 2 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: testCores})
+		p.addHost(&b, Worker{Idle: true})
+	}
+	p.pools = []Pool{a, b}
+	if !p.find(10*time.Second, func(d Decision) bool { return d.Kind == Move && d.To == "a" }) {
+		t.Error("long-running tasks lack a worker for 10 s, and two workers of another pool are idle")
+	}
+}
+
+// Another pool lacks a host too.
+func TestHostThatCameForAWaveIsNotMovedOn(t *testing.T) {
+	p, a, b := planned{}, Pool{Name: "a"}, Pool{Name: "b", LongRunningShortfall: 1}
+	for range 2 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: 1})
+	}
+	p.addHost(&a, Worker{Idle: true})
+	p.addHost(&b, Worker{LongRunningTasks: 1, Used: testCores})
+	p.pools = []Pool{a, b}
+	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h0"}}}
+	evacuated := false
+	p.find(2*tick, func(d Decision) bool {
+		evacuated = evacuated || (d.Kind == Evacuate && d.Host == "h0")
+		if evacuated && d.Kind == Move {
+			t.Errorf("host %s is moved in the plan that begins to empty the other worker of its pool", d.Host)
+		}
+		return false
+	})
+	if !evacuated {
+		t.Error("the host of the wave is not evacuated")
+	}
+}
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -26,6 +26,7 @@
 		if !out.Standby {
 			out.LongRunningShortfall, needed = e.longRunningShortfall(p, now)
 		}
+		lackingToEmpty := e.lackingToEmpty(p, now)
 		for _, w := range p.workers {
 			out.LongRunningCores += w.longRunningRequests().Processors
 			if !w.listed {
@@ -34,7 +35,7 @@
 			out.Workers = append(out.Workers, fleetplan.Worker{
 				ID: w.ID, Cores: w.Capacity.Processors, Used: w.used.Processors, Late: e.lateCores(w, now), LongRunningTasks: len(w.longRunning),
 				Idle: !w.inherited && !w.occupied() && len(w.pendingEnds) == 0 && !w.Draining && w.failedPolls == 0,
-				Open: w.usable(now), Needed: needed[w],
+				Open: w.usable(now), Needed: needed[w], LackingToEmpty: lackingToEmpty[w],
 			})
 		}
 		for s := range p.ready {
@@ -57,7 +58,7 @@
 func (e *Engine) lateCores(w *worker, now time.Duration) float64 {
 	sum := 0.0
 	for _, r := range w.runs {
-		if s := r.task.step; !s.LongRunning && r.finishAge(now) > e.objective(s.job) {
+		if s := r.task.step; !s.LongRunning && r.finishAge(now) > s.job.objective() {
 			sum += s.Requests().Processors
 		}
 	}
@@ -121,10 +122,11 @@
 }
 
 // HostEnded handles a host list, requested at the given time, that shows the end
-// of a worker. A worker that has answered a later poll is another incarnation.
-// HostEnded reports whether the worker is known no more.
+// of a worker. A worker that has answered a later poll is another incarnation, and
+// one that was not known then may be. HostEnded reports whether the worker is known
+// no more.
 func (e *Engine) HostEnded(id string, requested, now time.Duration) bool {
-	if w := e.workers[id]; w != nil && w.answeredSentAt > requested {
+	if w := e.workers[id]; w != nil && max(w.answeredSentAt, w.knownSince) > requested {
 		return false
 	}
 	e.HostRemoved(id, now)
--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -55,6 +55,13 @@
 	rapid.Check(t, func(t *rapid.T) { playHistory(t, faultClasses{ordersOutlive: true}).judge(t) })
 }
 
+// Start times do not tell which of two incarnations is the later one.
+func TestNoTaskRunsTwiceWhenClocksStep(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		playHistory(t, faultClasses{clocksStep: true, ownersStarve: rapid.Bool().Draw(t, "owners starve"), answersOvertake: rapid.Bool().Draw(t, "answers overtake")}).judge(t)
+	})
+}
+
 // A lease that is renewed late counts from the arrival of the poll.
 func TestNoTaskRunsTwiceWhenALeaseOutlastsItsDeadline(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) { playHistory(t, faultClasses{leaseFromArrival: true}).judge(t) })
@@ -102,6 +109,9 @@
 	// service and lists them again. Owners replace the record of the workers in
 	// use, instead of adding to it.
 	entriesVanish bool
+	// clocksStep sets the clocks of hosts forward or back before their workers
+	// restart, and lets entries reach the owner up to 2 s late.
+	clocksStep bool
 	// ownersHurry lets owners follow each other within seconds, while workers are
 	// unreachable and the record of the workers in use is written late.
 	ownersHurry bool
@@ -110,7 +120,7 @@
 }
 
 var everyFault = faultClasses{
-	ordersOutlive: true, leaseFromArrival: true, poolsChange: true, ownersStarve: true, answersOvertake: true, entriesVanish: true,
+	ordersOutlive: true, leaseFromArrival: true, poolsChange: true, ownersStarve: true, answersOvertake: true, entriesVanish: true, clocksStep: true,
 }
 
 func (c faultClasses) wide() bool { return c != faultClasses{} }
@@ -223,8 +233,11 @@
 	if classes.entriesVanish {
 		actions = append(actions, 8, 8, 15, 15, 15, 15)
 	}
+	if classes.clocksStep {
+		actions = append(actions, 16, 16, 16, 16)
+	}
 	if classes.ownersHurry {
-		actions = []int{0, 3, 3, 3, 3, 16, 16}
+		actions = []int{0, 3, 3, 3, 3, 17, 17}
 	}
 	steps := draw(5, 40, "steps")
 	for range steps {
@@ -258,7 +271,7 @@
 			sim.run(2*time.Second, owners...)
 			current = sim.newOwnerAfter(0)
 			owners = append(owners, current)
-		case 16:
+		case 17:
 			// The owner releases its ownership; it gave its last order just before.
 			current.expired = true
 			vacant := time.Duration(draw(0, 500, "vacant ms")) * time.Millisecond
@@ -309,8 +322,22 @@
 				f.restart(sim.now)
 				sim.tracef("%s restarts", f.ID)
 			}
+		case 16:
+			f.crash()
+			// No request is under way any more; ordersOutlive is for those that are.
+			sim.after(450*time.Millisecond, func() {
+				if !f.up && !f.removed {
+					f.clockStep = time.Duration(draw(-60_000, 60_000, "clock step ms")) * time.Millisecond
+					f.restart(sim.now)
+					sim.tracef("%s restarts, its clock is %v fast", f.ID, f.clockStep)
+				}
+			})
 		}
-		if !classes.entriesVanish || !sim.storeDown {
+		switch {
+		case classes.entriesVanish && sim.storeDown:
+		case classes.clocksStep:
+			current.discoverLate(time.Duration(draw(0, 2000, "entries late ms")) * time.Millisecond)
+		default:
 			current.discover()
 		}
 		sim.run(time.Duration(draw(5, 900, "pause"))*time.Millisecond, owners...)
--- a/internal/scheduler/workerhosts.go
+++ b/internal/scheduler/workerhosts.go
@@ -5,13 +5,9 @@
 	"time"
 
 	"github.com/egretpitch/egretpitch/internal/estate"
+	"github.com/egretpitch/egretpitch/internal/fleetplan"
 )
 
-// minListsWithoutHost is the number of consecutive host lists without a host
-// after which the host is taken to have left the estate. A host can fall
-// between two pages of a single list.
-const minListsWithoutHost = 2
-
 // WorkerHosts maps the ids of workers to the hosts on which this owner or a
 // previous one saw them.
 type WorkerHosts map[string]WorkerHost
@@ -34,7 +30,9 @@
 
 // update applies a host list. It returns the ids of the workers that have ended,
 // because their hosts changed pools or no longer run them, and of those whose
-// hosts have left the estate or that no host runs. An empty list tells nothing.
+// hosts have left the estate or that no host runs. A worker that is listed has not
+// ended; its answers tell whether it is a new incarnation. An empty list tells
+// nothing.
 func (m WorkerHosts) update(list []estate.Host) (ended, left []string) {
 	if len(list) == 0 {
 		return nil, nil
@@ -51,10 +49,10 @@
 		case !ok:
 			w.missing++
 			m[id] = w
-			if w.missing >= minListsWithoutHost {
+			if w.missing >= fleetplan.MinListsWithoutHost {
 				left = append(left, id)
 			}
-		case h.Pool != w.Pool || noLongerOn(h, id):
+		case h.WorkerID != id && (h.Pool != w.Pool || noLongerOn(h)):
 			ended = append(ended, id)
 		default:
 			w.missing = 0
@@ -71,12 +69,10 @@
 	return ended, left
 }
 
-// noLongerOn reports whether a host that ran a worker no longer runs it. A
-// worker that is only cut off from the network is still listed; a host that
-// crashed is listed as down, without a worker.
-func noLongerOn(h estate.Host, worker string) bool {
-	return h.WorkerID != worker && (h.WorkerID != "" || h.State != estate.HostUp)
-}
+// noLongerOn reports whether a host that ran a worker no longer runs it, if it is
+// not listed with that worker. A worker that is only cut off from the network is
+// still listed; a host that crashed is listed as down, without a worker.
+func noLongerOn(h estate.Host) bool { return h.WorkerID != "" || h.State != estate.HostUp }
 
 // hostsByName indexes a host list by name.
 func hostsByName(list []estate.Host) map[string]estate.Host {
