node: a release records which workers have ended

Cause, in three traces: a worker was seen 0.25 to 0.65 s before the release, and its host moved 0.02 to 0.1 s before it. The record of workers in use is written at most once a second, so the successor found the worker there and waited until its discovery entry lapsed, though the previous owner had ended it. Change: the transaction that releases the ownership writes the record too. If an earlier write of it may still be applied, the ownership alone is released. Evidence: TestReleaseRecordsWhichWorkersHaveEnded fails without the change (w2 is still recorded). Why it works: the owner gives no orders any more, so its record is final; a worker that is in no record blocks no recovery, and discovery may list it.

--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -406,14 +406,29 @@
 	}
 	o.cancel()
 	<-o.done
+	err := o.commitRelease(ctx, o.deciding.Load())
+	if errors.Is(err, platform.ErrConflict) { // maybe a write of the record of workers had no answer yet
+		err = o.commitRelease(ctx, false)
+	}
+	event.OwnershipReleased.Log(n.Log, zap.Int64("epoch", o.record.Epoch), zap.Error(err))
+}
+
+// commitRelease stores an owner record without an owner, with the record of
+// workers in use if asked to: the successor then waits for none that has ended.
+func (o *owner) commitRelease(ctx context.Context, withWorkers bool) error {
 	record := o.record
 	record.Owner, record.Incarnation = "", 0
 	value, err := ownership.Encode(record)
-	if err == nil {
-		_, err = n.Rows.CommitRows(ctx, platform.RowTxn{
-			Conditions: []platform.RowCondition{o.fence()},
-			Writes:     []platform.RowWrite{{RowKey: ownerRow, Value: value}},
-		})
+	if err != nil {
+		return err
 	}
-	event.OwnershipReleased.Log(n.Log, zap.Int64("epoch", o.record.Epoch), zap.Error(err))
+	txn := platform.RowTxn{Conditions: []platform.RowCondition{o.fence()}}
+	if withWorkers {
+		if txn, err = o.usedWorkersTxn(o.withHosts(o.engine.InUse())); err != nil {
+			return err
+		}
+	}
+	txn.Writes = append(txn.Writes, platform.RowWrite{RowKey: ownerRow, Value: value})
+	_, err = o.node.Rows.CommitRows(ctx, txn)
+	return err
 }
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/ownership"
 	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/scheduler"
+	"github.com/egretpitch/egretpitch/internal/standin"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
@@ -162,6 +167,50 @@
 	}
 }
 
+func TestReleaseRecordsWhichWorkersHaveEnded(t *testing.T) {
+	rows := standin.NewRows()
+	o := testOwner(t, rows, 1)
+	o.engine = scheduler.New(scheduler.Options{Token: 1, Epoch: 1, MaxLease: 6 * time.Second, Log: zap.NewNop()})
+	o.engine.SetCatalog(testCatalog(1, "/q/"))
+	o.fleetController = newFleetController(o, nil, scheduler.WorkerHosts{}, 0)
+	for _, id := range []string{"w1", "w2"} {
+		w := testWorker
+		w.ID = id
+		o.engine.WorkerListed(w, 0)
+	}
+	for _, order := range o.engine.Decide(0, scheduler.OwnershipValid) {
+		if poll, ok := order.(*scheduler.PollOrder); ok {
+			o.engine.Polled(poll, platform.WorkerStatus{Outcome: platform.OrderDone, ClockMS: 1}, nil, 0)
+		}
+	}
+	txn, err := o.usedWorkersTxn(o.withHosts(o.engine.InUse()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stamp, err := rows.CommitRows(t.Context(), txn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.usedWorkersRecorded(o.withHosts(o.engine.InUse()), len(txn.Writes), stamp.Version, nil)
+	o.engine.HostRemoved("w2", 0)
+	o.deciding.Store(true)
+	o.done = make(chan struct{})
+	close(o.done)
+	o.node.owner.Store(o)
+	o.node.release(t.Context())
+	stored, _, err := rows.ReadRows(t.Context(), usedWorkersTable, controlPart, "", "")
+	if err != nil || len(stored) != 1 {
+		t.Fatalf("%d rows, %v; want 1", len(stored), err)
+	}
+	var used []usedWorker
+	if err := json.Unmarshal(stored[0].Value, &used); err != nil || len(used) != 1 || used[0].ID != "w1" {
+		t.Errorf("the record is %s, %v; want w1 alone", stored[0].Value, err)
+	}
+	if control, _, err := rows.ReadRows(t.Context(), controlTable, controlPart, "owner", ""); err != nil || len(control) == 0 || control[0].Version == o.token {
+		t.Errorf("the ownership is not released: %v, %v", control, err)
+	}
+}
+
 // blockedDiscovery answers once it is released.
 type blockedDiscovery struct {
 	platform.Discovery
