fleetplan: a pool borrows another host than the one whose move was refused

Cause: idle hosts that are lent were chosen without a look at that pause. Evidence: TestPoolBorrowsAnotherHostThanTheOneWhoseMoveIsRefused fails without the change.

--- a/internal/fleetplan/move.go
+++ b/internal/fleetplan/move.go
@@ -121,7 +121,7 @@
 		if from == nil || from.pool == pool || from.lacking+from.borrow > 0 || from.evacuates || from.serving <= from.loaded {
 			continue
 		}
-		if !v.available(h) || !v.idle(h) || v.evacuating[h.Name] != "" || v.workers[h.WorkerID] == nil || except[h.Name] {
+		if !v.available(h) || v.refused(h) || !v.idle(h) || v.evacuating[h.Name] != "" || v.workers[h.WorkerID] == nil || except[h.Name] {
 			continue
 		}
 		from.serving--
--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -228,6 +228,20 @@
 	}
 }
 
+func TestPoolBorrowsAnotherHostThanTheOneWhoseMoveIsRefused(t *testing.T) {
+	p, a, b := planned{}, Pool{Name: "a", LongRunningShortfall: 1}, Pool{Name: "b"}
+	for range 2 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: testCores})
+	}
+	for range 2 {
+		p.addHost(&b, Worker{Idle: true})
+	}
+	p.pools = []Pool{a, b}
+	if !p.findRefusing(time.Minute, "h2", func(d Decision) bool { return d.Kind == Move && d.Host == "h3" }) {
+		t.Error("the pool lacks a worker for a minute, and only the host whose move is refused was tried")
+	}
+}
+
 func TestWaveGoesOnBesideAHostWhoseMaintenanceIsRefused(t *testing.T) {
 	p, a := planned{}, Pool{Name: "a"}
 	for range 4 {
