--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -247,19 +247,6 @@
 	}
 }
 
-// answeredByOther handles an answer of another incarnation than the known one. A
-// worker answers only while it lives, and the known incarnation had started before
-// the poll was sent: the other one is its successor, whatever their start times.
-func (e *Engine) answeredByOther(w *worker, o *PollOrder, startedMS int64, now time.Duration) {
-	if o.Worker.StartedMS != w.StartedMS {
-		return // the known incarnation may have started since
-	}
-	e.replaceIncarnation(w, startedMS, now)
-	if entry := w.otherEntry; entry != nil && entry.StartedMS == startedMS {
-		e.WorkerListed(*entry, now)
-	}
-}
-
 // recordContact records an answer of the worker with its clock in milliseconds,
 // 0 if the answer has none.
 func (w *worker) recordContact(clockMS int64, now time.Duration, e *Engine) {
