--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -22,6 +22,7 @@
 // acknowledged, or start on a worker that accepts every start without free
 // capacity. Once all faults end, every job must end as well.
 func TestNoTaskRunsTwiceInAnyHistory(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		playHistory(t, faultClasses{}).judge(t)
 	})
@@ -30,6 +31,7 @@
 // TestNoTaskRunsTwiceInAnyWiderHistory adds random combinations of further
 // faults, while late orders reach only the incarnation that they were sent to.
 func TestNoTaskRunsTwiceInAnyWiderHistory(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { playHistory(t, widerFaults(t)).judge(t) })
 }
 
@@ -45,6 +47,7 @@
 
 // An entry that comes back names a worker that may not be recorded any more.
 func TestNoTaskRunsTwiceWhenEntriesVanish(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		playHistory(t, faultClasses{poolsChange: true, ownersStarve: true, answersOvertake: true, entriesVanish: true}).judge(t)
 	})
@@ -52,11 +55,13 @@
 
 // Orders without an answer are carried out by the next incarnation too.
 func TestNoTaskRunsTwiceWhenOrdersOutliveAnIncarnation(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { playHistory(t, faultClasses{ordersOutlive: true}).judge(t) })
 }
 
 // Start times do not tell which of two incarnations is the later one.
 func TestNoTaskRunsTwiceWhenClocksStep(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		playHistory(t, faultClasses{clocksStep: true, ownersStarve: rapid.Bool().Draw(t, "owners starve"), answersOvertake: rapid.Bool().Draw(t, "answers overtake")}).judge(t)
 	})
@@ -64,17 +69,20 @@
 
 // A lease that is renewed late counts from the arrival of the poll.
 func TestNoTaskRunsTwiceWhenALeaseOutlastsItsDeadline(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { playHistory(t, faultClasses{leaseFromArrival: true}).judge(t) })
 }
 
 // An owner that did not reach a worker passes on when its leases end.
 func TestNoTaskRunsTwiceWhenOwnersFollowEachOther(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { playHistory(t, faultClasses{ownersHurry: true}).judge(t) })
 }
 
 // TestSeedRepeatsItsHistory guards against a simulation that depends on the
 // order of a map: a failure of such a history cannot be reproduced.
 func TestSeedRepeatsItsHistory(t *testing.T) {
+	t.Parallel()
 	for _, classes := range []faultClasses{{}, everyFault, {ownersHurry: true}} {
 		histories := rapid.Custom(func(t *rapid.T) []string {
 			sim := playHistory(t, classes)
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -607,6 +607,7 @@
 // In half of the histories no host list shows that a host is lost; one host is then
 // lost at most, no order is and no owner changes.
 func TestLongRunningTasksRestartAfterAnyDisruption(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(100) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { newDisruptedHistory(t, seed).play() })
 	}
--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -157,6 +157,7 @@
 
 // The task of the wave's first host fits on no other worker, and no host is spare.
 func TestWaveReachesThePoolsBesideATaskThatFitsNowhereElse(t *testing.T) {
+	t.Parallel()
 	s := newEstate(t, 1, map[string]int{"a": 2, "b": 3, "c": 2, "d": 2})
 	s.advance(time.Second)
 	for _, pool := range []string{"a", "c", "d"} {
