--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -154,9 +154,9 @@
 	return seen
 }
 
-// previousSurges returns the surges listed in the inherited heartbeat.
+// previousSurges returns the surges listed in the last heartbeat.
 func (o *owner) previousSurges(now time.Duration) []fleetplan.Surge {
-	surges := o.inherited.Surges
+	surges := o.node.view.Load().Heartbeat.Surges
 	list := make([]fleetplan.Surge, len(surges))
 	for i, s := range surges {
 		list[i] = fleetplan.Surge{Pool: s.Pool, At: o.node.Clock.FromStoreMS(s.StoreMS, now), Workers: s.Workers}
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -98,7 +98,7 @@
 	view := n.view.Load()
 	o.previousHeartbeat, o.inherited = view.HeartbeatSeen, view.Heartbeat
 	o.lastOrders = o.previousLastOrders(view)
-	o.surges, o.waves = o.inherited.Surges, o.inherited.Waves
+	o.waves = o.inherited.Waves
 	o.lease.Renew(sent)
 	o.workerCalls = newWorkerCallLimiter(o)
 	n.owner.Store(o)
