--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -347,10 +347,7 @@
 		v.confirmOrder(h)
 	}
 	v.countAbsences()
-	maps.DeleteFunc(p.draining, func(host, worker string) bool {
-		h, ordered := v.hosts[host], p.orders[host].worker != ""
-		return !ordered && (h == nil || h.WorkerID != worker)
-	})
+	v.dropEndedDraining()
 	for _, o := range p.orders {
 		if o.answeredAt == 0 {
 			v.unanswered++
--- a/internal/fleetplan/move.go
+++ b/internal/fleetplan/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -173,6 +174,15 @@
 	}
 }
 
+// dropEndedDraining forgets the draining workers that their hosts no longer run, but
+// for those that orders are about.
+func (v *view) dropEndedDraining() {
+	maps.DeleteFunc(v.draining, func(host, worker string) bool {
+		h, ordered := v.hosts[host], v.orders[host].worker != ""
+		return !ordered && (h == nil || h.WorkerID != worker)
+	})
+}
+
 // reopen reopens draining workers that have got long-running tasks, and those of a
 // pool that needs them again, those with the most used cores first.
 func (v *view) reopen(need *poolNeed) {
--- a/internal/fleetplan/wave.go
+++ b/internal/fleetplan/wave.go
@@ -89,48 +89,59 @@
 		if slots <= 0 || !v.mayOrder() {
 			return
 		}
-		if v.idle(h) && v.refused(h) {
-			if v.evacuating[h.Name] != "" {
-				selected[h.Name] = true // its worker stays empty
+		switch {
+		case v.idle(h):
+			if v.maintainIdle(h, w.Number, selected, behindSchedule) {
+				slots--
 			}
-			continue
-		}
-		if v.idle(h) && v.leftToPools(h, behindSchedule) {
-			continue
-		}
-		if v.idle(h) {
-			slots--
-			if v.mayLend(h) {
-				v.idleToMaintain--
-			}
-			v.decide(Decision{Kind: Maintain, Host: h.Name, Worker: h.WorkerID, From: h.Pool, Wave: w.Number})
-			continue
-		}
-		if v.mayEvacuate(h, selected, behindSchedule) {
-			if lacking := v.workers[h.WorkerID].LackingToEmpty; lacking > 0 {
-				// The worker serves on until its tasks have places elsewhere.
-				delete(v.evacuatingSince, h.Name)
-				if lacking != NoNumber && waiting < slots {
-					waiting++
-					v.borrowing[h.Pool] += lacking
-				}
-				continue
+		case !v.mayEvacuate(h, selected, behindSchedule):
+		case v.workers[h.WorkerID].LackingToEmpty > 0:
+			// The worker serves on until its tasks have places elsewhere.
+			delete(v.evacuatingSince, h.Name)
+			if lacking := v.workers[h.WorkerID].LackingToEmpty; lacking != NoNumber && waiting < slots {
+				waiting++
+				v.borrowing[h.Pool] += lacking
 			}
+		default:
 			slots--
 			selected[h.Name] = true
-			first := v.evacuating[h.Name] != h.WorkerID
-			if first {
-				v.servesNoMore(h)
-			}
-			if _, ok := v.evacuatingSince[h.Name]; !ok || (v.evacuating[h.Name] == "" && v.evacuationTimedOut(h)) {
-				v.evacuatingSince[h.Name] = v.Now
-			}
-			v.evacuating[h.Name] = h.WorkerID
-			v.decide(Decision{Kind: Evacuate, Host: h.Name, Worker: h.WorkerID, Wave: w.Number, First: first})
+			v.evacuate(h, w.Number)
 		}
 	}
 }
 
+// maintainIdle takes an idle host of a wave down, unless it is left to pools or was
+// refused a short while ago. It reports whether it gave the order.
+func (v *view) maintainIdle(h *estate.Host, wave int64, selected map[string]bool, behindSchedule bool) bool {
+	if v.refused(h) {
+		if v.evacuating[h.Name] != "" {
+			selected[h.Name] = true // its worker stays empty
+		}
+		return false
+	}
+	if v.leftToPools(h, behindSchedule) {
+		return false
+	}
+	if v.mayLend(h) {
+		v.idleToMaintain--
+	}
+	v.decide(Decision{Kind: Maintain, Host: h.Name, Worker: h.WorkerID, From: h.Pool, Wave: wave})
+	return true
+}
+
+// evacuate begins or continues the evacuation of a host of a wave.
+func (v *view) evacuate(h *estate.Host, wave int64) {
+	first := v.evacuating[h.Name] != h.WorkerID
+	if first {
+		v.servesNoMore(h)
+	}
+	if _, ok := v.evacuatingSince[h.Name]; !ok || (v.evacuating[h.Name] == "" && v.evacuationTimedOut(h)) {
+		v.evacuatingSince[h.Name] = v.Now
+	}
+	v.evacuating[h.Name] = h.WorkerID
+	v.decide(Decision{Kind: Evacuate, Host: h.Name, Worker: h.WorkerID, Wave: wave, First: first})
+}
+
 // servesNoMore counts a host that is evacuated from now on as not serving. Its tasks
 // are about to use the idle hosts of its pool.
 func (v *view) servesNoMore(h *estate.Host) {
--- a/internal/scheduler/emptiable.go
+++ b/internal/scheduler/emptiable.go
@@ -50,10 +50,8 @@
 // already.
 func tasksToMove(w *worker) []*task {
 	var list []*task
-	for _, r := range w.sortedRuns() {
-		if r.task.step.LongRunning && !r.displaced() {
-			list = append(list, r.task)
-		}
+	for _, r := range w.sortedLongRunning() {
+		list = append(list, r.task)
 	}
 	return list
 }
--- a/internal/scheduler/evacuate.go
+++ b/internal/scheduler/evacuate.go
@@ -125,8 +125,8 @@
 		if !w.leaving() && !w.evacuating {
 			continue
 		}
-		for _, r := range w.sortedRuns() {
-			if r.task.step.LongRunning && !r.displaced() && (e.mayStop(r, now) || r.task.step.recovers(r.task, now)) {
+		for _, r := range w.sortedLongRunning() {
+			if e.mayStop(r, now) || r.task.step.recovers(r.task, now) {
 				list = append(list, r)
 			}
 		}
@@ -192,12 +192,11 @@
 func (v *evacuation) assign(t *task) bool {
 	s := t.step
 	ticketsValid := v.requestTickets(t)
-	permitted := func(w *worker) bool { return v.permitted(s, w) }
-	if v.places.assign(s, permitted) {
+	if v.places.assign(s, s.permitted) {
 		return ticketsValid
 	}
 	if !s.Gang {
-		v.places.assignUsed(s, permitted)
+		v.places.assignUsed(s, s.permitted)
 	}
 	return false
 }
@@ -213,7 +212,7 @@
 		v.lastResortPlaces = newPlaces(v.lastResort)
 	}
 	return v.lastResortPlaces.assign(s, func(w *worker) bool {
-		return v.permitted(s, w) && len(t.lastResort([]*worker{w}, v.now)) > 0
+		return s.permitted(w) && len(t.lastResort([]*worker{w}, v.now)) > 0
 	})
 }
 
@@ -221,7 +220,7 @@
 // on a worker of the last resort are requested when it is placed.
 func (v *evacuation) requestTickets(t *task) bool {
 	s := t.step
-	if v.recommendation(s) == nil {
+	if s.recommendation() == nil {
 		return true
 	}
 	if t.startable() && s.hasLastResort() && slices.ContainsFunc(v.lastResort, s.fitsOn) {
@@ -232,8 +231,8 @@
 
 // permitted reports whether the latest tickets of a step permit the worker, also
 // after they have expired: a place is held until there are new ones.
-func (e *Engine) permitted(s *step, w *worker) bool {
-	if e.recommendation(s) == nil {
+func (s *step) permitted(w *worker) bool {
+	if s.recommendation() == nil {
 		return true
 	}
 	if s.tickets == nil {
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -44,7 +44,7 @@
 			case s.LongRunning:
 				out.Waiting += cores
 				out.LongRunningCores += cores
-			case e.timeliness(s.job, s.occ, now) == onTime:
+			case s.job.timeliness(s.occ, now) == onTime:
 				out.Waiting += cores
 			}
 		}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -139,7 +139,7 @@
 // placeStep starts the idle tasks of a step as far as there is free capacity.
 func (e *Engine) placeStep(s *step, open, lastResort []*worker, now time.Duration) {
 	asked := open
-	if s.hasLastResort() && len(lastResort) > 0 && !slices.ContainsFunc(open, func(w *worker) bool { return s.fitsOn(w) && !e.denied(s, w) }) {
+	if s.hasLastResort() && len(lastResort) > 0 && !slices.ContainsFunc(open, func(w *worker) bool { return s.fitsOn(w) && !s.denied(w) }) {
 		asked = lastResort
 	}
 	if !e.ensureTickets(s, asked, now) {
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -67,7 +67,7 @@
 	if j.queue != nil {
 		r.priority = j.queue.Priority
 	}
-	r.timeliness = e.timeliness(j, s.occ, now)
+	r.timeliness = j.timeliness(s.occ, now)
 	r.value = e.weight(j) / max(s.occ.workLeft(), minWork)
 	return r
 }
@@ -94,7 +94,7 @@
 }
 
 // timeliness returns the class of an occurrence by its expected end.
-func (e *Engine) timeliness(j *job, o *occurrence, now time.Duration) timeliness {
+func (j *job) timeliness(o *occurrence, now time.Duration) timeliness {
 	finish := now - o.releaseTime(j) + o.criticalPathLeft()
 	objective := j.objective()
 	switch {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -117,13 +117,10 @@
 	e.endRun(r, now)
 }
 
-// sortedRuns returns the runs on the worker in a fixed order, so that a
-// simulation can be repeated.
-func (w *worker) sortedRuns() []*run {
-	list := make([]*run, 0, len(w.runs))
-	for _, r := range w.runs {
-		list = append(list, r)
-	}
+// sortedLongRunning returns the runs of long-running tasks on the worker in a fixed
+// order, without those that are displaced.
+func (w *worker) sortedLongRunning() []*run {
+	list := slices.DeleteFunc(slices.Clone(w.longRunning), (*run).displaced)
 	slices.SortFunc(list, func(a, b *run) int {
 		return cmp.Or(a.task.compare(b.task), cmp.Compare(a.number, b.number))
 	})
--- a/internal/scheduler/shortfall.go
+++ b/internal/scheduler/shortfall.go
@@ -34,9 +34,8 @@
 	further := e.furtherWorker(p)
 	for _, t := range tasks {
 		s := t.step
-		permitted := func(w *worker) bool { ok, _ := e.verdict(s, w); return ok }
-		denied := func(w *worker) bool { return e.denied(s, w) }
-		possible := func(w *worker) bool { return !denied(w) }
+		permitted := func(w *worker) bool { ok, _ := s.verdict(w); return ok }
+		possible := func(w *worker) bool { return !s.denied(w) }
 		if free.assign(s, permitted) || free.assignUnknown(s, possible) || !s.fitsOn(further) {
 			continue
 		}
@@ -44,7 +43,7 @@
 			if onDenied == nil {
 				onDenied = newPlaces(serving)
 			}
-			if onDenied.assign(s, denied) {
+			if onDenied.assign(s, s.denied) {
 				continue
 			}
 		}
@@ -76,26 +75,25 @@
 // For a pool without workers it is the largest known worker, with the labels of
 // at least half of all workers.
 func (e *Engine) furtherWorker(p *pool) *worker {
-	var largest, sum placement.Resources
-	labels, allLabels := map[string]int{}, map[string]int{}
-	count, allCount := 0, 0
-	for _, w := range e.workers {
-		if w.pool == p && w.listed {
+	var capacity placement.Resources
+	labels, count := map[string]int{}, 0
+	for _, w := range p.workers {
+		if w.listed {
 			count++
-			sum = sum.Add(w.Capacity)
+			capacity = capacity.Add(w.Capacity)
 			countLabels(labels, w)
 		}
-		allCount++
-		countLabels(allLabels, w)
-		if c := w.Capacity; cmp.Or(cmp.Compare(c.Processors, largest.Processors), cmp.Compare(c.MemoryMB, largest.MemoryMB), cmp.Compare(c.Accelerators, largest.Accelerators)) > 0 {
-			largest = c
-		}
 	}
-	capacity := largest
 	if count > 0 {
-		capacity = placement.Resources{Processors: sum.Processors / float64(count), MemoryMB: sum.MemoryMB / count, Accelerators: sum.Accelerators / count}
+		capacity = placement.Resources{Processors: capacity.Processors / float64(count), MemoryMB: capacity.MemoryMB / count, Accelerators: capacity.Accelerators / count}
 	} else {
-		labels, count = allLabels, allCount
+		count = len(e.workers)
+		for _, w := range e.workers {
+			countLabels(labels, w)
+			if c := w.Capacity; cmp.Or(cmp.Compare(c.Processors, capacity.Processors), cmp.Compare(c.MemoryMB, capacity.MemoryMB), cmp.Compare(c.Accelerators, capacity.Accelerators)) > 0 {
+				capacity = c
+			}
+		}
 	}
 	further := &worker{Worker: estate.Worker{Capacity: capacity}}
 	for label, n := range labels {
--- a/internal/scheduler/ticket.go
+++ b/internal/scheduler/ticket.go
@@ -44,7 +44,7 @@
 
 // recommendation returns the recommendation settings of a step's queue, nil if
 // the step needs no tickets.
-func (e *Engine) recommendation(s *step) *estate.Recommendation {
+func (s *step) recommendation() *estate.Recommendation {
 	if q := s.job.queue; q != nil {
 		return q.Recommendation
 	}
@@ -54,7 +54,7 @@
 // ensureTickets reports whether a step has valid tickets or needs none.
 // Otherwise it requests tickets.
 func (e *Engine) ensureTickets(s *step, open []*worker, now time.Duration) bool {
-	if e.recommendation(s) == nil || (s.tickets != nil && now < s.tickets.validTo) {
+	if s.recommendation() == nil || (s.tickets != nil && now < s.tickets.validTo) {
 		return true
 	}
 	if s.requesting || now < s.nextRequest || e.requesting >= maxRecommendationRequests {
@@ -118,8 +118,8 @@
 
 // verdict reports whether the recommendation service is known to permit the worker
 // for a long-running step, and whether it is known to deny it.
-func (e *Engine) verdict(s *step, w *worker) (permitted, denied bool) {
-	if e.recommendation(s) == nil {
+func (s *step) verdict(w *worker) (permitted, denied bool) {
+	if s.recommendation() == nil {
 		return true, false
 	}
 	v, known := s.verdicts[w.ID]
@@ -129,8 +129,8 @@
 
 // denied reports whether the recommendation service is known to deny the worker
 // for a long-running step.
-func (e *Engine) denied(s *step, w *worker) bool {
-	_, denied := e.verdict(s, w)
+func (s *step) denied(w *worker) bool {
+	_, denied := s.verdict(w)
 	return denied
 }
 
@@ -148,7 +148,7 @@
 // ticket returns the step's ticket for a worker. The result is false if one is
 // needed and there is none.
 func (e *Engine) ticket(s *step, w *worker, now time.Duration) (string, bool) {
-	if e.recommendation(s) == nil {
+	if s.recommendation() == nil {
 		return "", true
 	}
 	if s.tickets == nil || now >= s.tickets.validTo {
@@ -161,7 +161,7 @@
 // withTicket returns the workers for which the step has a ticket, all of them
 // if it needs none.
 func (e *Engine) withTicket(s *step, open []*worker, now time.Duration) []*worker {
-	if e.recommendation(s) == nil {
+	if s.recommendation() == nil {
 		return open
 	}
 	return slices.DeleteFunc(slices.Clone(open), func(w *worker) bool {
