--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -178,11 +178,7 @@
 		w.ID = id
 		o.engine.WorkerListed(w, 0)
 	}
-	for _, order := range o.engine.Decide(0, scheduler.OwnershipValid) {
-		if poll, ok := order.(*scheduler.PollOrder); ok {
-			o.engine.Polled(poll, platform.WorkerStatus{Outcome: platform.OrderDone, ClockMS: 1}, nil, 0)
-		}
-	}
+	o.answerPolls(0, testWorker.StartedMS)
 	txn, err := o.usedWorkersTxn(o.withHosts(o.engine.InUse()))
 	if err != nil {
 		t.Fatal(err)
@@ -235,9 +231,8 @@
 	checkFirstHeartbeats(t, "surges", func(h ownership.Heartbeat) int { return len(h.Surges) })
 }
 
-// checkFirstHeartbeats checks that the heartbeats of a new owner, before and after
-// it has loaded the stored state, tell of one of the things that the previous
-// owner told of.
+// checkFirstHeartbeats checks that the heartbeats of a new owner, before and after it has
+// loaded the stored state, tell of the one thing that the previous owner told of.
 func checkFirstHeartbeats(t *testing.T, things string, count func(ownership.Heartbeat) int) {
 	t.Helper()
 	n, rows, _ := testNode(t)
--- a/internal/node/usedworkers_test.go
+++ b/internal/node/usedworkers_test.go
@@ -17,6 +17,15 @@
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
+// answerPolls lets the workers answer the polls that are due.
+func (o *owner) answerPolls(now time.Duration, startedMS int64) {
+	for _, order := range o.engine.Decide(now, scheduler.OwnershipValid) {
+		if poll, ok := order.(*scheduler.PollOrder); ok {
+			o.engine.Polled(poll, platform.WorkerStatus{Outcome: platform.OrderDone, StartedMS: startedMS, ClockMS: 1}, nil, now)
+		}
+	}
+}
+
 // The list shows the host down, as it was before the worker started again.
 func TestOldHostListEndsNoWorkerThatHasAnsweredSince(t *testing.T) {
 	o := testOwner(t, standin.NewRows(), 1)
@@ -27,11 +36,7 @@
 	o.fleetController = newFleetController(o, nil, workerHostsOf([]usedWorker{{ID: "w1", Pool: "p", Host: "h1", StartedMS: 1}}), 0)
 	const listSent, answered = time.Second, 1500 * time.Millisecond
 	o.engine.WorkerListed(estate.Worker{ID: "w1", Pool: "p", StartedMS: 2}, answered)
-	for _, order := range o.engine.Decide(answered, scheduler.OwnershipValid) {
-		if poll, ok := order.(*scheduler.PollOrder); ok {
-			o.engine.Polled(poll, platform.WorkerStatus{Outcome: platform.OrderDone, StartedMS: 2, ClockMS: 1}, nil, answered)
-		}
-	}
+	o.answerPolls(answered, 2)
 	if used := o.engine.InUse(); len(used) != 1 {
 		t.Fatalf("workers in use are %v, want one", used)
 	}
@@ -118,11 +123,7 @@
 	o.fleetController = newFleetController(o, nil, workerHostsOf([]usedWorker{{ID: "w1", Pool: "before", Host: "h1", StartedMS: 1}}), 0)
 	const answered, listSent = time.Second, 1500 * time.Millisecond
 	o.engine.WorkerListed(estate.Worker{ID: "w1", Pool: "p", StartedMS: 2}, answered)
-	for _, order := range o.engine.Decide(answered, scheduler.OwnershipValid) {
-		if poll, ok := order.(*scheduler.PollOrder); ok {
-			o.engine.Polled(poll, platform.WorkerStatus{Outcome: platform.OrderDone, StartedMS: 2, ClockMS: 1}, nil, answered)
-		}
-	}
+	o.answerPolls(answered, 2)
 	if used := o.engine.InUse(); len(used) != 1 {
 		t.Fatalf("workers in use are %v, want one", used)
 	}
@@ -152,11 +153,7 @@
 		hosts = append(hosts, estate.Host{Name: "h" + n, Pool: "p", State: estate.HostUp, WorkerID: w.ID})
 	}
 	o.fleetController.setHosts(hosts, now, now)
-	for _, order := range o.engine.Decide(now, scheduler.OwnershipValid) {
-		if poll, ok := order.(*scheduler.PollOrder); ok {
-			o.engine.Polled(poll, platform.WorkerStatus{Outcome: platform.OrderDone, StartedMS: 1, ClockMS: 1}, nil, now)
-		}
-	}
+	o.answerPolls(now, 1)
 	o.engine.Recorded(o.engine.InUse())
 	o.fleetController.reconcile(t.Context(), now)
 	job := &workload.Job{ID: testID, Queue: "q", Pool: "p", Steps: []workload.Step{{Count: 1, LongRunning: true, Size: placement.Resources{Processors: 1}}}}
