scheduler, node: the age of the known jobs at each start is logged

The owner now keeps the time as of which it knows everything that is stored: that of the sending of the read or feed call whose answer it has handled, or of the latest heartbeat whose version the feed has reached, since a feed that always has changes never shows whether its answer was complete. "task placed" has jobs_age and jobs_waited (how long the answer waited in this process), and egretpitch_node_control has JobsAgeMS and OldestJobsAtStartMS. No decision changes. go test ./internal/node ./internal/event: as before.

--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -57,7 +57,8 @@
 	// it, for the log.
 	ownershipWasValid bool
 	pacer             ownership.Pacer
-	mu                sync.Mutex // guards lease and pacer
+	versionMarks      versionMarks
+	mu                sync.Mutex // guards lease, pacer and versionMarks
 	engine            *scheduler.Engine
 	fleetController   *fleetController
 	events            chan func(now time.Duration)
@@ -124,6 +125,8 @@
 
 // recoveredState is the stored state that an ownership starts from.
 type recoveredState struct {
+	// jobsAsOf is when the read of jobs was sent.
+	jobsAsOf time.Duration
 	jobs     []platform.PartRow
 	progress []platform.PartRow
 	used     []usedWorker
@@ -145,6 +148,7 @@
 	if err := o.fenceParts(ctx); err != nil {
 		return nil, err
 	}
+	l.jobsAsOf = n.Clock.Now()
 	if l.jobs, l.jobStamp, err = n.readJobParts(ctx, jobTable); err != nil {
 		return nil, err
 	}
@@ -267,6 +271,7 @@
 	}
 	o.addJobs(l.jobs, progress, now)
 	o.jobsRead = l.jobStamp
+	e.JobsRead(l.jobsAsOf, 0)
 }
 
 // addJobs passes new jobs and cancellations to the engine. A job without a row
--- a/internal/node/ownerfeeds.go
+++ b/internal/node/ownerfeeds.go
@@ -14,20 +14,25 @@
 // watchJobs passes new jobs and cancellations to the engine until ctx ends.
 func (o *owner) watchJobs(ctx context.Context, version int64) {
 	n := o.node
-	apply := func(rows []platform.PartRow, stamp platform.Stamp, more bool) int64 {
-		n.Clock.ObserveStore(stamp, n.Clock.Now())
+	apply := func(sent time.Duration, rows []platform.PartRow, stamp platform.Stamp, more bool) int64 {
+		read := n.Clock.Now()
+		n.Clock.ObserveStore(stamp, read)
 		o.post(ctx, func(now time.Duration) {
 			o.addJobs(rows, nil, now)
 			o.jobsRead.Version = stamp.Version
+			asOf := o.reachVersion(stamp.Version)
 			if !more {
 				o.jobsRead.NowMS = stamp.NowMS
+				asOf = max(asOf, sent)
 			}
+			o.engine.JobsRead(asOf, now-read)
 		})
 		return stamp.Version
 	}
 	f := feed{
 		name: "jobs", log: n.Log, version: version,
 		readAll: func(ctx context.Context) (int64, error) {
+			sent := n.Clock.Now()
 			rows, stamp, err := n.readJobParts(ctx, jobTable)
 			if err != nil {
 				return 0, err
@@ -36,14 +41,15 @@
 			if err != nil {
 				return 0, err
 			}
-			return apply(withoutNewerProgress(rows, progress), stamp, false), nil
+			return apply(sent, withoutNewerProgress(rows, progress), stamp, false), nil
 		},
 		readChanges: func(ctx context.Context, after int64) (int64, error) {
+			sent := n.Clock.Now()
 			rows, stamp, err := n.Rows.Changes(ctx, jobTable, after, feedLongPollWait)
 			if err != nil {
 				return 0, err
 			}
-			return apply(rows, stamp, mayHaveMore(rows, stamp)), nil
+			return apply(sent, rows, stamp, mayHaveMore(rows, stamp)), nil
 		},
 	}
 	_ = f.run(ctx) // ends with ctx
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -157,6 +157,9 @@
 	requesting int
 	recovering bool
 	ownership  OwnershipState
+	// jobsAsOf is the time up to which all stored jobs and cancellations are
+	// known. jobsWaited is how long the last answer about them had waited.
+	jobsAsOf, jobsWaited time.Duration
 	// handingOver is set once the ownership is about to be released.
 	handingOver bool
 	// superseded is set once a worker has seen a higher token.
@@ -189,6 +192,10 @@
 	TasksWithoutRun, LongestWithoutRunMS int64
 	// OrphansStopped counts the stop orders for listed runs that no job needs.
 	OrphansStopped int64
+	// JobsAgeMS is the age of the known jobs at the last sweep, and
+	// OldestJobsAtStartMS the greatest such age at any start so far, in
+	// milliseconds.
+	JobsAgeMS, OldestJobsAtStartMS int64
 }
 
 // pool holds the workers and the waiting steps of a pool.
@@ -362,6 +369,7 @@
 		e.checkRuns(now)
 		e.stopStalledRuns(now)
 		e.reportOutages(now)
+		e.stats.JobsAgeMS = e.jobsAge(now).Milliseconds()
 		if e.catalog != nil && ownership != OwnershipExpired {
 			e.evacuate(now)
 		}
