--- /dev/null
+++ b/internal/node/cancelled_test.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/egretpitch/egretpitch/internal/ctxtime"
+	"github.com/egretpitch/egretpitch/internal/placement"
+	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/workload"
+)
+
+// cancelBound is the time within which a cancellation has to take effect.
+const cancelBound = 3 * time.Second
+
+// silentFeed is a table service whose feed of jobs gives no answer while it is
+// silent. All other calls are answered.
+type silentFeed struct {
+	platform.Rows
+	silent atomic.Bool
+}
+
+func (s *silentFeed) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]platform.PartRow, platform.Stamp, error) {
+	if table != jobTable {
+		return s.Rows.Changes(ctx, table, after, wait)
+	}
+	rows, stamp, err := s.Rows.Changes(ctx, table, after, wait)
+	if s.silent.Load() {
+		if err := ctxtime.Sleep(ctx, time.Second); err != nil {
+			return nil, platform.Stamp{}, err
+		}
+		return nil, platform.Stamp{}, platform.ErrUnknown
+	}
+	return rows, stamp, err
+}
+
+// end lists a run of a worker as done.
+func (f *testWorkers) end(id string, task workload.TaskID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ends[id] = append(f.ends[id], platform.EndedRun{Number: int64(len(f.ends[id]) + 1), Task: task, Run: f.runs[id][task], End: platform.EndDone})
+	delete(f.runs[id], task)
+}
+
+// The owner keeps its lease while its feed of jobs is silent, and a worker becomes free after the bound.
+func TestNoTaskStartsLongAfterItsJobWasCancelled(t *testing.T) {
+	n, rows, _ := testNode(t)
+	feed := &silentFeed{Rows: rows}
+	n.Rows = feed
+	other := New(Options{Name: "entry-2", Rows: rows, Log: zap.NewNop()})
+	f := &testWorkers{
+		changed: make(chan struct{}), runs: map[string]map[workload.TaskID]int{}, ends: map[string][]platform.EndedRun{}, starts: map[string]int{},
+	}
+	n.Runner, n.Discovery, n.Fleet = f, f, f
+	n.Scheduling.MaxLease, n.Scheduling.StopGrace = 6*time.Second, 900*time.Millisecond
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	job := &workload.Job{ID: testID, Queue: "q", Pool: "p", Steps: []workload.Step{{Count: 2, Size: placement.Resources{Processors: testWorker.Capacity.Processors, MemoryMB: 10}}}}
+	submission, err := newSubmission(job, time.Now())
+	if err == nil {
+		_, err = rows.CommitRows(ctx, platform.RowTxn{Writes: submission.rows[:]})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.list(testWorker)
+	n.acquire(ctx)
+	waitFor(t, "start of the first task", func() bool { starts, _ := f.counts("w"); return starts == 1 })
+	feed.silent.Store(true)
+	if err := other.writeCancel(ctx, testID); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(cancelBound)
+	f.end("w", workload.TaskID{Job: testID})
+	time.Sleep(time.Second)
+	if starts, _ := f.counts("w"); starts != 1 {
+		t.Errorf("a task was started more than %v after the cancellation of its job", cancelBound)
+	}
+	if n.owner.Load() == nil || !n.owner.Load().ownershipValid(n.Clock.Now()) {
+		t.Error("the owner has lost its lease, so it starts nothing in any case")
+	}
+}
