scheduler, node: no task starts on jobs older than the bound on cancellations

Callers saw UNASKED: tasks of jobs started up to 4.6 s and more after the answer to their cancellation.

Cause: an owner learns of cancellations from its feed of jobs, and nothing bounded the age of what it knew. It kept its lease and placed tasks while the feed gave no answer, while it read none, or before the first answer after a load that took long. Class: a decision uses state without a bound on its age.

The engine now knows the time as of which it has read all jobs and cancellations (the sending of the call, on the owner's own clock that goes on through a freeze). A start is decided only if it can reach its worker before that time + CancelWithin (the platform's bound, 3 s without one) - 200 ms, is not sent after that, and its deadline on the worker's clock ends there, so a worker refuses it later whatever the owner's share of its processor. Any cancellation that the owner does not know was answered after that time. Until an answer comes starts are held: events 942 and 943, StartsHeldMS.

--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -72,7 +72,7 @@
 	switch x := order.(type) {
 	case *scheduler.StartOrder:
 		a, err := o.workerCalls.order(ctx, x.Worker.ID, func(ctx context.Context) (platform.OrderAnswer, error) {
-			if x.Withdrawn() || !o.ownershipValid(n.Clock.Now()) {
+			if now := n.Clock.Now(); x.Withdrawn() || now > x.NotAfter || !o.ownershipValid(now) {
 				return platform.OrderAnswer{Outcome: platform.OrderNotSent}, nil
 			}
 			return n.Runner.StartRun(ctx, &x.Worker, x.Start)
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"sync"
@@ -29,6 +30,9 @@
 	// eventQueueLength is the maximum number of events that wait for the
 	// control goroutine.
 	eventQueueLength = 1024
+	// defaultCancelWithin is scheduler.Options.CancelWithin where the settings
+	// state none.
+	defaultCancelWithin = 3 * time.Second
 	// loadRetryDelay is the delay after a failed read of the stored state.
 	loadRetryDelay = 100 * time.Millisecond
 )
@@ -251,6 +255,7 @@
 	n := o.node
 	opts := n.Scheduling
 	opts.Token, opts.Epoch = o.token, o.record.Epoch
+	opts.CancelWithin = cmp.Or(opts.CancelWithin, defaultCancelWithin)
 	opts.Log = n.Log
 	opts.Parts, opts.PartOf = jobParts, partOf
 	opts.UnixMS = func(now time.Duration) int64 {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -28,7 +28,8 @@
 func (e *Engine) start(t *task, w *worker, number int, ticket string, now time.Duration) {
 	s := t.step
 	r := &run{task: t, number: number, worker: w, sentAt: now, progressAt: now, throttledPercent: 100, confirmedAt: -1}
-	r.deadlineMS = w.clock(now) + startWindow.Milliseconds()
+	notAfter := e.startsUntil(now)
+	r.deadlineMS = w.clock(notAfter)
 	w.leaseMS = max(w.leaseMS, r.deadlineMS)
 	t.lastRun = number
 	if t.startable() {
@@ -45,7 +46,7 @@
 		zap.Duration("waited", now-max(s.job.accepted, s.occ.due)), zap.Int64("catalog", e.catalog.Version), zap.Duration("jobs_age", e.jobsAge(now)),
 		zap.Duration("jobs_waited", e.jobsWaited))
 	e.stats.OldestJobsAtStartMS = max(e.stats.OldestJobsAtStartMS, e.jobsAge(now).Milliseconds())
-	r.order = &StartOrder{Worker: w.Worker, run: r, Start: platform.Start{
+	r.order = &StartOrder{Worker: w.Worker, run: r, NotAfter: notAfter, Start: platform.Start{
 		Task: t.id(), Run: number, Spec: s.job.Spec, DeadlineMS: r.deadlineMS, Token: w.token,
 		Checkpoint: t.checkpoint, Ticket: ticket,
 	}}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -31,6 +31,10 @@
 	MaxLease time.Duration
 	// StopGrace is the longest time that a worker takes to stop a run.
 	StopGrace time.Duration
+	// CancelWithin is the time after the acknowledgement of a job's cancellation
+	// within which its tasks may still start. It bounds the age of the jobs that
+	// a start relies on; 0 is no bound.
+	CancelWithin time.Duration
 	// Parts is the number of parts that the records of jobs are spread over,
 	// and PartOf returns the part of a job.
 	Parts  int
@@ -158,8 +162,10 @@
 	recovering bool
 	ownership  OwnershipState
 	// jobsAsOf is the time up to which all stored jobs and cancellations are
-	// known. jobsWaited is how long the last answer about them had waited.
+	// known. jobsWaited is how long the last answer about them had waited. startsHeld is set while it is too old for new starts, since heldSince.
 	jobsAsOf, jobsWaited time.Duration
+	startsHeld           bool
+	heldSince            time.Duration
 	// handingOver is set once the ownership is about to be released.
 	handingOver bool
 	// superseded is set once a worker has seen a higher token.
@@ -194,8 +200,8 @@
 	OrphansStopped int64
 	// JobsAgeMS is the age of the known jobs at the last sweep, and
 	// OldestJobsAtStartMS the greatest such age at any start so far, in
-	// milliseconds.
-	JobsAgeMS, OldestJobsAtStartMS int64
+	// milliseconds. StartsHeldMS is how long starts were held because of it.
+	JobsAgeMS, OldestJobsAtStartMS, StartsHeldMS int64
 }
 
 // pool holds the workers and the waiting steps of a pool.
@@ -280,7 +286,9 @@
 type StartOrder struct {
 	Worker estate.Worker
 	platform.Start
-	run *run
+	// NotAfter is the time after which the start must not be sent any more.
+	NotAfter time.Duration
+	run      *run
 	// withdrawn is set once the engine no longer wants the run.
 	withdrawn atomic.Bool
 }
@@ -374,7 +382,7 @@
 			e.evacuate(now)
 		}
 	}
-	if ownership != OwnershipExpired {
+	if e.mayStart(now) && ownership != OwnershipExpired {
 		for _, p := range e.pools {
 			if p.needsPass || (p.nextPass > 0 && now >= p.nextPass) {
 				e.pass(p, now)
