scheduler: an end that adds nothing is acknowledged only when the task is recorded as done

Cause: the end of a second run adds nothing to the job's progress, so nothing had to be written before it was acknowledged, though the record that the task is done was not written yet. If the owner and the first worker end then, nobody knows of the end. The end now waits for the job's latest change like the first.

Red before: TestEndOfACopyIsNotAcknowledgedBeforeTheTaskIsRecordedAsDone, "run 3001 starts on w1 at 10.59s, though its end was acknowledged at 3.96s".

--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -276,7 +276,8 @@
 }
 
 // ended handles one end. It returns the job whose record has to be written
-// before the end may be acknowledged, nil if there is nothing to record.
+// before the end may be acknowledged, nil if none has to: an end that adds nothing
+// still relies on the record that the task is done.
 func (e *Engine) ended(w *worker, end platform.EndedRun, now time.Duration) *job {
 	j := e.jobs[end.Task.Job]
 	if j == nil {
@@ -300,6 +301,7 @@
 	var changed *job
 	switch {
 	case t.done || j.ended():
+		changed = j
 	case end.End == platform.EndDone && !t.step.LongRunning:
 		e.taskDone(t, r, now)
 		changed = j
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -326,7 +326,7 @@
 }
 
 // checkStart checks the invariants of a start: the task was submitted, is not
-// done and has no other run.
+// done and has no other run, unless its step permits copies.
 func (sim *simulation) checkStart(f *fakeWorker, o platform.Start) {
 	j := sim.records[o.Task.Job]
 	if j == nil {
@@ -337,6 +337,9 @@
 		sim.violate("task %v run %d starts on %s at %v, though its end was acknowledged at %v", o.Task, o.Run, f.ID, sim.now, at)
 	}
 	j.starts[o.Task] = append(j.starts[o.Task], startRecord{o.Run, f.ID, sim.nextMoment()})
+	if j.spec.Steps[o.Task.Step].Speculative {
+		return
+	}
 	for _, other := range sorted(sim.workers) {
 		for _, r := range other.runs() {
 			if r.task == o.Task && other.up {
