scheduler: random histories in which owners learn of cancellations late

The random histories told owners of cancellations at once, so none could start a task long after one.

--- /dev/null
+++ b/internal/scheduler/cancellation_test.go
@@ -0,0 +1,118 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/workload"
+)
+
+// testCancelWithin is the bound on starts after a cancellation.
+const testCancelWithin = 3 * time.Second
+
+// cancel stores a cancellation. No owner learns of it before it reads.
+func (sim *simulation) cancel(id string) {
+	j := sim.records[id]
+	j.cancelled, j.cancelledAt = true, sim.now
+	sim.tracef("%s is cancelled", id)
+}
+
+// readJobs reads all cancellations, and all jobs that were stored since the owner
+// took over. The answer is handled late, after those of earlier reads.
+func (owner *testOwner) readJobs(late time.Duration) {
+	sim := owner.sim
+	sent := sim.now
+	var cancelled []string
+	jobs := sorted(sim.records)
+	for _, j := range jobs {
+		if j.cancelled {
+			cancelled = append(cancelled, j.spec.ID)
+		}
+	}
+	owner.jobsReadAt = max(owner.jobsReadAt, sent+late)
+	sim.after(owner.jobsReadAt-sent, func() {
+		for _, j := range jobs {
+			if j.submitted > owner.token {
+				owner.AddJob(j.spec, &workload.Progress{Queue: j.spec.Queue, State: workload.Queued}, j.submitted, sent, false, sim.now)
+			}
+		}
+		for _, id := range cancelled {
+			owner.Cancel(id, sim.now)
+		}
+		owner.JobsRead(sent, sim.now-sent)
+	})
+}
+
+// TestNoTaskStartsLongAfterItsCancellationInAnyHistory simulates owners that
+// learn of jobs and cancellations up to 8 s late, hold starts back for up to 4 s
+// before they send them, and replace each other. Tasks of a cancelled job may
+// start within testCancelWithin and no later. Once all faults end, every job must
+// end as well.
+func TestNoTaskStartsLongAfterItsCancellationInAnyHistory(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed") // draws of rapid favour small values
+		random := rand.New(rand.NewPCG(seed, 0))
+		upTo := func(n int) int { return random.IntN(n + 1) }
+		sim := newSimulation(t)
+		sim.cancelWithin = testCancelWithin
+		for i := range 1 + upTo(2) {
+			f := sim.addWorker(string(rune('a'+i)), "p", 2)
+			took := time.Duration(1+upTo(29)) * 100 * time.Millisecond
+			f.duration = func(workload.TaskID) (time.Duration, platform.RunEnd) { return took, platform.EndDone }
+		}
+		slow := true
+		sim.sendDelay = func() time.Duration {
+			if !slow || upTo(3) > 0 {
+				return 0
+			}
+			return time.Duration(upTo(40)) * 100 * time.Millisecond
+		}
+		owner := sim.newOwner()
+		var ids []string
+		const step = 250 * time.Millisecond
+		late := time.Duration(0)
+		for range 60 {
+			if len(ids) < 12 && upTo(1) == 0 {
+				job := jobOf(len(ids)+1, 1+upTo(3), 2)
+				sim.submit(nil, job)
+				ids = append(ids, job.ID)
+			}
+			if len(ids) > 0 && upTo(3) == 0 {
+				if id := ids[upTo(len(ids)-1)]; !sim.records[id].cancelled {
+					sim.cancel(id)
+				}
+			}
+			if upTo(7) == 0 {
+				late = time.Duration(upTo(80)) * 100 * time.Millisecond
+			}
+			if upTo(19) == 0 {
+				owner.paused = true
+				owner = sim.newOwner()
+			}
+			owner.readJobs(late)
+			sim.run(step, owner)
+		}
+		slow = false
+		allOver := func() bool {
+			return !slices.ContainsFunc(ids, func(id string) bool { return !sim.state(id).Over() })
+		}
+		const longest = 160 * time.Second // 48 tasks of 3 s on one worker, one after another
+		for end := sim.now + longest; sim.now < end && !allOver(); {
+			owner.readJobs(0)
+			sim.run(step, owner)
+		}
+		sim.check()
+		for _, id := range ids {
+			if s := sim.state(id); !s.Over() {
+				sim.violate("job %s is %q at the end", id, s)
+				sim.check()
+			}
+		}
+	})
+}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -55,6 +55,10 @@
 	log           *zap.Logger
 	// requestDelay and answerDelay are how long an order and its answer take.
 	requestDelay, answerDelay func() time.Duration
+	// sendDelay is how long a start waits in the owner's process before it is
+	// sent, if set, and cancelWithin the owners' bound on cancellations.
+	sendDelay    func() time.Duration
+	cancelWithin time.Duration
 	// violation describes the first violated invariant.
 	violation string
 	// trace lists the events so far, for the report of a violation.
@@ -101,6 +105,10 @@
 	progress  workload.Progress
 	version   int64
 	cancelled bool
+	// submitted is the version of the transaction that stored the job.
+	submitted int64
+	// cancelledAt is when the cancellation was acknowledged, if the test tells.
+	cancelledAt time.Duration
 	// doneAt holds when the end of each finished task was acknowledged.
 	doneAt map[workload.TaskID]time.Duration
 	starts map[workload.TaskID][]startRecord
@@ -333,6 +341,9 @@
 		sim.violate("start of a task that was not submitted: %v", o.Task)
 		return
 	}
+	if j.cancelledAt > 0 && sim.now > j.cancelledAt+sim.cancelWithin {
+		sim.violate("task %v run %d starts on %s at %v, though the cancellation of its job was acknowledged at %v", o.Task, o.Run, f.ID, sim.now, j.cancelledAt)
+	}
 	if at, ok := j.doneAt[o.Task]; ok {
 		sim.violate("task %v run %d starts on %s at %v, though its end was acknowledged at %v", o.Task, o.Run, f.ID, sim.now, at)
 	}
@@ -461,8 +472,9 @@
 	// is set while it does so.
 	recordedAt time.Duration
 	recording  bool
-	// entriesReadAt is when the owner last read late entries.
-	entriesReadAt time.Duration
+	// entriesReadAt is when the owner last read late entries, and jobsReadAt when
+	// it last handled jobs that were read late.
+	entriesReadAt, jobsReadAt time.Duration
 	// recordVersion is the version of the record that the owner replaces next.
 	recordVersion int64
 	// expired owners cannot reach the table service.
@@ -503,7 +515,7 @@
 	sim.fence = sim.version
 	epoch := sim.fence
 	e := New(Options{
-		Token: sim.fence, Epoch: epoch, MaxLease: testMaxLease, StopGrace: 100 * time.Millisecond,
+		Token: sim.fence, Epoch: epoch, MaxLease: testMaxLease, StopGrace: 100 * time.Millisecond, CancelWithin: sim.cancelWithin,
 		Parts: 2, PartOf: func(job string) int { return int(job[15]) % 2 },
 		UnixMS: func(now time.Duration) int64 { return now.Milliseconds() }, Log: sim.log,
 	})
@@ -520,6 +532,7 @@
 			e.Cancel(j.spec.ID, sim.now)
 		}
 	}
+	e.JobsRead(sim.now, 0)
 	return owner
 }
 
@@ -645,7 +658,7 @@
 func (sim *simulation) submit(owner *testOwner, spec *workload.Job) {
 	sim.version++
 	sim.records[spec.ID] = &storedJob{
-		spec: spec, version: sim.version, doneAt: map[workload.TaskID]time.Duration{}, starts: map[workload.TaskID][]startRecord{},
+		spec: spec, version: sim.version, submitted: sim.version, doneAt: map[workload.TaskID]time.Duration{}, starts: map[workload.TaskID][]startRecord{},
 		progress: workload.Progress{Queue: spec.Queue, State: workload.Queued},
 	}
 	if owner != nil {
@@ -750,6 +763,21 @@
 		sim.after(20*time.Millisecond, func() { owner.Recommended(r, t, nil, sim.now) })
 		return
 	}
+	if start, ok := o.(*StartOrder); ok && sim.sendDelay != nil {
+		sim.after(sim.sendDelay(), func() {
+			if start.Withdrawn() || sim.now > start.NotAfter {
+				owner.answer(o, platform.OrderAnswer{Outcome: platform.OrderNotSent}, nil)
+				return
+			}
+			sim.send(owner, o)
+		})
+		return
+	}
+	sim.send(owner, o)
+}
+
+// send carries an order to its worker and the answer back.
+func (sim *simulation) send(owner *testOwner, o Order) {
 	f := sim.workers[keyOf(o).target]
 	var ft orderFault
 	if sim.injectFault != nil {
