node, platform: an answer of a feed counts also when it is read late

An owner whose processor is full reads what has arrived late.

Calls of a feed now last up to 5 s beyond their wait. While an answer is overdue (after 0.7 s, as before) the feed is reported as lost and further calls are made beside it, up to four, because the connection may be silent; the first answer counts. All feeds of a process go this way: jobs, workers' entries, operator, ownership. The time-out moves from the adapter to the feed, so TestFeedOfSilentStoreTimesOut now checks that a call ends with its context, and TestSilentCallOfAFeedIsFollowedByAnother that a silent store is noticed within the same 2 s.

Red before: TestAnswerOfAFeedIsReadThoughItIsLate, "0 rows, error store: feed of t: outcome unknown: context deadline exceeded".

--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -15,9 +15,18 @@
 const (
 	// feedLongPollWait is how long the service holds a long poll of a feed that
 	// has no changes. A feed that stopped answering is detected within this
-	// time plus the client's slack, which is within the bound on putting a
-	// configuration in force.
+	// time plus feedSlack, which is within the bound on putting a configuration
+	// in force.
 	feedLongPollWait = 800 * time.Millisecond
+	// feedSlack is how much longer than its wait a call of a feed takes at most
+	// before its answer counts as overdue.
+	feedSlack = 700 * time.Millisecond
+	// lateAnswerTimeout is how much longer than its wait a call of a feed may take
+	// at all. A process that has little processor time reads its answer late.
+	lateAnswerTimeout = 5 * time.Second
+	// maxFeedCalls is the maximum number of concurrent calls of a feed. After a
+	// fault several idle connections may be silent.
+	maxFeedCalls = 4
 	// feedRetryDelay is the delay after a failed call of a feed.
 	feedRetryDelay = 100 * time.Millisecond
 	// readTimeout bounds a read of many rows.
@@ -33,24 +42,41 @@
 	// version is the version up to which the table was read, or unread.
 	version int64
 	// readAll reads the whole table, readChanges the changes after a version.
-	// Both return the version up to which they have read.
-	readAll     func(context.Context) (int64, error)
-	readChanges func(ctx context.Context, after int64) (int64, error)
+	// Both return what to do with the answer.
+	readAll     func(context.Context) (handleAnswer, error)
+	readChanges func(ctx context.Context, after int64) (handleAnswer, error)
+	// wait is how long the service holds a call for changes.
+	wait time.Duration
 	// delay is the delay between two successful calls, for a table that changes
 	// all the time.
 	delay time.Duration
+	// observe is called with the outcome of each call, if set.
+	observe func(error)
 }
 
+// handleAnswer handles an answer of a feed and returns the version up to which the
+// table was read.
+type handleAnswer func() (int64, error)
+
 // unread is the version of a feed that must read its whole table.
 const unread int64 = -1
 
+// errFeedOverdue is the outcome of a call of a feed that is not answered in time.
+// It may still be answered.
+var errFeedOverdue = errors.New("answer is overdue")
+
 // run follows the table until ctx ends.
 func (f *feed) run(ctx context.Context) error {
 	dep := &dependency{name: f.name, log: f.log}
+	outcome := func(err error) {
+		dep.observe(err)
+		if f.observe != nil {
+			f.observe(err)
+		}
+	}
 	for ctx.Err() == nil {
 		wait := f.delay
-		err := f.step(ctx)
-		dep.observe(err)
+		err := f.step(ctx, outcome)
 		if err != nil {
 			wait = feedRetryDelay
 		}
@@ -66,22 +92,75 @@
 	return ctx.Err()
 }
 
-// step makes one call and advances the version if it succeeds.
-func (f *feed) step(ctx context.Context) error {
-	version, err := f.version, error(nil)
-	if version == unread {
-		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		version, err = f.readAll(readCtx)
-	} else {
-		version, err = f.readChanges(ctx, version)
+// step reads the table or its changes and advances the version if it succeeds.
+func (f *feed) step(ctx context.Context, outcome func(error)) error {
+	read := f.changes
+	if f.version == unread {
+		read = func(ctx context.Context, _ func(error)) (handleAnswer, error) { return f.all(ctx) }
+	}
+	handle, err := read(ctx, outcome)
+	outcome(err)
+	if err != nil {
+		return err
 	}
+	version, err := handle()
 	if err == nil {
 		f.version = version
 	}
 	return err
 }
 
+// all reads the whole table.
+func (f *feed) all(ctx context.Context) (handleAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return f.readAll(ctx)
+}
+
+// changes reads the changes after the feed's version. While an answer is overdue
+// it makes further calls: the connection may be silent. The first answer counts,
+// also a late one, since this process may be what is slow.
+func (f *feed) changes(ctx context.Context, outcome func(error)) (handleAnswer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends the calls that are not needed any more
+	type answer struct {
+		handle handleAnswer
+		err    error
+	}
+	answers := make(chan answer, maxFeedCalls)
+	inFlight := 0
+	call := func() {
+		inFlight++
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, f.wait+lateAnswerTimeout)
+			defer cancel()
+			handle, err := f.readChanges(ctx, f.version)
+			answers <- answer{handle, err}
+		}()
+	}
+	call()
+	overdue := time.NewTicker(f.wait + feedSlack)
+	defer overdue.Stop()
+	for {
+		select {
+		case a := <-answers:
+			inFlight--
+			if a.err == nil || inFlight == 0 {
+				return a.handle, a.err
+			}
+			continue
+		case <-overdue.C:
+		}
+		if len(answers) > 0 {
+			continue // it came at the same time
+		}
+		outcome(errFeedOverdue)
+		if inFlight < maxFeedCalls {
+			call()
+		}
+	}
+}
+
 // dependency logs once when a part of the platform becomes unavailable and once
 // when it is available again.
 type dependency struct {
--- a/internal/node/newjobs.go
+++ b/internal/node/newjobs.go
@@ -75,7 +75,9 @@
 		return nil
 	}
 	for more := true; more; {
-		rows, stamp, err := n.Rows.Changes(ctx, progressTable, j.through, 0)
+		callCtx, cancel := context.WithTimeout(ctx, feedSlack)
+		rows, stamp, err := n.Rows.Changes(callCtx, progressTable, j.through, 0)
+		cancel()
 		if err != nil {
 			return err
 		}
--- a/internal/node/ownerfeeds.go
+++ b/internal/node/ownerfeeds.go
@@ -14,42 +14,44 @@
 // watchJobs passes new jobs and cancellations to the engine until ctx ends.
 func (o *owner) watchJobs(ctx context.Context, version int64) {
 	n := o.node
-	apply := func(sent time.Duration, rows []platform.PartRow, stamp platform.Stamp, more bool) int64 {
+	answer := func(sent time.Duration, rows []platform.PartRow, stamp platform.Stamp, more bool) handleAnswer {
 		read := n.Clock.Now()
 		n.Clock.ObserveStore(stamp, read)
-		o.post(ctx, func(now time.Duration) {
-			o.addJobs(rows, nil, now)
-			o.jobsRead.Version = stamp.Version
-			asOf := o.reachVersion(stamp.Version)
-			if !more {
-				o.jobsRead.NowMS = stamp.NowMS
-				asOf = max(asOf, sent)
-			}
-			o.engine.JobsRead(asOf, now-read)
-		})
-		return stamp.Version
+		return func() (int64, error) {
+			o.post(ctx, func(now time.Duration) {
+				o.addJobs(rows, nil, now)
+				o.jobsRead.Version = stamp.Version
+				asOf := o.reachVersion(stamp.Version)
+				if !more {
+					o.jobsRead.NowMS = stamp.NowMS
+					asOf = max(asOf, sent)
+				}
+				o.engine.JobsRead(asOf, now-read)
+			})
+			return stamp.Version, nil
+		}
 	}
 	f := feed{
-		name: "jobs", log: n.Log, version: version,
-		readAll: func(ctx context.Context) (int64, error) {
+		name: "jobs", log: n.Log, version: version, wait: feedLongPollWait,
+		readAll: func(ctx context.Context) (handleAnswer, error) {
 			sent := n.Clock.Now()
 			rows, stamp, err := n.readJobParts(ctx, jobTable)
 			if err != nil {
-				return 0, err
+				return nil, err
 			}
 			progress, _, err := n.readJobParts(ctx, progressTable)
 			if err != nil {
-				return 0, err
+				return nil, err
 			}
-			return apply(sent, withoutNewerProgress(rows, progress), stamp, false), nil
+			return answer(sent, withoutNewerProgress(rows, progress), stamp, false), nil
 		},
-		readChanges: func(ctx context.Context, after int64) (int64, error) {
+		readChanges: func(ctx context.Context, after int64) (handleAnswer, error) {
 			sent := n.Clock.Now()
 			rows, stamp, err := n.Rows.Changes(ctx, jobTable, after, feedLongPollWait)
 			if err != nil {
-				return 0, err
+				return nil, err
 			}
-			return apply(sent, rows, stamp, mayHaveMore(rows, stamp)), nil
+			return answer(sent, rows, stamp, mayHaveMore(rows, stamp)), nil
 		},
 	}
 	_ = f.run(ctx) // ends with ctx
@@ -75,21 +77,21 @@
 // ends.
 func (o *owner) watchWorkers(ctx context.Context, version int64) {
 	n := o.node
-	apply := func(c platform.WorkerChanges, full bool, err error) (int64, error) {
-		if err == nil {
+	answer := func(c platform.WorkerChanges, full bool, err error) (handleAnswer, error) {
+		return func() (int64, error) {
 			o.post(ctx, func(now time.Duration) { o.applyWorkerChanges(c, full, now) })
-		}
-		return c.Version, err
+			return c.Version, nil
+		}, err
 	}
 	f := feed{
-		name: "workers' entries", log: n.Log, version: version, delay: workerFeedDelay,
-		readAll: func(ctx context.Context) (int64, error) {
+		name: "workers' entries", log: n.Log, version: version, wait: feedLongPollWait, delay: workerFeedDelay,
+		readAll: func(ctx context.Context) (handleAnswer, error) {
 			c, err := n.Discovery.ReadWorkers(ctx)
-			return apply(c, true, err)
+			return answer(c, true, err)
 		},
-		readChanges: func(ctx context.Context, after int64) (int64, error) {
+		readChanges: func(ctx context.Context, after int64) (handleAnswer, error) {
 			c, err := n.Discovery.WatchWorkers(ctx, after, feedLongPollWait)
-			return apply(c, false, err)
+			return answer(c, false, err)
 		},
 	}
 	_ = f.run(ctx) // ends with ctx
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -24,19 +24,18 @@
 // watchOperator keeps the catalog and the maintenance waves up to date until
 // ctx ends.
 func (n *Node) watchOperator(ctx context.Context) error {
-	apply := func(c platform.OperatorChanges, err error) (int64, error) {
-		if err != nil {
-			return 0, err
-		}
-		n.Clock.ObserveStore(c.Stamp, n.Clock.Now())
-		n.adopt(c)
-		return c.Version, nil
+	answer := func(c platform.OperatorChanges, err error) (handleAnswer, error) {
+		return func() (int64, error) {
+			n.Clock.ObserveStore(c.Stamp, n.Clock.Now())
+			n.adopt(c)
+			return c.Version, nil
+		}, err
 	}
 	f := feed{
-		name: "operator's configuration", log: n.Log, version: unread,
-		readAll: func(ctx context.Context) (int64, error) { return apply(n.Operator.ReadOperator(ctx)) },
-		readChanges: func(ctx context.Context, after int64) (int64, error) {
-			return apply(n.Operator.WatchOperator(ctx, after, feedLongPollWait))
+		name: "operator's configuration", log: n.Log, version: unread, wait: feedLongPollWait,
+		readAll: func(ctx context.Context) (handleAnswer, error) { return answer(n.Operator.ReadOperator(ctx)) },
+		readChanges: func(ctx context.Context, after int64) (handleAnswer, error) {
+			return answer(n.Operator.WatchOperator(ctx, after, feedLongPollWait))
 		},
 	}
 	return f.run(ctx)
@@ -62,30 +61,28 @@
 // watchControl keeps the view of the ownership up to date and acquires the
 // control work when it is vacant, until ctx ends.
 func (n *Node) watchControl(ctx context.Context) error {
-	apply := func(sent time.Duration, rows []platform.PartRow, stamp platform.Stamp, err error) (int64, error) {
-		n.reachability.observe(err)
-		if err != nil {
-			return 0, err
-		}
-		now := n.Clock.Now()
-		n.Clock.ObserveStore(stamp, now)
-		if err := n.observeControl(rows, now); err != nil {
-			return 0, err
-		}
-		n.acquireIfVacant(ctx, sent)
-		return stamp.Version, nil
+	answer := func(sent time.Duration, rows []platform.PartRow, stamp platform.Stamp, err error) (handleAnswer, error) {
+		return func() (int64, error) {
+			now := n.Clock.Now()
+			n.Clock.ObserveStore(stamp, now)
+			if err := n.observeControl(rows, now); err != nil {
+				return 0, err
+			}
+			n.acquireIfVacant(ctx, sent)
+			return stamp.Version, nil
+		}, err
 	}
 	f := feed{
-		name: "owner's record", log: n.Log, version: unread, delay: controlFeedDelay,
-		readAll: func(ctx context.Context) (int64, error) {
+		name: "owner's record", log: n.Log, version: unread, wait: controlLongPollWait, delay: controlFeedDelay, observe: n.reachability.observe,
+		readAll: func(ctx context.Context) (handleAnswer, error) {
 			sent := n.Clock.Now()
 			rows, stamp, err := n.Rows.ReadRows(ctx, controlTable, controlPart, "", "")
-			return apply(sent, rows, stamp, err)
+			return answer(sent, rows, stamp, err)
 		},
-		readChanges: func(ctx context.Context, after int64) (int64, error) {
+		readChanges: func(ctx context.Context, after int64) (handleAnswer, error) {
 			sent := n.Clock.Now()
 			rows, stamp, err := n.Rows.Changes(ctx, controlTable, after, controlLongPollWait)
-			return apply(sent, rows, stamp, err)
+			return answer(sent, rows, stamp, err)
 		},
 	}
 	return f.run(ctx)
