node, scheduler: cancellations have a table and a feed of their own

A start relies on the age of the known cancellations, and they came in the feed of jobs: behind pages of up to 500 jobs and 660 KB, which an owner with a full processor takes a second and more to read. The bound on the age then held starts back, and the owner learned late what to stop.

A cancellation is now a row of a small table, under the id of its job, in the job's part. A cancellation that comes before its job is kept, and the job ends when it is added.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -99,7 +99,7 @@
 	PollUnanswered       = New(939, zapcore.WarnLevel, "poll not answered")
 	EndIgnored           = New(940, zapcore.WarnLevel, "end ignored")
 	TaskWithoutRun       = New(941, zapcore.WarnLevel, "long-running task has no run")
-	StartsHeld           = New(942, zapcore.WarnLevel, "starts held, the known jobs are too old")
+	StartsHeld           = New(942, zapcore.WarnLevel, "starts held, the known cancellations are too old")
 	StartsResumed        = New(943, zapcore.InfoLevel, "starts resumed")
 	RecoveryEnded        = New(933, zapcore.InfoLevel, "recovery ended")
 )
--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -117,8 +117,8 @@
 		return nil, err
 	}
 	s.rows = [2]platform.RowWrite{
-		{RowKey: jobRow(jobTable, job.ID, ""), Value: spec},
-		{RowKey: jobRow(progressTable, job.ID, ""), Value: record},
+		{RowKey: jobRow(jobTable, job.ID), Value: spec},
+		{RowKey: jobRow(progressTable, job.ID), Value: record},
 	}
 	s.size = len(spec) + len(record)
 	return s, nil
--- a/internal/node/cancelled_test.go
+++ b/internal/node/cancelled_test.go
@@ -17,15 +17,15 @@
 // cancelBound is the time within which a cancellation has to take effect.
 const cancelBound = 3 * time.Second
 
-// silentFeed is a table service whose feed of jobs gives no answer while it is
-// silent. All other calls are answered.
+// silentFeed is a table service whose feeds of jobs and cancellations give no
+// answer while it is silent. All other calls are answered.
 type silentFeed struct {
 	platform.Rows
 	silent atomic.Bool
 }
 
 func (s *silentFeed) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]platform.PartRow, platform.Stamp, error) {
-	if table != jobTable {
+	if table != jobTable && table != cancelTable {
 		return s.Rows.Changes(ctx, table, after, wait)
 	}
 	rows, stamp, err := s.Rows.Changes(ctx, table, after, wait)
@@ -46,7 +46,7 @@
 	delete(f.runs[id], task)
 }
 
-// The owner keeps its lease while its feed of jobs is silent, and a worker becomes free after the bound.
+// The owner keeps its lease while its feeds of jobs and cancellations are silent, and a worker becomes free after the bound.
 func TestNoTaskStartsLongAfterItsJobWasCancelled(t *testing.T) {
 	n, rows, _ := testNode(t)
 	feed := &silentFeed{Rows: rows}
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -128,7 +128,7 @@
 			event.RowUnreadable.Log(o.node.Log, zap.String("key", r.Job), zap.Error(err))
 			continue
 		}
-		key := jobRow(progressTable, r.Job, "")
+		key := jobRow(progressTable, r.Job)
 		txn.Conditions = append(txn.Conditions, platform.RowCondition{RowKey: key, Version: r.Version})
 		txn.Writes = append(txn.Writes, platform.RowWrite{RowKey: key, Value: value})
 	}
@@ -145,7 +145,7 @@
 	case errors.As(err, &conflict):
 		current := make(map[string]int64, len(c.Records))
 		for i := range c.Records {
-			current[c.Records[i].Job] = conflict.Row(jobRow(progressTable, c.Records[i].Job, "")).Version
+			current[c.Records[i].Job] = conflict.Row(jobRow(progressTable, c.Records[i].Job)).Version
 		}
 		o.post(ctx, func(now time.Duration) { o.engine.CommitFailed(c, current, now) })
 	default:
--- a/internal/node/newjobs_test.go
+++ b/internal/node/newjobs_test.go
@@ -38,7 +38,7 @@
 	p := workload.Progress{Queue: "q", State: workload.Running}
 	value, err := p.Encode()
 	if err == nil {
-		_, err = rows.CommitRows(context.Background(), platform.RowTxn{Writes: []platform.RowWrite{{RowKey: jobRow(progressTable, id, ""), Value: value}}})
+		_, err = rows.CommitRows(context.Background(), platform.RowTxn{Writes: []platform.RowWrite{{RowKey: jobRow(progressTable, id), Value: value}}})
 	}
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -91,7 +91,7 @@
 func TestStoredJobKeepsTheTermsOfItsQueue(t *testing.T) {
 	n, rows, e := testNode(t)
 	request(e, http.MethodPost, "/q/"+testID, testBody)
-	stored, _, err := rows.ReadRows(context.Background(), jobTable, jobRow(jobTable, testID, "").Part, "", "")
+	stored, _, err := rows.ReadRows(context.Background(), jobTable, jobRow(jobTable, testID).Part, "", "")
 	if err != nil || len(stored) != 1 {
 		t.Fatalf("rows %v, error %v, want the row of the job", stored, err)
 	}
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -129,8 +129,6 @@
 
 // recoveredState is the stored state that an ownership starts from.
 type recoveredState struct {
-	// jobsAsOf is when the read of jobs was sent.
-	jobsAsOf time.Duration
 	jobs     []platform.PartRow
 	progress []platform.PartRow
 	used     []usedWorker
@@ -138,6 +136,7 @@
 	waves    []platform.PartRow
 	jobStamp platform.Stamp
 	workers  platform.WorkerChanges
+	cancels  cancelChanges
 }
 
 // load fences the previous owners and reads the stored state. From then on
@@ -152,7 +151,6 @@
 	if err := o.fenceParts(ctx); err != nil {
 		return nil, err
 	}
-	l.jobsAsOf = n.Clock.Now()
 	if l.jobs, l.jobStamp, err = n.readJobParts(ctx, jobTable); err != nil {
 		return nil, err
 	}
@@ -185,7 +183,8 @@
 		// ended.
 		event.DependencyLost.Log(n.Log, zap.String("dependency", "list of hosts"), zap.Error(err))
 	}
-	return l, nil
+	l.cancels, err = n.readCancels(ctx) // last: starts rely on their age
+	return l, err
 }
 
 // hostsTimeout bounds the read of the host list at the start of an ownership.
@@ -210,6 +209,7 @@
 	now := n.Clock.Now()
 	o.setUpEngine(l, now)
 	o.deciding.Store(true)
+	go o.watchCancels(ctx, l.cancels.stamp.Version)
 	go o.watchJobs(ctx, l.jobStamp.Version)
 	go o.watchWorkers(ctx, l.workers.Version)
 	go o.watchHosts(ctx)
@@ -276,26 +276,17 @@
 	}
 	o.addJobs(l.jobs, progress, now)
 	o.jobsRead = l.jobStamp
-	e.JobsRead(l.jobsAsOf, 0)
+	o.applyCancels(l.cancels, now)
 }
 
-// addJobs passes new jobs and cancellations to the engine. A job without a row
-// in progress was accepted after the ownership started; both rows of a job are
-// written in one transaction.
+// addJobs passes new jobs to the engine. A job without a row in progress was
+// accepted after the ownership started; both rows of a job are written in one
+// transaction.
 func (o *owner) addJobs(rows []platform.PartRow, progress map[string]platform.PartRow, now time.Duration) {
-	var cancelled []string
 	for _, r := range rows {
-		if r.Deleted {
-			continue
+		if !r.Deleted {
+			o.addJob(r, progress[r.Key], now)
 		}
-		if id, ok := cancelledJob(r.Key); ok {
-			cancelled = append(cancelled, id)
-			continue
-		}
-		o.addJob(r, progress[r.Key], now)
-	}
-	for _, id := range cancelled {
-		o.engine.Cancel(id, now)
 	}
 }
 
--- a/internal/node/ownerfeeds.go
+++ b/internal/node/ownerfeeds.go
@@ -11,22 +11,18 @@
 // changes with every worker's heartbeat.
 const workerFeedDelay = 200 * time.Millisecond
 
-// watchJobs passes new jobs and cancellations to the engine until ctx ends.
+// watchJobs passes new jobs to the engine until ctx ends.
 func (o *owner) watchJobs(ctx context.Context, version int64) {
 	n := o.node
-	answer := func(sent time.Duration, rows []platform.PartRow, stamp platform.Stamp, more bool) handleAnswer {
-		read := n.Clock.Now()
-		n.Clock.ObserveStore(stamp, read)
+	answer := func(rows []platform.PartRow, stamp platform.Stamp, more bool) handleAnswer {
+		n.Clock.ObserveStore(stamp, n.Clock.Now())
 		return func() (int64, error) {
 			o.post(ctx, func(now time.Duration) {
 				o.addJobs(rows, nil, now)
 				o.jobsRead.Version = stamp.Version
-				asOf := o.reachVersion(stamp.Version)
 				if !more {
 					o.jobsRead.NowMS = stamp.NowMS
-					asOf = max(asOf, sent)
 				}
-				o.engine.JobsRead(asOf, now-read)
 			})
 			return stamp.Version, nil
 		}
@@ -34,7 +30,6 @@
 	f := feed{
 		name: "jobs", log: n.Log, version: version, wait: feedLongPollWait,
 		readAll: func(ctx context.Context) (handleAnswer, error) {
-			sent := n.Clock.Now()
 			rows, stamp, err := n.readJobParts(ctx, jobTable)
 			if err != nil {
 				return nil, err
@@ -43,15 +38,14 @@
 			if err != nil {
 				return nil, err
 			}
-			return answer(sent, withoutNewerProgress(rows, progress), stamp, false), nil
+			return answer(withoutNewerProgress(rows, progress), stamp, false), nil
 		},
 		readChanges: func(ctx context.Context, after int64) (handleAnswer, error) {
-			sent := n.Clock.Now()
 			rows, stamp, err := n.Rows.Changes(ctx, jobTable, after, feedLongPollWait)
 			if err != nil {
 				return nil, err
 			}
-			return answer(sent, rows, stamp, mayHaveMore(rows, stamp)), nil
+			return answer(rows, stamp, mayHaveMore(rows, stamp)), nil
 		},
 	}
 	_ = f.run(ctx) // ends with ctx
@@ -66,7 +60,7 @@
 	}
 	kept := make([]platform.PartRow, 0, len(rows))
 	for _, r := range rows {
-		if _, isCancel := cancelledJob(r.Key); isCancel || versions[r.Key] == r.Version {
+		if versions[r.Key] == r.Version {
 			kept = append(kept, r)
 		}
 	}
--- a/internal/node/queueapi.go
+++ b/internal/node/queueapi.go
@@ -291,7 +291,7 @@
 // writeCancel stores the cancellation of a job. The write is idempotent, so an
 // attempt without an answer is retried until ctx ends.
 func (n *Node) writeCancel(ctx context.Context, id string) error {
-	txn := platform.RowTxn{Writes: []platform.RowWrite{{RowKey: jobRow(jobTable, id, cancelSuffix), Value: []byte("{}")}}}
+	txn := platform.RowTxn{Writes: []platform.RowWrite{{RowKey: jobRow(cancelTable, id), Value: []byte("{}")}}}
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, acceptTimeout)
 		_, err := n.Rows.CommitRows(callCtx, txn)
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -131,7 +131,7 @@
 	}}}
 	spec, err := job.Encode()
 	if err == nil {
-		_, err = rows.CommitRows(t.Context(), platform.RowTxn{Writes: []platform.RowWrite{{RowKey: jobRow(jobTable, testID, ""), Value: spec}}})
+		_, err = rows.CommitRows(t.Context(), platform.RowTxn{Writes: []platform.RowWrite{{RowKey: jobRow(jobTable, testID), Value: spec}}})
 	}
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/schema.go
+++ b/internal/node/schema.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strconv"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
@@ -23,7 +22,11 @@
 	fenceTable       = "egretpitch-fence"
 	jobTable         = "egretpitch-jobs"
 	progressTable    = "egretpitch-progress"
-	controlPart      = "control"
+	// cancelTable holds a row for each cancelled job, under the job's id. It has a
+	// feed of its own: a start relies on how old its last answer is, and its rows
+	// are small beside those of the jobs.
+	cancelTable = "egretpitch-cancels"
+	controlPart = "control"
 )
 
 // jobParts is the number of parts that jobs are spread over. A part commits
@@ -31,9 +34,6 @@
 // submitted to 340 workers.
 const jobParts = 4
 
-// cancelSuffix is appended to a job's id to form the key of its cancellation.
-const cancelSuffix = "-cancel"
-
 func controlRow(table, key string) platform.RowKey {
 	return platform.RowKey{Table: table, Part: controlPart, Key: key}
 }
@@ -48,10 +48,9 @@
 
 func partName(n int) string { return "jobs-" + strconv.Itoa(n) }
 
-// jobRow returns the key of a job's row in a table. With cancelSuffix as suffix
-// it is the key of the job's cancellation.
-func jobRow(table, job, suffix string) platform.RowKey {
-	return platform.RowKey{Table: table, Part: partName(partOf(job)), Key: job + suffix}
+// jobRow returns the key of a job's row in a table.
+func jobRow(table, job string) platform.RowKey {
+	return platform.RowKey{Table: table, Part: partName(partOf(job)), Key: job}
 }
 
 // fenceRow returns the key of the row that holds the owner's fencing token in a
@@ -60,10 +59,6 @@
 	return platform.RowKey{Table: fenceTable, Part: partName(part), Key: "token"}
 }
 
-// cancelledJob returns the id of the job that the row with this key cancels,
-// and whether there is one.
-func cancelledJob(key string) (string, bool) { return strings.CutSuffix(key, cancelSuffix) }
-
 // readJobParts reads a table in all parts of the jobs. The returned stamp is
 // the oldest of the parts, so that a feed which starts there misses no change.
 func (n *Node) readJobParts(ctx context.Context, table string) ([]platform.PartRow, platform.Stamp, error) {
--- a/internal/scheduler/cancellation_test.go
+++ b/internal/scheduler/cancellation_test.go
@@ -44,7 +44,7 @@
 		for _, id := range cancelled {
 			owner.Cancel(id, sim.now)
 		}
-		owner.JobsRead(sent, sim.now-sent)
+		owner.CancelsRead(sent, sim.now-sent)
 	})
 }
 
--- a/internal/scheduler/jobsage.go
+++ b/internal/scheduler/cancelsage.go
@@ -17,39 +17,39 @@
 	minStartWindow = 300 * time.Millisecond
 )
 
-// JobsRead reports that all jobs and cancellations that were stored before asOf
-// have been added, after the answer that told of them had waited in this process.
+// CancelsRead reports that all cancellations that were stored before asOf have
+// been handled, after the answer that told of them had waited in this process.
 // Until the first report, nothing is started if Options.CancelWithin is set.
-func (e *Engine) JobsRead(asOf, waited time.Duration) {
-	e.jobsAsOf, e.jobsWaited = max(e.jobsAsOf, asOf), waited
+func (e *Engine) CancelsRead(asOf, waited time.Duration) {
+	e.cancelsAsOf, e.cancelsWaited = max(e.cancelsAsOf, asOf), waited
 }
 
-// jobsAge returns the age of the known jobs.
-func (e *Engine) jobsAge(now time.Duration) time.Duration { return now - e.jobsAsOf }
+// cancelsAge returns the age of the known cancellations.
+func (e *Engine) cancelsAge(now time.Duration) time.Duration { return now - e.cancelsAsOf }
 
 // startsUntil returns the time until which a start that is decided now may be
 // carried out: a cancellation that is not known yet was acknowledged after
-// jobsAsOf.
+// cancelsAsOf.
 func (e *Engine) startsUntil(now time.Duration) time.Duration {
 	until := now + startWindow
 	if e.opts.CancelWithin > 0 {
-		until = min(until, e.jobsAsOf+e.opts.CancelWithin-startMargin)
+		until = min(until, e.cancelsAsOf+e.opts.CancelWithin-startMargin)
 	}
 	return until
 }
 
-// mayStart reports whether the known jobs are recent enough for starts. A start
-// that is decided on older ones could reach its worker too late after the
+// mayStart reports whether the known cancellations are recent enough for starts.
+// A start that is decided on older ones could reach its worker too late after the
 // cancellation of its job.
 func (e *Engine) mayStart(now time.Duration) bool {
 	held := e.startsUntil(now) < now+minStartWindow
 	switch {
 	case held && !e.startsHeld:
 		e.heldSince = now
-		event.StartsHeld.Log(e.opts.Log, zap.Duration("jobs_age", e.jobsAge(now)), zap.Int("jobs", len(e.jobs)))
+		event.StartsHeld.Log(e.opts.Log, zap.Duration("cancels_age", e.cancelsAge(now)), zap.Int("jobs", len(e.jobs)))
 	case !held && e.startsHeld:
 		e.stats.StartsHeldMS += (now - e.heldSince).Milliseconds()
-		event.StartsResumed.Log(e.opts.Log, zap.Duration("jobs_age", e.jobsAge(now)), zap.Duration("after", now-e.heldSince))
+		event.StartsResumed.Log(e.opts.Log, zap.Duration("cancels_age", e.cancelsAge(now)), zap.Duration("after", now-e.heldSince))
 	}
 	e.startsHeld = held
 	return !held
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -175,12 +175,16 @@
 
 // AddJob adds an accepted job with its recorded progress, whose row has the
 // given version. inherited is set if a previous owner may have started its
-// tasks. A job that was added before or that has ended is ignored.
+// tasks. A job that was added before or that has ended is ignored, and one whose
+// cancellation is known already is cancelled.
 func (e *Engine) AddJob(spec *workload.Job, progress *workload.Progress, version int64, accepted time.Duration, inherited bool, now time.Duration) {
-	if _, ok := e.knownJobs[spec.ID]; ok || progress.State.Over() {
+	if _, ok := e.knownJobs[spec.ID]; ok {
 		return
 	}
 	e.knownJobs[spec.ID] = struct{}{}
+	if progress.State.Over() {
+		return
+	}
 	j := &job{
 		Job: spec, progress: *progress, version: version, accepted: accepted, inherited: inherited,
 		started: progress.State != workload.Queued, occurrences: map[int]*occurrence{}, queue: spec.Terms,
@@ -195,6 +199,10 @@
 		e.createJobOccurrences(j, now)
 	}
 	p.needsPass = true
+	if _, ok := e.cancelledFirst[spec.ID]; ok {
+		delete(e.cancelledFirst, spec.ID)
+		e.Cancel(spec.ID, now)
+	}
 }
 
 // updateQueue applies the current settings of the job's queue. A job of a queue
@@ -375,8 +383,13 @@
 	e.dirty[j] = struct{}{}
 }
 
-// Cancel ends a job at the request of its caller. An unknown job is ignored.
+// Cancel ends a job at the request of its caller. A job that has not been added
+// yet ends when it is.
 func (e *Engine) Cancel(id string, now time.Duration) {
+	if _, ok := e.knownJobs[id]; !ok {
+		e.cancelledFirst[id] = struct{}{}
+		return
+	}
 	j := e.jobs[id]
 	if j == nil || j.ended() {
 		return
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -32,8 +32,8 @@
 	// StopGrace is the longest time that a worker takes to stop a run.
 	StopGrace time.Duration
 	// CancelWithin is the time after the acknowledgement of a job's cancellation
-	// within which its tasks may still start. It bounds the age of the jobs that
-	// a start relies on; 0 is no bound.
+	// within which its tasks may still start. It bounds the age of the known
+	// cancellations that a start relies on; 0 is no bound.
 	CancelWithin time.Duration
 	// Parts is the number of parts that the records of jobs are spread over,
 	// and PartOf returns the part of a job.
@@ -131,9 +131,10 @@
 	// next check for outages of long-running tasks.
 	nextSweep, nextOutageCheck time.Duration
 	// knownJobs holds the ids of all jobs that were ever added: a feed may
-	// repeat a job that has ended and was dropped.
-	knownJobs map[string]struct{}
-	workers   map[string]*worker
+	// repeat a job that has ended and was dropped. cancelledFirst holds those of
+	// jobs whose cancellation was read before the job.
+	knownJobs, cancelledFirst map[string]struct{}
+	workers                   map[string]*worker
 	// added counts the incarnations of workers that were added.
 	added int64
 	pools map[string]*pool
@@ -161,11 +162,12 @@
 	requesting int
 	recovering bool
 	ownership  OwnershipState
-	// jobsAsOf is the time up to which all stored jobs and cancellations are
-	// known. jobsWaited is how long the last answer about them had waited. startsHeld is set while it is too old for new starts, since heldSince.
-	jobsAsOf, jobsWaited time.Duration
-	startsHeld           bool
-	heldSince            time.Duration
+	// cancelsAsOf is the time up to which all stored cancellations are known, and
+	// cancelsWaited how long the last answer about them had waited. startsHeld is
+	// set while they are too old for starts, since heldSince.
+	cancelsAsOf, cancelsWaited time.Duration
+	startsHeld                 bool
+	heldSince                  time.Duration
 	// handingOver is set once the ownership is about to be released.
 	handingOver bool
 	// superseded is set once a worker has seen a higher token.
@@ -198,10 +200,10 @@
 	TasksWithoutRun, LongestWithoutRunMS int64
 	// OrphansStopped counts the stop orders for listed runs that no job needs.
 	OrphansStopped int64
-	// JobsAgeMS is the age of the known jobs at the last sweep, and
-	// OldestJobsAtStartMS the greatest such age at any start so far, in
+	// CancelsAgeMS is the age of the known cancellations at the last sweep, and
+	// OldestCancelsAtStartMS the greatest such age at any start so far, in
 	// milliseconds. StartsHeldMS is how long starts were held because of it.
-	JobsAgeMS, OldestJobsAtStartMS, StartsHeldMS int64
+	CancelsAgeMS, OldestCancelsAtStartMS, StartsHeldMS int64
 }
 
 // pool holds the workers and the waiting steps of a pool.
@@ -239,7 +241,7 @@
 // New returns an engine without jobs and workers.
 func New(opts Options) *Engine {
 	return &Engine{
-		opts: opts, jobs: map[string]*job{}, knownJobs: map[string]struct{}{}, workers: map[string]*worker{}, pools: map[string]*pool{},
+		opts: opts, jobs: map[string]*job{}, knownJobs: map[string]struct{}{}, cancelledFirst: map[string]struct{}{}, workers: map[string]*worker{}, pools: map[string]*pool{},
 		dirty: map[*job]struct{}{}, committing: make([]*Commit, opts.Parts), retryAt: make([]time.Duration, opts.Parts),
 	}
 }
@@ -377,7 +379,7 @@
 		e.checkRuns(now)
 		e.stopStalledRuns(now)
 		e.reportOutages(now)
-		e.stats.JobsAgeMS = e.jobsAge(now).Milliseconds()
+		e.stats.CancelsAgeMS = e.cancelsAge(now).Milliseconds()
 		if e.catalog != nil && ownership != OwnershipExpired {
 			e.evacuate(now)
 		}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -532,7 +532,7 @@
 			e.Cancel(j.spec.ID, sim.now)
 		}
 	}
-	e.JobsRead(sim.now, 0)
+	e.CancelsRead(sim.now, 0)
 	return owner
 }
 
