scheduler: a start that waited for its worker is sent while the cancellations are recent

The worker would have refused them as late, and the engine then reads its clock before it places anything there; a start that is not sent frees the task at once, and it was placed on the same worker again.

Only the bound on the age of the cancellations keeps a start from being sent.

--- a/internal/scheduler/cancelsage.go
+++ b/internal/scheduler/cancelsage.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,22 +28,21 @@
 // cancelsAge returns the age of the known cancellations.
 func (e *Engine) cancelsAge(now time.Duration) time.Duration { return now - e.cancelsAsOf }
 
-// startsUntil returns the time until which a start that is decided now may be
+// startsUntil returns the time until which starts that are decided now may be
 // carried out: a cancellation that is not known yet was acknowledged after
 // cancelsAsOf.
-func (e *Engine) startsUntil(now time.Duration) time.Duration {
-	until := now + startWindow
-	if e.opts.CancelWithin > 0 {
-		until = min(until, e.cancelsAsOf+e.opts.CancelWithin-startMargin)
+func (e *Engine) startsUntil() time.Duration {
+	if e.opts.CancelWithin == 0 {
+		return math.MaxInt64
 	}
-	return until
+	return e.cancelsAsOf + e.opts.CancelWithin - startMargin
 }
 
 // mayStart reports whether the known cancellations are recent enough for starts.
 // A start that is decided on older ones could reach its worker too late after the
 // cancellation of its job.
 func (e *Engine) mayStart(now time.Duration) bool {
-	held := e.startsUntil(now) < now+minStartWindow
+	held := e.startsUntil() < now+minStartWindow
 	switch {
 	case held && !e.startsHeld:
 		e.heldSince = now
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -28,8 +28,7 @@
 func (e *Engine) start(t *task, w *worker, number int, ticket string, now time.Duration) {
 	s := t.step
 	r := &run{task: t, number: number, worker: w, sentAt: now, progressAt: now, throttledPercent: 100, confirmedAt: -1}
-	notAfter := e.startsUntil(now)
-	r.deadlineMS = w.clock(notAfter)
+	r.deadlineMS = w.clock(min(now+startWindow, e.startsUntil()))
 	w.leaseMS = max(w.leaseMS, r.deadlineMS)
 	t.lastRun = number
 	if t.startable() {
@@ -46,7 +45,7 @@
 		zap.Duration("waited", now-max(s.job.accepted, s.occ.due)), zap.Int64("catalog", e.catalog.Version), zap.Duration("cancels_age", e.cancelsAge(now)),
 		zap.Duration("cancels_waited", e.cancelsWaited))
 	e.stats.OldestCancelsAtStartMS = max(e.stats.OldestCancelsAtStartMS, e.cancelsAge(now).Milliseconds())
-	r.order = &StartOrder{Worker: w.Worker, run: r, NotAfter: notAfter, Start: platform.Start{
+	r.order = &StartOrder{Worker: w.Worker, run: r, NotAfter: e.startsUntil(), Start: platform.Start{
 		Task: t.id(), Run: number, Spec: s.job.Spec, DeadlineMS: r.deadlineMS, Token: w.token,
 		Checkpoint: t.checkpoint, Ticket: ticket,
 	}}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -288,7 +288,8 @@
 type StartOrder struct {
 	Worker estate.Worker
 	platform.Start
-	// NotAfter is the time after which the start must not be sent any more.
+	// NotAfter is the time after which the start must not be sent any more: a
+	// cancellation of its job may have been acknowledged too long ago.
 	NotAfter time.Duration
 	run      *run
 	// withdrawn is set once the engine no longer wants the run.
