node: a refusal of a feed counts beside a call without answer

Only a call that ends without an answer is now ignored while others are in flight. The version of a call is passed to its goroutine.

--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -119,24 +119,27 @@
 
 // changes reads the changes after the feed's version. While an answer is overdue
 // it makes further calls: the connection may be silent. The first answer counts,
-// also a late one, since this process may be what is slow.
+// also a late one, since this process may be what is slow, and also a refusal. A
+// call that ends without an answer counts only if no other is in flight.
 func (f *feed) changes(ctx context.Context, outcome func(error)) (handleAnswer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // ends the calls that are not needed any more
 	type answer struct {
 		handle handleAnswer
 		err    error
+		// silent is set if the call has ended without an answer.
+		silent bool
 	}
 	answers := make(chan answer, maxFeedCalls)
 	inFlight := 0
 	call := func() {
 		inFlight++
-		go func() {
+		go func(version int64) {
 			ctx, cancel := context.WithTimeout(ctx, f.wait+lateAnswerTimeout)
 			defer cancel()
-			handle, err := f.readChanges(ctx, f.version)
-			answers <- answer{handle, err}
-		}()
+			handle, err := f.readChanges(ctx, version)
+			answers <- answer{handle, err, err != nil && ctx.Err() != nil}
+		}(f.version)
 	}
 	call()
 	overdue := time.NewTicker(f.wait + feedSlack)
@@ -145,7 +148,7 @@
 		select {
 		case a := <-answers:
 			inFlight--
-			if a.err == nil || inFlight == 0 {
+			if !a.silent || inFlight == 0 {
 				return a.handle, a.err
 			}
 			continue
--- a/internal/node/feed_test.go
+++ b/internal/node/feed_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/egretpitch/egretpitch/internal/ctxtime"
+	"github.com/egretpitch/egretpitch/internal/platform"
 )
 
 // testFeed returns a feed at version 1 whose calls answer gives the delay of, by
@@ -73,3 +74,51 @@
 		t.Errorf("%d concurrent calls, want %d", n, maxFeedCalls)
 	}
 }
+
+// The first connection is silent, and the store has discarded its history.
+func TestMissingHistoryOfAFeedIsNoticedBesideASilentCall(t *testing.T) {
+	calls := make(chan struct{}, 16)
+	f := &feed{
+		name: "test", log: zap.NewNop(), version: 1, wait: feedLongPollWait,
+		readChanges: func(ctx context.Context, _ int64) (handleAnswer, error) {
+			calls <- struct{}{}
+			if len(calls) == 1 {
+				if err := ctxtime.Sleep(ctx, time.Hour); err != nil {
+					return nil, err
+				}
+			}
+			return nil, platform.ErrHistoryGone
+		},
+	}
+	begin := time.Now()
+	err := f.step(t.Context(), func(error) {})
+	if took := time.Since(begin); !errors.Is(err, platform.ErrHistoryGone) || took > 2*time.Second {
+		t.Errorf("%v after %v, want that the history is gone in under 2 s", err, took)
+	}
+}
+
+// The first connection is silent. The service refuses one call and then answers.
+func TestRefusedCallOfAFeedIsRepeatedBesideASilentCall(t *testing.T) {
+	f, _ := testFeed(func(call int64) time.Duration {
+		if call == 1 {
+			return time.Hour
+		}
+		return 0
+	})
+	f.wait = feedLongPollWait
+	answered := f.readChanges
+	var sent atomic.Int64
+	f.readChanges = func(ctx context.Context, version int64) (handleAnswer, error) {
+		if sent.Add(1) == 2 {
+			return nil, platform.ErrUnavailable
+		}
+		return answered(ctx, version)
+	}
+	begin := time.Now()
+	for f.version == 1 && t.Context().Err() == nil {
+		_ = f.step(t.Context(), func(error) {})
+	}
+	if took := time.Since(begin); took > 2*time.Second {
+		t.Errorf("answer read after %v, want under 2 s", took)
+	}
+}
