scheduler: nothing is evacuated while starts are held

It now waits like the starts.

Red before: TestEvacuationStopsNoTaskWhileStartsAreHeld, "0 tasks run, 1 stops while starts are held; want 1 and none".

--- a/internal/scheduler/cancellation_test.go
+++ b/internal/scheduler/cancellation_test.go
@@ -116,3 +116,28 @@
 		}
 	})
 }
+
+// The owner's feed of cancellations is silent, so that no start can follow the stop.
+func TestEvacuationStopsNoTaskWhileStartsAreHeld(t *testing.T) {
+	sim := newSimulation(t)
+	sim.cancelWithin = testCancelWithin
+	w1 := sim.addWorkerFor(nil, "w1", 4)
+	owner := sim.newOwner()
+	sim.submit(owner, longRunningJob(1, 1, 2))
+	owner.readJobs(0)
+	sim.run(time.Second, owner)
+	if len(w1.running) != 1 {
+		t.Fatalf("%d tasks run, want 1", len(w1.running))
+	}
+	w2 := sim.addWorkerFor(owner, "w2", 4)
+	sim.run(testCancelWithin, owner)
+	sim.evacuateFor(3*time.Second, owner, "w1")
+	if s := owner.Stats(); len(w1.running)+len(w2.running) != 1 || s.Stops != 0 {
+		t.Errorf("%d tasks run, %d stops while starts are held; want 1 and none", len(w1.running)+len(w2.running), s.Stops)
+	}
+	owner.readJobs(0)
+	sim.evacuateFor(time.Second, owner, "w1")
+	if len(w2.running) != 1 {
+		t.Errorf("%d tasks have moved once starts are not held any more, want 1", len(w2.running))
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -381,7 +381,7 @@
 		e.stopStalledRuns(now)
 		e.reportOutages(now)
 		e.stats.CancelsAgeMS = e.cancelsAge(now).Milliseconds()
-		if e.catalog != nil && ownership != OwnershipExpired {
+		if e.catalog != nil && ownership != OwnershipExpired && e.mayStart(now) {
 			e.evacuate(now)
 		}
 	}
