--- /dev/null
+++ b/internal/node/draining_test.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/egretpitch/egretpitch/internal/ctxtime"
+	"github.com/egretpitch/egretpitch/internal/estate"
+	"github.com/egretpitch/egretpitch/internal/placement"
+	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/workload"
+)
+
+// drainBound is the time after which no task may start on a draining worker.
+const drainBound = 2 * time.Second
+
+// silentEntries is a discovery service whose feed gives no answer while it is
+// silent.
+type silentEntries struct {
+	*testWorkers
+	silent atomic.Bool
+}
+
+func (s *silentEntries) WatchWorkers(ctx context.Context, after int64, wait time.Duration) (platform.WorkerChanges, error) {
+	if s.silent.Load() {
+		if err := ctxtime.Sleep(ctx, time.Second); err != nil {
+			return platform.WorkerChanges{}, err
+		}
+		return platform.WorkerChanges{}, platform.ErrUnknown
+	}
+	return s.testWorkers.WatchWorkers(ctx, after, wait)
+}
+
+// The owner keeps its lease while its feed of workers' entries is silent.
+func TestNoTaskStartsLongAfterItsWorkerDrains(t *testing.T) {
+	n, rows, _ := testNode(t)
+	f := &testWorkers{
+		changed: make(chan struct{}), runs: map[string]map[workload.TaskID]int{}, ends: map[string][]platform.EndedRun{}, starts: map[string]int{},
+	}
+	entries := &silentEntries{testWorkers: f}
+	n.Runner, n.Discovery, n.Fleet = f, entries, f
+	n.Scheduling.MaxLease, n.Scheduling.StopGrace = 6*time.Second, 900*time.Millisecond
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	job := &workload.Job{ID: testID, Queue: "q", Pool: "p", Steps: []workload.Step{{Count: 2, Size: placement.Resources{Processors: testWorker.Capacity.Processors, MemoryMB: 10}}}}
+	submission, err := newSubmission(job, time.Now())
+	if err == nil {
+		_, err = rows.CommitRows(ctx, platform.RowTxn{Writes: submission.rows[:]})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.list(testWorker)
+	n.acquire(ctx)
+	waitFor(t, "start of the first task", func() bool { starts, _ := f.counts("w"); return starts == 1 })
+	entries.silent.Store(true)
+	time.Sleep(time.Second) // the call that was in flight has returned
+	draining := testWorker
+	draining.Draining = true
+	f.list([]estate.Worker{draining}...)
+	time.Sleep(drainBound + 500*time.Millisecond)
+	f.end("w", workload.TaskID{Job: testID})
+	time.Sleep(time.Second)
+	if starts, _ := f.counts("w"); starts != 1 {
+		t.Errorf("a task was started more than %v after its worker's entry said draining", drainBound)
+	}
+	if n.owner.Load() == nil || !n.owner.Load().ownershipValid(n.Clock.Now()) {
+		t.Error("the owner has lost its lease, so it starts nothing in any case")
+	}
+}
