platform, workload: keep the numbers of a submitted job in range

The product of tasks and occurrences overflowed, so that 4 tasks in each of 2^62 occurrences passed the bound of 20,000.

The bound on tasks is compared without a product.

--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -175,8 +175,8 @@
 	if s := j.Schedule; s != nil && (s.Occurrences < 1 || s.Interval < 0) {
 		return errors.New("schedule needs at least one occurrence and no negative interval")
 	}
-	if tasks*j.Occurrences() > maxTasks {
-		return errors.Errorf("job has %d tasks over all occurrences, at most %d are allowed", tasks*j.Occurrences(), maxTasks)
+	if j.Occurrences() > maxTasks/tasks { // their product may overflow
+		return errors.Errorf("job has %d tasks in each of %d occurrences, at most %d are allowed in all", tasks, j.Occurrences(), maxTasks)
 	}
 	return nil
 }
