node: refuse a job that no row can hold

What callers saw: a job of more than 64 KB of JSON is sent to the table service, which refuses its transaction. That is neither a conflict nor a refusal for lack of the service, so its outcome counted as unknown: the transaction was sent again, with the other jobs of its part in it, until the process held the service for unreachable. All of them were answered 504.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -19,6 +19,8 @@
 	// maxAcceptBytes bounds the rows of one transaction, so that the whole
 	// call, encoded in base64, stays below the platform's limit of 1 MB.
 	maxAcceptBytes = 500 << 10
+	// maxRowBytes is the platform's limit on the value of a row.
+	maxRowBytes = 64 << 10
 	// acceptQueueLength is the maximum number of jobs of a part that wait for a
 	// transaction.
 	acceptQueueLength = 256
@@ -43,6 +45,8 @@
 	// submitUnknown means that the job may be stored, or may be stored later by
 	// a transaction whose outcome is unknown.
 	submitUnknown
+	// submitTooLarge means that no row can hold the job.
+	submitTooLarge
 )
 
 // submission is a job that waits to be stored.
@@ -84,6 +88,9 @@
 	if err != nil {
 		return submitNotStored
 	}
+	if len(s.rows[0].Value) > maxRowBytes {
+		return submitTooLarge // its transaction would fail, with the other jobs in it
+	}
 	if a.node.reachability.unreachable() {
 		return submitNotStored
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -50,8 +50,12 @@
 }
 
 func testCatalog(version int64, prefix string) *estate.Catalog {
+	return testCatalogWithBody(version, prefix, 1000)
+}
+
+func testCatalogWithBody(version int64, prefix string, maxBody int) *estate.Catalog {
 	return estate.NewCatalog(version, []*estate.Queue{{Name: "q", Host: "h", PathPrefix: prefix, Pool: "p"}},
-		[]*estate.Pool{{Name: "p"}}, estate.Limits{MaxBodyBytes: 1000})
+		[]*estate.Pool{{Name: "p"}}, estate.Limits{MaxBodyBytes: maxBody})
 }
 
 // request sends a request and returns status and body of the answer.
--- a/internal/node/queueapi.go
+++ b/internal/node/queueapi.go
@@ -185,6 +185,8 @@
 		return response{status: http.StatusOK, body: h.codec.EncodeState(workload.Queued), reason: "stored"}
 	case submitNotStored:
 		return response{status: http.StatusServiceUnavailable, reason: "not stored: table service unavailable"}
+	case submitTooLarge:
+		return response{status: http.StatusRequestEntityTooLarge, reason: "job is too large"}
 	}
 	return response{status: http.StatusGatewayTimeout, reason: "not known to be stored: table service does not answer"}
 }
