node: split the record of workers in use by size, too

A row of the record held up to 100 workers whatever their names. With names as long as the platform allows 100 of them take more than the platform's limit of 64 KB: no worker would be recorded any more, and none would get a task.

Change: a row that would be larger holds fewer workers.

Evidence: TestUsedWorkersWithLongNamesFitTheirRows failed before (rows of 95,201 and, with characters that JSON escapes, 395,201 bytes) and passes.

--- a/internal/node/usedworkers.go
+++ b/internal/node/usedworkers.go
@@ -67,8 +67,8 @@
 	return scheduler.UsedWorker{Worker: estate.Worker{ID: u.ID, Pool: u.Pool, Address: u.Address, StartedMS: u.StartedMS}, LeasedBy: u.LeasedBy}
 }
 
-// usedWorkersPerRow is the maximum number of workers in one row. They take a
-// tenth of the platform's limit of 64 KB.
+// usedWorkersPerRow is the maximum number of workers in one row. With the usual
+// names they take a tenth of maxRowBytes.
 const usedWorkersPerRow = 100
 
 // usedWorkerRows splits the list of workers in use into rows. Rows left over
@@ -78,6 +78,9 @@
 	for i := 0; i == 0 || len(used) > 0 || i < rowsBefore; i++ {
 		n := min(len(used), usedWorkersPerRow)
 		value, err := json.Marshal(used[:n])
+		for ; err == nil && len(value) > maxRowBytes && n > 1; value, err = json.Marshal(used[:n]) {
+			n /= 2
+		}
 		if err != nil {
 			return nil, errors.Wrap(err, "encode workers in use")
 		}
--- a/internal/node/usedworkers_test.go
+++ b/internal/node/usedworkers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -168,3 +169,33 @@
 		t.Errorf("the task is started on %q, want w2: the host of w1 is to be maintained", started)
 	}
 }
+
+// TestUsedWorkersWithLongNamesFitTheirRows uses the longest names that the
+// platform allows, also where JSON needs six bytes for one.
+func TestUsedWorkersWithLongNamesFitTheirRows(t *testing.T) {
+	for _, letter := range []string{"x", "<"} {
+		name := strings.Repeat(letter, 200)
+		used := make([]usedWorker, 250)
+		for i := range used {
+			used[i] = usedWorker{ID: name, Pool: name, Address: strings.Repeat("x", 253) + ":65535", Host: name, StartedMS: 1 << 40, LeasedBy: 1 << 40}
+		}
+		writes, err := usedWorkerRows(used, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		stored := 0
+		for _, w := range writes {
+			var list []usedWorker
+			if err := json.Unmarshal(w.Value, &list); err != nil {
+				t.Fatal(err)
+			}
+			stored += len(list)
+			if len(w.Value) > testMaxRowBytes {
+				t.Errorf("row %s has %d bytes, %d are allowed", w.Key, len(w.Value), testMaxRowBytes)
+			}
+		}
+		if stored != len(used) {
+			t.Errorf("%d of %d workers are in the rows", stored, len(used))
+		}
+	}
+}
