node: start an ownership though a row of the workers in use is unreadable

A row of the record of workers in use that could not be decoded failed the load of the stored state, every 100 ms and in every process that took over: nobody decided anything any more. Only owners write the row, so this takes a row of another release or a writer outside the protocol.

Ruled out: passing over the row alone. The workers that it names may run tasks of a previous owner, and the tasks would be started again 50 ms later.

Change: the row is logged and passed over, and in each pool that may run jobs a worker that never answers stands for those that the row may name. The recovery of the pool then lasts until the leases of previous owners have expired. The worker is in the record of this owner, so a successor waits as well.

Evidence: TestUnreadableRecordOfWorkersHoldsTasksForALeaseOnly failed before ("the stored state cannot be loaded"), fails with the row passed over alone ("started after 50ms, want 7.7s to 9.7s"), and passes, as does TestWorkersOfAnUnreadableRecordAreRecordedForASuccessor.

--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -127,10 +126,12 @@
 	jobs     []platform.PartRow
 	progress []platform.PartRow
 	used     []usedWorker
-	hosts    []estate.Host
-	waves    []platform.PartRow
-	jobStamp platform.Stamp
-	workers  platform.WorkerChanges
+	// usedIncomplete is set if a row of the workers in use is unreadable.
+	usedIncomplete bool
+	hosts          []estate.Host
+	waves          []platform.PartRow
+	jobStamp       platform.Stamp
+	workers        platform.WorkerChanges
 }
 
 // load fences the previous owners and reads the stored state. From then on
@@ -156,13 +157,7 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, r := range usedRows {
-		var list []usedWorker
-		if err := json.Unmarshal(r.Value, &list); err != nil {
-			return nil, errors.Wrap(err, "decode workers in use")
-		}
-		l.used = append(l.used, list...)
-	}
+	l.readUsedWorkers(usedRows, n.Log)
 	o.used.restore(usedRows)
 	if l.waves, _, err = n.Rows.ReadRows(ctx, waveTable, controlPart, "", ""); err != nil {
 		return nil, err
@@ -255,7 +250,11 @@
 	e := scheduler.New(opts)
 	e.SetCatalog(n.catalog.Load())
 	workerHosts := workerHostsOf(l.used)
-	e.Recover(workerHosts.PossiblyRunning(workersOf(l.used), l.hosts), o.lastOrder, now)
+	used := workerHosts.PossiblyRunning(workersOf(l.used), l.hosts)
+	if l.usedIncomplete {
+		used = append(used, l.unknownWorkers(n.catalog.Load())...)
+	}
+	e.Recover(used, o.lastOrder, now)
 	for _, w := range l.workers.Changed {
 		e.WorkerListed(w, now)
 	}
--- a/internal/node/usedworkers.go
+++ b/internal/node/usedworkers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,6 +14,7 @@
 	"github.com/egretpitch/egretpitch/internal/event"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/scheduler"
+	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
 // usedWorkersInterval is the minimum time between two writes of the record
@@ -90,11 +92,52 @@
 	return writes, nil
 }
 
+// readUsedWorkers adds the workers of the record's rows. An unreadable row costs
+// the workers in it only.
+func (l *recoveredState) readUsedWorkers(rows []platform.PartRow, log *zap.Logger) {
+	for _, r := range rows {
+		var list []usedWorker
+		if err := json.Unmarshal(r.Value, &list); err != nil {
+			l.usedIncomplete = true
+			event.RowUnreadable.Log(log, zap.String("key", usedWorkersTable+"/"+r.Key), zap.Error(err))
+			continue
+		}
+		l.used = append(l.used, list...)
+	}
+}
+
+// unknownWorkerPrefix is the first part of the id of a worker that stands for
+// those of a pool that an unreadable row may name.
+const unknownWorkerPrefix = "unreadable record of pool "
+
+// unknownWorkers returns one worker for each pool in which jobs may run. None of
+// them answers, so the recovery of the pool lasts until the leases of previous
+// owners have expired.
+func (l *recoveredState) unknownWorkers(catalog *estate.Catalog) []scheduler.UsedWorker {
+	pools := map[string]bool{}
+	for name := range catalog.Pools {
+		pools[name] = true
+	}
+	for _, r := range l.jobs {
+		if job, err := workload.DecodeJob(r.Value); err == nil && job.Pool != "" {
+			pools[job.Pool] = true
+		}
+	}
+	list := make([]scheduler.UsedWorker, 0, len(pools))
+	for name := range pools {
+		list = append(list, scheduler.UsedWorker{Worker: estate.Worker{ID: unknownWorkerPrefix + name, Pool: name}})
+	}
+	return list
+}
+
 // workerHostsOf returns the hosts of the workers in use, according to the record
-// of the previous owner.
+// of the previous owner. A host list tells nothing about unknown workers.
 func workerHostsOf(used []usedWorker) scheduler.WorkerHosts {
 	hosts := scheduler.WorkerHosts{}
 	for _, u := range used {
+		if strings.HasPrefix(u.ID, unknownWorkerPrefix) {
+			continue
+		}
 		hosts[u.ID] = scheduler.WorkerHost{Host: u.Host, Pool: u.Pool}
 	}
 	return hosts
--- a/internal/node/usedworkers_test.go
+++ b/internal/node/usedworkers_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"strings"
 	"testing"
@@ -199,3 +200,105 @@
 		}
 	}
 }
+
+// unreadableRecordTest returns an owner whose predecessor recorded workers in a
+// row that cannot be read, and a job that may have a run of that predecessor.
+func unreadableRecordTest(t *testing.T) (*owner, *recoveredState) {
+	t.Helper()
+	rows := standin.NewRows()
+	o := testOwner(t, rows, 2)
+	o.node.Scheduling = scheduler.Options{MaxLease: 6 * time.Second}
+	o.node.adopt(platform.OperatorChanges{Catalog: testCatalog(1, "/q/")})
+	f := &listedWorkers{workers: []estate.Worker{{ID: "w1", Pool: "p", StartedMS: 1, Capacity: placement.Resources{Processors: 4, MemoryMB: 4096}}}}
+	o.node.Discovery, o.node.Fleet = f, f
+	job := &workload.Job{ID: testID, Queue: "q", Pool: "p", Steps: []workload.Step{{Count: 1, Size: placement.Resources{Processors: 1}}}}
+	s, err := newSubmission(job, time.Time{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	writes := append([]platform.RowWrite{{RowKey: firstUsedWorkersRow, Value: []byte(`[{"id":5}]`)}}, s.rows[:]...)
+	for _, w := range writes {
+		if _, err := rows.CommitRows(t.Context(), platform.RowTxn{Writes: []platform.RowWrite{w}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// The owner took over after the job was accepted.
+	stored, _, err := rows.ReadRows(t.Context(), controlTable, controlPart, "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stamp, err := rows.CommitRows(t.Context(), platform.RowTxn{
+		Conditions: []platform.RowCondition{{RowKey: ownerRow, Version: stored[0].Version}},
+		Writes:     []platform.RowWrite{{RowKey: ownerRow, Value: []byte("{}")}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.token = stamp.Version
+	l, err := o.load(t.Context())
+	if err != nil {
+		t.Fatalf("the stored state cannot be loaded: %v", err)
+	}
+	return o, l
+}
+
+// listedWorkers is a Discovery that lists workers, and a Fleet that lists no
+// hosts.
+type listedWorkers struct {
+	platform.Fleet
+	workers []estate.Worker
+}
+
+func (f *listedWorkers) ReadWorkers(context.Context) (platform.WorkerChanges, error) {
+	return platform.WorkerChanges{Changed: f.workers}, nil
+}
+
+func (f *listedWorkers) WatchWorkers(context.Context, int64, time.Duration) (platform.WorkerChanges, error) {
+	return platform.WorkerChanges{}, nil
+}
+
+func (f *listedWorkers) ListHosts(context.Context) ([]estate.Host, error) { return nil, nil }
+
+// A worker that only the unreadable row names may run the task until its lease has expired.
+func TestUnreadableRecordOfWorkersHoldsTasksForALeaseOnly(t *testing.T) {
+	o, l := unreadableRecordTest(t)
+	now := o.node.Clock.Now()
+	o.previousHeartbeat = now
+	o.setUpEngine(l, now)
+	startedAt := time.Duration(-1)
+	for at := time.Duration(0); at < 20*time.Second && startedAt < 0; at += 50 * time.Millisecond {
+		o.engine.Recorded(o.engine.InUse())
+		for _, order := range o.engine.Decide(now+at, scheduler.OwnershipValid) {
+			switch order := order.(type) {
+			case *scheduler.PollOrder:
+				status := platform.WorkerStatus{Outcome: platform.OrderDone, StartedMS: 1, ClockMS: 1 + at.Milliseconds()}
+				var err error
+				if order.Worker.ID != "w1" {
+					err = errors.New("no answer")
+				}
+				o.engine.Polled(order, status, err, now+at)
+			case *scheduler.StartOrder:
+				startedAt = at
+			}
+		}
+		// As a host list does that shows none of the workers.
+		o.engine.HostsListed(o.fleetController.workerHosts, []estate.Host{{Name: "other", State: estate.HostUp}}, now+at, now+at)
+	}
+	least := ownership.LeaseDuration + o.node.Scheduling.MaxLease
+	if startedAt < least || startedAt > least+2*time.Second {
+		t.Errorf("the task was started after %v, want %v to %v", startedAt, least, least+2*time.Second)
+	}
+}
+
+// A successor of that owner has to wait, too, though no host runs the workers that the row may name.
+func TestWorkersOfAnUnreadableRecordAreRecordedForASuccessor(t *testing.T) {
+	o, l := unreadableRecordTest(t)
+	o.setUpEngine(l, o.node.Clock.Now())
+	used := o.withHosts(o.engine.InUse())
+	if len(used) != 1 || used[0].Pool != "p" {
+		t.Fatalf("workers in use are %+v, want one that stands for those of pool p", used)
+	}
+	if hosts := workerHostsOf(used); len(hosts) != 0 {
+		t.Errorf("hosts %v: a host list without them would end the wait", hosts)
+	}
+}
