--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -176,7 +176,7 @@
 		return errors.New("schedule needs at least one occurrence and no negative interval")
 	}
 	if j.Occurrences() > maxTasks/tasks { // their product may overflow
-		return errors.Errorf("job has %d tasks in each of %d occurrences, at most %d are allowed in all", tasks, j.Occurrences(), maxTasks)
+		return errors.Errorf("job has more than %d tasks over all occurrences: %d in each of %d", maxTasks, tasks, j.Occurrences())
 	}
 	return nil
 }
