--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -148,7 +148,7 @@
 			MaxLease: s.Bounds.MaxLease, StopGrace: s.Bounds.StopGrace,
 		},
 		Rows: store, Operator: platform.NewOperator(store, unreadable), Discovery: platform.NewDiscovery(store, unreadable),
-		Runner: platform.NewWorkers(), Fleet: platform.NewFleet(s.Fleet), Recommender: platform.NewRecommender(s.Recommender),
+		Runner: platform.NewWorkers(), Fleet: platform.NewFleet(s.Fleet, unreadable), Recommender: platform.NewRecommender(s.Recommender),
 		Log: log,
 	})
 }
--- a/internal/fleetplan/fleetplan_test.go
+++ b/internal/fleetplan/fleetplan_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/egretpitch/egretpitch/internal/estate"
+	"github.com/egretpitch/egretpitch/internal/placement"
 	_ "github.com/egretpitch/egretpitch/internal/testkit"
 )
 
@@ -540,3 +541,10 @@
 		t.Error("the tasks of the host were moved, but it is not maintained")
 	}
 }
+
+func TestPoolWithoutWorkersIsSizedThoughTheFirstHostHasNoKnownCapacity(t *testing.T) {
+	v := &view{State: State{Hosts: []estate.Host{{Name: "m-1"}, {Name: "m-2", Capacity: placement.Resources{Processors: testCores}}}}}
+	if got := v.typicalCores(); got != testCores {
+		t.Errorf("a host has %v cores, want %d", got, testCores)
+	}
+}
--- a/internal/fleetplan/move.go
+++ b/internal/fleetplan/move.go
@@ -338,13 +338,15 @@
 	return s
 }
 
-// typicalCores returns the number of cores of a host, 0 without hosts. It
+// typicalCores returns the number of cores of a host, 0 if none is known. It
 // stands in for workerCores of a pool without workers.
 func (v *view) typicalCores() float64 {
-	if len(v.Hosts) == 0 {
-		return 0
+	for i := range v.Hosts {
+		if cores := v.Hosts[i].Capacity.Processors; cores > 0 {
+			return cores
+		}
 	}
-	return v.Hosts[0].Capacity.Processors
+	return 0
 }
 
 // spareHost is a host that its pool does not need.
