--- a/internal/workload/check_test.go
+++ b/internal/workload/check_test.go
@@ -16,3 +16,21 @@
 		}
 	}
 }
+
+// FuzzStoredJob checks that a stored job and its progress can be encoded again.
+func FuzzStoredJob(f *testing.F) {
+	f.Add([]byte(`{"ID":"a","Queue":"q","Pool":"p","Steps":[{"Count":1,"Size":{"Processors":1e308}}]}`), []byte(`{"queue":"q","state":"queued","done":[[0,0,0]]}`))
+	f.Add([]byte(`null`), []byte(`null`))
+	f.Fuzz(func(t *testing.T, job, progress []byte) {
+		if j, err := DecodeJob(job); err == nil {
+			if _, err := j.Encode(); err != nil {
+				t.Error(err)
+			}
+		}
+		if p, err := DecodeProgress(progress); err == nil {
+			if _, err := p.Encode(); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+}
