--- a/internal/workload/check_test.go
+++ b/internal/workload/check_test.go
@@ -21,6 +21,15 @@
 func FuzzStoredJob(f *testing.F) {
 	f.Add([]byte(`{"ID":"a","Queue":"q","Pool":"p","Steps":[{"Count":1,"Size":{"Processors":1e308}}]}`), []byte(`{"queue":"q","state":"queued","done":[[0,0,0]]}`))
 	f.Add([]byte(`null`), []byte(`null`))
+	large := &Progress{Queue: "q", State: Running}
+	for i := range maxTasks {
+		large.Done = append(large.Done, [3]int{0, 0, i})
+	}
+	packed, err := large.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add([]byte(`{}`), packed)
 	f.Fuzz(func(t *testing.T, job, progress []byte) {
 		if j, err := DecodeJob(job); err == nil {
 			if _, err := j.Encode(); err != nil {
