--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -98,6 +98,8 @@
 	t := j.task(o.Task)
 	key := fmt.Sprintf("%s run %d", o.Worker, o.Run)
 	switch o.Kind {
+	case standin.CapacityExceeded:
+		c.addViolation("LIMIT: %v run %d starts on %s beyond the capacity of the worker", o.Task, o.Run, o.Worker)
 	case standin.RunStarted:
 		c.checkStart(j, t, o)
 		t.running[key] = true
