scheduler: simulate workers whose capacity changes while they run

Ruled out by the tests, which pass on the code as it is: used above a smaller capacity (tasks, gangs, long-running tasks, held capacity, the planner's figures), an entry that grows and shrinks between two reads of the feed, and a start that its worker carries out as late as it accepts it, decided right before the entry is read.

Evidence: go test ./internal/scheduler -run 'Shrunk|PlannerSees|CapacityThat' passes.

--- /dev/null
+++ b/internal/scheduler/capacity_test.go
@@ -0,0 +1,172 @@
+package scheduler
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/workload"
+)
+
+// taking lets every task run for the same time.
+func taking(d time.Duration) func(workload.TaskID) (time.Duration, platform.RunEnd) {
+	return func(workload.TaskID) (time.Duration, platform.RunEnd) { return d, platform.EndDone }
+}
+
+// shrunkInUse returns a worker that shrinks from 8 to 4 cores, known to the owner,
+// while two tasks of 3 cores each run on it for 10 s. Its capacity from before
+// does not count any more.
+func shrunkInUse(t *testing.T) (*simulation, *testOwner, *entryFeed, *fakeWorker) {
+	sim := newSimulation(t)
+	sim.overcommittingPools()
+	f := sim.addOvercommitting("w1", 8)
+	f.duration = taking(10 * time.Second)
+	owner := sim.newOwner()
+	feed := owner.newEntryFeed()
+	feed.follow(f, 0)
+	sim.submit(owner, jobOf(1, 2, 3))
+	sim.run(time.Second, owner)
+	if len(f.running) != 2 {
+		t.Fatalf("%d runs, want 2", len(f.running))
+	}
+	f.resize(4)
+	sim.run(shrinkGrace+100*time.Millisecond, owner)
+	return sim, owner, feed, f
+}
+
+func TestNothingStartsOnAWorkerInUseBeyondItsShrunkCapacity(t *testing.T) {
+	gang, service := jobOf(2, 2, 1), jobOf(2, 1, 1)
+	gang.Steps[0].Gang = true
+	service.Steps[0].LongRunning = true
+	for name, job := range map[string]*workload.Job{"task": jobOf(2, 3, 1), "gang": gang, "long-running": service} {
+		sim, owner, _, f := shrunkInUse(t)
+		sim.submit(owner, job)
+		sim.run(time.Second, owner)
+		sim.check()
+		if len(f.running) != 2 {
+			t.Errorf("%s: %d runs on the worker, want the first 2", name, len(f.running))
+		}
+	}
+}
+
+func TestShrunkWorkerGetsTasksAgainOnceTheyFit(t *testing.T) {
+	sim, owner, _, f := shrunkInUse(t)
+	waiting := jobOf(2, 2, 4)
+	sim.submit(owner, waiting)
+	sim.run(5*time.Second, owner)
+	sim.check()
+	if len(f.running) != 1 {
+		t.Errorf("%d runs on a worker of 4 cores after the first ones ended, want 1 of 4 cores", len(f.running))
+	}
+	f.resize(8)
+	sim.run(2*time.Second, owner)
+	sim.check()
+	if len(f.running) != 2 {
+		t.Errorf("%d runs after the worker has 8 cores again, want 2", len(f.running))
+	}
+}
+
+func TestHeldCapacityStaysWithinAShrunkWorker(t *testing.T) {
+	sim, owner, feed, f := shrunkInUse(t)
+	f.duration = forever
+	other := sim.addOvercommitting("w2", 4)
+	other.duration = forever
+	feed.follow(other, 0)
+	service := jobOf(2, 1, 4)
+	service.Steps[0].LongRunning = true
+	sim.submit(owner, service)
+	sim.run(time.Second, owner)
+	if len(other.running) != 1 {
+		t.Fatalf("%d runs on w2, want the long-running task", len(other.running))
+	}
+	other.resize(2)
+	sim.run(shrinkGrace, owner)
+	owner.Evacuate(other.ID)
+	sim.submit(owner, jobOf(3, 4, 2))
+	sim.run(2*time.Second, owner)
+	sim.check()
+	for _, w := range owner.workers {
+		if c := w.unheld(); !(c.Processors <= max(0, w.Capacity.Processors)) {
+			t.Errorf("%s offers %v cores of %v", w.ID, c.Processors, w.Capacity.Processors)
+		}
+	}
+	if got := f.cores(); got != 6 {
+		t.Errorf("%v cores in use on w1, want 6", got)
+	}
+}
+
+func TestPlannerSeesFiniteFiguresOfShrunkWorkers(t *testing.T) {
+	for _, cores := range []float64{4, 0} {
+		sim, owner, feed, f := shrunkInUse(t)
+		f.resize(cores)
+		feed.write(f)
+		service := jobOf(2, 2, 4)
+		service.Steps[0].LongRunning = true
+		sim.submit(owner, service)
+		sim.run(time.Second, owner)
+		sim.check()
+		for _, p := range owner.Pools(sim.now) {
+			if math.IsNaN(p.Waiting) || p.LongRunningShortfall < 0 || p.LongRunningShortfall > 2 {
+				t.Errorf("%v cores: pool %s has %v cores waiting and a shortfall of %d", cores, p.Name, p.Waiting, p.LongRunningShortfall)
+			}
+		}
+	}
+}
+
+// TestCapacityThatGrowsBetweenTwoReadsOfTheFeedIsSafe simulates a worker that
+// grows and shrinks again within the delay of the feed.
+func TestCapacityThatGrowsBetweenTwoReadsOfTheFeedIsSafe(t *testing.T) {
+	for shift := time.Duration(0); shift < testHeartbeat; shift += 100 * time.Millisecond {
+		sim := newSimulation(t)
+		sim.overcommittingPools()
+		f := sim.addOvercommitting("w1", 2)
+		f.duration = taking(time.Second)
+		owner := sim.newOwner()
+		feed := owner.newEntryFeed()
+		feed.follow(f, shift)
+		for n := range 20 { // each change is written at once
+			f.resize(8)
+			feed.write(f)
+			sim.run(50*time.Millisecond, owner)
+			f.resize(2)
+			feed.write(f)
+			sim.submit(owner, jobOf(n, 1, 1+float64(n%6)))
+			sim.run(250*time.Millisecond, owner)
+		}
+		sim.run(shrinkGrace, owner)
+		for n := range 10 {
+			sim.submit(owner, jobOf(20+n, 1, 1))
+			sim.run(300*time.Millisecond, owner)
+		}
+		sim.check()
+	}
+}
+
+// TestStartThatWaitsForItsWorkerDoesNotOutlastAShrunkCapacity simulates starts
+// that reach their worker as late as it accepts them, decided right before the
+// entry that shows a shrunk capacity is read.
+func TestStartThatWaitsForItsWorkerDoesNotOutlastAShrunkCapacity(t *testing.T) {
+	for wait := time.Duration(0); wait <= 6*time.Second; wait += 100 * time.Millisecond {
+		sim := newSimulation(t)
+		sim.overcommittingPools()
+		f := sim.addOvercommitting("w1", 8)
+		f.duration = forever
+		owner := sim.newOwner()
+		feed := owner.newEntryFeed()
+		feed.follow(f, 0)
+		sim.injectFault = func(o Order) orderFault {
+			if _, ok := o.(*StartOrder); !ok {
+				return orderFault{}
+			}
+			sim.after(wait, func() { owner.answer(o, sim.apply(f, o), nil) })
+			return orderFault{handled: true}
+		}
+		sim.run(testHeartbeat+50*time.Millisecond, owner)
+		f.resize(2) // right after an entry
+		sim.run(testHeartbeat+testFeedDelay-60*time.Millisecond, owner)
+		sim.submit(owner, jobOf(1, 1, 6))
+		sim.run(4*time.Second, owner)
+		sim.check()
+	}
+}
