scheduler: start nothing on an incarnation of unknown capacity that guards none

Seen: a worker that restarts as a smaller kind and answers a poll before its entry is read gets tasks by the capacity of its previous incarnation. One that starts whatever it is told to exceeds its capacity (LIMIT).

Cause: replaceIncarnation keeps the previous incarnation's entry, which is what free capacity is computed from.

Change: in pools whose workers do not reject overload, an incarnation gets no task before an entry of its own was read. Others still get tasks at once: they refuse what does not fit.

--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -170,3 +170,31 @@
 		sim.check()
 	}
 }
+
+// TestNextIncarnationGetsNoTaskBeforeItsEntry simulates a worker that restarts as
+// a smaller kind and answers a poll before the owner reads its entry.
+func TestNextIncarnationGetsNoTaskBeforeItsEntry(t *testing.T) {
+	sim := newSimulation(t)
+	sim.overcommittingPools()
+	f := sim.addOvercommitting("w1", 8)
+	f.duration = forever
+	owner := sim.newOwner()
+	sim.submit(owner, jobOf(1, 1, 2))
+	sim.run(time.Second, owner)
+	f.crash()
+	f.restart(sim.now)
+	f.Capacity = sized(2)
+	sim.run(2*time.Second, owner)
+	if f.token == 0 {
+		t.Fatal("the next incarnation was not polled")
+	}
+	sim.submit(owner, jobOf(2, 1, 6))
+	sim.run(testHeartbeat, owner)
+	sim.check()
+	owner.discover()
+	sim.run(2*time.Second, owner)
+	sim.check()
+	if len(f.running) != 1 {
+		t.Errorf("%d runs once the entry is read, want the first task again", len(f.running))
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -195,7 +195,9 @@
 type pool struct {
 	name    string
 	workers []*worker
-	ready   map[*step]struct{}
+	// overcommits is set if the workers start whatever they are told to.
+	overcommits bool
+	ready       map[*step]struct{}
 	// readyLongRunning counts the long-running steps among them.
 	readyLongRunning int
 	// needsPass is set if a scheduling pass may have something to start.
@@ -243,6 +245,7 @@
 	}
 	for _, p := range e.pools {
 		p.needsPass = true
+		p.overcommits = e.overcommits(p.name)
 	}
 }
 
@@ -258,7 +261,7 @@
 func (e *Engine) pool(name string) *pool {
 	p := e.pools[name]
 	if p == nil {
-		p = &pool{name: name, ready: map[*step]struct{}{}, queues: map[string]*queueStats{}}
+		p = &pool{name: name, ready: map[*step]struct{}{}, queues: map[string]*queueStats{}, overcommits: e.overcommits(name)}
 		e.pools[name] = p
 	}
 	return p
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -272,6 +272,8 @@
 	switch {
 	case !w.listed:
 		return "not listed"
+	case w.pool.overcommits && !w.ownEntry:
+		return "capacity unknown"
 	case w.Draining:
 		return "draining"
 	case w.failedPolls > 0:
