scheduler: start nothing beside a run of unknown requests when its worker grows

Seen: a successor finds a run whose job it does not know on a worker that has shrunk. When the worker grows again, tasks start beside that run, and a worker that starts whatever it is told to exceeds its capacity (LIMIT).

Cause: such a run counts as large as its worker, at the capacity that the worker had when the run was found.

Change: a worker has no free capacity while it lists a run of unknown requests.

Ruled out: a worker that is known only from the record of workers in use, without a capacity (TestUnknownRunKeepsItsWorkerClosedBeforeItsEntryIsRead passes before and after).

--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/egretpitch/egretpitch/internal/estate"
+	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
@@ -198,3 +200,53 @@
 		t.Errorf("%d runs once the entry is read, want the first task again", len(f.running))
 	}
 }
+
+// unknownRun returns a worker of 8 cores that runs, after it has shrunk, a task of
+// 8 cores whose job owners do not know. It takes 2 s to stop.
+func unknownRun(t *testing.T, cores float64) (*simulation, *fakeWorker) {
+	sim := newSimulation(t)
+	sim.overcommittingPools()
+	f := sim.addOvercommitting("w1", cores)
+	f.Capacity = sized(cores)
+	f.stopTakes, f.leaseMS = 2*time.Second, 20_000
+	f.duration = forever
+	large := jobOf(9, 1, 8)
+	task := workload.TaskID{Job: large.ID}
+	f.running[runKey{task, 1}] = &fakeRun{task: task, run: 1}
+	sim.unknown = map[workload.TaskID]placement.Resources{task: large.Steps[0].Requests()}
+	return sim, f
+}
+
+// checkUnknownRun starts three tasks of 2 cores each on a worker of 8 cores.
+func (sim *simulation) checkUnknownRun(t *testing.T, f *fakeWorker, owner *testOwner) {
+	t.Helper()
+	owner.discover()
+	sim.submit(owner, jobOf(1, 3, 2))
+	sim.run(time.Second, owner)
+	sim.check()
+	sim.run(3*time.Second, owner)
+	sim.check()
+	if len(f.running) != 3 {
+		t.Errorf("%d runs after the unknown one has ended, want 3", len(f.running))
+	}
+}
+
+func TestUnknownRunKeepsItsWorkerClosedWhenItGrows(t *testing.T) {
+	sim, f := unknownRun(t, 2)
+	sim.inUse[f.ID] = UsedWorker{Worker: f.Worker}
+	owner := sim.newOwner()
+	sim.run(500*time.Millisecond, owner)
+	f.resize(8)
+	sim.checkUnknownRun(t, f, owner)
+}
+
+// The record of workers in use holds no capacity.
+func TestUnknownRunKeepsItsWorkerClosedBeforeItsEntryIsRead(t *testing.T) {
+	sim, f := unknownRun(t, 8)
+	sim.inUse[f.ID] = UsedWorker{Worker: estate.Worker{ID: f.ID, Pool: f.Pool, Address: f.Address, StartedMS: f.StartedMS}}
+	f.unlisted = true
+	owner := sim.newOwner()
+	sim.run(500*time.Millisecond, owner)
+	f.unlisted = false
+	sim.checkUnknownRun(t, f, owner)
+}
--- a/internal/scheduler/orphan.go
+++ b/internal/scheduler/orphan.go
@@ -14,6 +14,9 @@
 // resources count as used until its end is listed.
 type orphan struct {
 	resources placement.Resources
+	// unknown is set if the run's requests are not known: nothing starts beside
+	// it, whatever capacity its worker has by then.
+	unknown bool
 	// seenAt is when a poll last listed the run.
 	seenAt time.Duration
 }
@@ -27,7 +30,11 @@
 	key := runKey{s.Task, s.Run}
 	known := w.orphans[key]
 	if known == nil {
-		known = &orphan{resources: e.orphanResources(w, s)}
+		resources, ok := e.orphanResources(s)
+		if !ok {
+			resources = w.Capacity
+		}
+		known = &orphan{resources: resources, unknown: !ok}
 		w.orphans[key] = known
 		w.used = w.used.Add(known.resources)
 	}
@@ -35,15 +42,25 @@
 	e.emitStop(w, key)
 }
 
-// orphanResources returns what a run requests of its worker: all of it if its
-// job is unknown.
-func (e *Engine) orphanResources(w *worker, s platform.RunStatus) placement.Resources {
+// orphanResources returns what a run requests of its worker. It reports false if
+// its job is unknown.
+func (e *Engine) orphanResources(s platform.RunStatus) (placement.Resources, bool) {
 	if j := e.jobs[s.Task.Job]; j != nil {
 		if t := j.find(s.Task.Occurrence, s.Task.Step, s.Task.Index); t != nil {
-			return t.step.Requests()
+			return t.step.Requests(), true
+		}
+	}
+	return placement.Resources{}, false
+}
+
+// runsUnknown reports whether the worker has an orphan of unknown requests.
+func (w *worker) runsUnknown() bool {
+	for _, o := range w.orphans {
+		if o.unknown {
+			return true
 		}
 	}
-	return w.Capacity
+	return false
 }
 
 // removeOrphan drops an orphan that has ended and releases its resources.
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -50,6 +50,8 @@
 	// that are not in pool "p".
 	catalogVersion int64
 	poolOf         map[string]string
+	// unknown holds what tasks request whose jobs no owner knows.
+	unknown map[workload.TaskID]placement.Resources
 	// estateCatalog replaces the catalog of catalogVersion, if set.
 	estateCatalog *estate.Catalog
 	log           *zap.Logger
@@ -308,12 +310,12 @@
 	return a
 }
 
-// requestsOf returns what a task requests, nothing if its job was not
-// submitted.
+// requestsOf returns what a task requests. If its job was not submitted, that is
+// nothing unless it is among the unknown ones.
 func (sim *simulation) requestsOf(t workload.TaskID) placement.Resources {
 	j := sim.records[t.Job]
 	if j == nil {
-		return placement.Resources{}
+		return sim.unknown[t]
 	}
 	return j.spec.Steps[t.Step].Requests()
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -291,7 +291,12 @@
 }
 
 // free returns the resources that the worker has left.
-func (w *worker) free() placement.Resources { return w.Capacity.Sub(w.used) }
+func (w *worker) free() placement.Resources {
+	if w.runsUnknown() {
+		return placement.Resources{}
+	}
+	return w.Capacity.Sub(w.used)
+}
 
 // holds reports whether the worker holds capacity for long-running tasks.
 func (w *worker) holds() bool { return w.held != placement.Resources{} }
