scheduler: an entry that the store writes late does not hide a newer one

Seen: an entry from before a worker shrank, or announced that it drains, that is read after the newer one restores the former capacity and ends the drain, until the next heartbeat.

Cause: WorkerListed takes any entry of the known incarnation; a heartbeat without an answer may be carried out seconds later.

Change: an entry that is older by the worker's own clock is ignored, except that the worker counts as listed. A clock that is further ahead than a write can be late is wrong and hides nothing.

Evidence: TestOlderEntryDoesNotRestoreAShrunkCapacity (task ...1.0.0.0 run 1 starts on w1, which has only {Processors:2 ...} free) and TestOlderEntryDoesNotEndADrain (a task starts on the draining worker) fail without the change; TestEntryWithAnImpossibleClockHidesNoLaterOne fails without the bound.

--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -250,3 +250,60 @@
 	f.unlisted = false
 	sim.checkUnknownRun(t, f, owner)
 }
+
+// TestOlderEntryDoesNotRestoreAShrunkCapacity simulates an entry that the store
+// writes after a newer one.
+func TestOlderEntryDoesNotRestoreAShrunkCapacity(t *testing.T) {
+	sim := newSimulation(t)
+	sim.overcommittingPools()
+	f := sim.addOvercommitting("w1", 8)
+	f.duration = forever
+	owner := sim.newOwner()
+	sim.run(time.Second, owner)
+	older := f.entry()
+	f.resize(2)
+	sim.run(testHeartbeat, owner)
+	owner.discover()
+	sim.run(shrinkGrace-testHeartbeat+100*time.Millisecond, owner)
+	owner.WorkerListed(older, sim.now)
+	sim.submit(owner, jobOf(1, 1, 6))
+	sim.run(500*time.Millisecond, owner)
+	sim.check()
+}
+
+func TestOlderEntryDoesNotEndADrain(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorker("w1", "p", 8)
+	f.duration = forever
+	owner := sim.newOwner()
+	sim.run(time.Second, owner)
+	older := f.entry()
+	f.Draining = true
+	sim.run(testHeartbeat, owner)
+	owner.discover()
+	sim.run(time.Second, owner)
+	owner.WorkerListed(older, sim.now)
+	sim.submit(owner, jobOf(1, 1, 6))
+	sim.run(500*time.Millisecond, owner)
+	if len(f.running) != 0 {
+		t.Error("a task starts on the draining worker")
+	}
+}
+
+func TestEntryWithAnImpossibleClockHidesNoLaterOne(t *testing.T) {
+	sim := newSimulation(t)
+	sim.overcommittingPools()
+	f := sim.addOvercommitting("w1", 8)
+	f.duration = forever
+	owner := sim.newOwner()
+	odd := f.entry()
+	odd.ClockMS = math.MaxInt64
+	owner.WorkerListed(odd, sim.now)
+	f.resize(2)
+	sim.run(testHeartbeat, owner)
+	owner.discover()
+	sim.run(shrinkGrace, owner)
+	sim.submit(owner, jobOf(1, 1, 6))
+	sim.run(500*time.Millisecond, owner)
+	sim.check()
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -129,6 +129,9 @@
 	}
 	w.pool.needsPass = true
 	w.listed = true
+	if w.hasNewerEntry(entry) {
+		return
+	}
 	if entry.Pool != w.Pool {
 		w.pool.remove(w)
 		w.pool = e.pool(entry.Pool)
