scheduler: random histories with capacities that change

Cause: no random history changed the capacity of a worker, nor was any owner's view of it older than the last action.

Change: a class of histories in which workers shrink and grow while they run, or restart as another kind, and owners learn of it by heartbeats that are read 50 to 700 ms later.

--- a/internal/scheduler/capacity_sim_test.go
+++ b/internal/scheduler/capacity_sim_test.go
@@ -120,3 +120,49 @@
 
 // cores returns the cores that the runs of a worker request.
 func (f *fakeWorker) cores() float64 { return f.Capacity.Processors - f.sim.freeOn(f).Processors }
+
+// capacityChanges changes the capacities of the workers of a random history.
+type capacityChanges struct {
+	sim  *simulation
+	draw func(from, to int, label string) int
+	// owner returns the owner that reads the entries.
+	owner func() *testOwner
+	// late entries take up to 4 s, or until the feed is back.
+	late      bool
+	awayUntil time.Duration
+}
+
+// writeEntries lets every worker write its entry now and every testHeartbeat.
+func (c *capacityChanges) writeEntries() {
+	sim := c.sim
+	for _, f := range sorted(sim.workers) {
+		if !f.up || !f.reachable || f.unlisted {
+			continue
+		}
+		longest := 700
+		if c.late && c.draw(0, 3, "late") == 0 {
+			longest = 4000
+		}
+		entry, delay := f.entry(), time.Duration(c.draw(50, longest, "entry ms"))*time.Millisecond
+		sim.after(max(delay, c.awayUntil-sim.now), func() {
+			sim.tracef("entry of %s at clock %d: %v cores", entry.ID, entry.ClockMS, entry.Capacity.Processors)
+			c.owner().WorkerListed(entry, sim.now)
+			c.owner().recordAtOnce()
+		})
+	}
+	sim.after(testHeartbeat, c.writeEntries)
+}
+
+// change changes the capacity of a worker. One that is down starts as another kind:
+// owners do not know of the new incarnation before they read an answer or entry.
+func (c *capacityChanges) change(f *fakeWorker) {
+	cores := float64(c.draw(0, 6, "cores"))
+	if f.up {
+		f.resize(cores)
+		return
+	}
+	before := f.Capacity
+	f.restart(c.sim.now)
+	f.Capacity, f.former = sized(cores), []formerCapacity{{before, c.sim.now}}
+	c.sim.tracef("%s restarts with %v cores after %v", f.ID, cores, before.Processors)
+}
--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/platform"
@@ -307,3 +309,8 @@
 	sim.run(500*time.Millisecond, owner)
 	sim.check()
 }
+
+func TestNoStartExceedsAChangingCapacity(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) { playHistory(t, faultClasses{capacitiesChange: true}).judge(t) })
+}
--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -83,7 +83,7 @@
 // order of a map: a failure of such a history cannot be reproduced.
 func TestSeedRepeatsItsHistory(t *testing.T) {
 	t.Parallel()
-	for _, classes := range []faultClasses{{}, everyFault, {ownersHurry: true}} {
+	for _, classes := range []faultClasses{{}, everyFault, {ownersHurry: true}, {capacitiesChange: true, entriesLate: true}} {
 		histories := rapid.Custom(func(t *rapid.T) []string {
 			sim := playHistory(t, classes)
 			return append(sim.trace, sim.violation)
@@ -123,6 +123,10 @@
 	// ownersHurry lets owners follow each other within seconds, while workers are
 	// unreachable and the record of the workers in use is written late.
 	ownersHurry bool
+	// capacitiesChange lets the capacities of workers shrink and grow, while owners
+	// learn of them only by the workers' heartbeats. Without entriesLate, owners
+	// stay and read each entry in time.
+	capacitiesChange, entriesLate bool
 	// longTasks adds only what each of the classes adds.
 	longTasks bool
 }
@@ -219,8 +223,15 @@
 			return recordFault{lost: faults && nextDraw() < 2*loss, applied: nextDraw()%2 == 0, delay: time.Duration(nextDraw()) * 20 * time.Millisecond}
 		}
 	}
+	if classes.capacitiesChange && overcommits {
+		sim.overcommittingPools()
+	}
 	owners := []*testOwner{sim.newOwner()}
 	current := owners[0]
+	changes := capacityChanges{sim: sim, draw: draw, owner: func() *testOwner { return current }, late: classes.entriesLate}
+	if classes.capacitiesChange {
+		changes.writeEntries()
+	}
 	jobs := 0
 	actions := []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9}
 	if classes.wide() {
@@ -247,6 +258,12 @@
 	if classes.ownersHurry {
 		actions = []int{0, 3, 3, 3, 3, 17, 17}
 	}
+	switch {
+	case classes.entriesLate:
+		actions = append(actions, 18, 18, 18, 18, 18, 18, 19, 19, 19)
+	case classes.capacitiesChange:
+		actions = []int{0, 0, 1, 2, 4, 18, 18, 18, 18}
+	}
 	steps := draw(5, 40, "steps")
 	for range steps {
 		host := draw(0, len(ids)-1, "worker")
@@ -288,6 +305,10 @@
 			owners = append(owners, current)
 		case 9:
 			sim.storeDown = !sim.storeDown
+		case 18:
+			changes.change(f)
+		case 19:
+			changes.awayUntil = sim.now + time.Duration(draw(1000, 9000, "feed away ms"))*time.Millisecond
 		case 11:
 			// The worker is away for longer than a lease.
 			f.reachable = false
@@ -342,7 +363,7 @@
 			})
 		}
 		switch {
-		case classes.entriesVanish && sim.storeDown:
+		case classes.entriesVanish && sim.storeDown, classes.capacitiesChange:
 		case classes.clocksStep:
 			current.discoverLate(time.Duration(draw(0, 2000, "entries late ms")) * time.Millisecond)
 		default:
@@ -357,6 +378,9 @@
 	sim.storeDown = false
 	for _, f := range sorted(sim.workers) {
 		f.reachable, f.unlisted = true, f.removed
+		if classes.capacitiesChange {
+			f.resize(6)
+		}
 		if !f.up && !f.removed {
 			f.restart(sim.now)
 		}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -132,6 +132,8 @@
 	unlisted, removed bool
 	// startedAt is when this incarnation started; its clock counts from there.
 	startedAt time.Duration
+	// slow is the fraction by which the clock is slow.
+	slow float64
 	// clockStep is how far the clock that gives start times was set forward.
 	clockStep time.Duration
 	token     int64
@@ -203,7 +205,10 @@
 	return f
 }
 
-func (f *fakeWorker) clock(now time.Duration) int64 { return (now - f.startedAt).Milliseconds() }
+func (f *fakeWorker) clock(now time.Duration) int64 {
+	ms := (now - f.startedAt).Milliseconds()
+	return ms - int64(float64(ms)*f.slow)
+}
 
 // restart starts a new incarnation under the same id.
 func (f *fakeWorker) restart(now time.Duration) {
