scheduler: a pool whose workers have shrunk asks for workers of full size

Seen: long-running tasks wait in a pool whose workers have shrunk below the size of a task, and the pool asks for no further worker.

Cause: furtherWorker expects of another worker the mean capacity that the pool's workers have now; a task that exceeds it is left out of the shortfall.

Change: it expects the largest capacity that each of them had.

Evidence: TestShrunkPoolAsksForWorkersOfFullSize fails without the change: 2 cores: a shortfall of 0 workers for two tasks of 4 cores, want 1.

--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/egretpitch/egretpitch/internal/estate"
+	"github.com/egretpitch/egretpitch/internal/placement"
 )
 
 // overcommits reports whether the workers of a pool start whatever they are told
@@ -16,6 +17,14 @@
 	return p != nil && !p.RejectsOverload
 }
 
+// recordCapacity records the capacity of an entry of this incarnation.
+func (w *worker) recordCapacity(capacity placement.Resources) {
+	if w.ownEntry {
+		capacity = capacity.Max(w.full)
+	}
+	w.full = capacity
+}
+
 // maxEntryDelay is the longest time after which the store may still carry out the
 // write of an entry. A larger difference between two entries is not a delay: one of
 // their clocks is wrong.
--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -314,3 +314,33 @@
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { playHistory(t, faultClasses{capacitiesChange: true}).judge(t) })
 }
+
+// TestShrunkPoolAsksForWorkersOfFullSize guards against a pool that asks for no
+// worker because its own have shrunk below the size of the tasks that wait.
+func TestShrunkPoolAsksForWorkersOfFullSize(t *testing.T) {
+	for _, cores := range []float64{8, 4, 2, 0} {
+		sim := newSimulation(t)
+		owner := sim.newOwner()
+		feed := owner.newEntryFeed()
+		var workers []*fakeWorker
+		for _, id := range []string{"w1", "w2"} {
+			f := sim.addWorker(id, "p", 8)
+			f.duration = forever
+			feed.follow(f, 0)
+			workers = append(workers, f)
+		}
+		sim.submit(owner, longRunningJob(1, 4, 4))
+		sim.run(time.Second, owner)
+		for _, f := range workers {
+			f.resize(cores)
+		}
+		sim.run(3*time.Second, owner)
+		sim.submit(owner, longRunningJob(2, 2, 4))
+		sim.run(time.Second, owner)
+		for _, p := range owner.Pools(sim.now) {
+			if p.Name == "p" && p.LongRunningShortfall != 1 {
+				t.Errorf("%v cores: a shortfall of %d workers for two tasks of 4 cores, want 1", cores, p.LongRunningShortfall)
+			}
+		}
+	}
+}
--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -57,6 +57,7 @@
 	entry.StartedMS = startedMS
 	next := e.addWorker(entry, now)
 	next.listed, next.recorded = w.listed, w.recorded
+	next.full = w.full
 	next.inheritedLeaseEnd, next.leasedBy = w.inheritedLeaseEnd, w.leasedBy
 	next.inherited = w.inherited // starts of a previous owner may arrive until this incarnation has seen a higher token
 	for _, r := range open {
--- a/internal/scheduler/shortfall.go
+++ b/internal/scheduler/shortfall.go
@@ -71,7 +71,7 @@
 }
 
 // furtherWorker returns what can be expected of another worker of the pool: the
-// mean capacity of its workers, and the labels that at least half of them have.
+// mean full capacity of its workers, and the labels that at least half of them have.
 // For a pool without workers it is the largest known worker, with the labels of
 // at least half of all workers.
 func (e *Engine) furtherWorker(p *pool) *worker {
@@ -80,7 +80,7 @@
 	for _, w := range p.workers {
 		if w.listed {
 			count++
-			capacity = capacity.Add(w.Capacity)
+			capacity = capacity.Add(w.full)
 			countLabels(labels, w)
 		}
 	}
@@ -90,7 +90,7 @@
 		count = len(e.workers)
 		for _, w := range e.workers {
 			countLabels(labels, w)
-			if c := w.Capacity; cmp.Or(cmp.Compare(c.Processors, capacity.Processors), cmp.Compare(c.MemoryMB, capacity.MemoryMB), cmp.Compare(c.Accelerators, capacity.Accelerators)) > 0 {
+			if c := w.full; cmp.Or(cmp.Compare(c.Processors, capacity.Processors), cmp.Compare(c.MemoryMB, capacity.MemoryMB), cmp.Compare(c.Accelerators, capacity.Accelerators)) > 0 {
 				capacity = c
 			}
 		}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -29,7 +29,9 @@
 	// ownEntry is set once an entry of this incarnation was read. otherEntry is
 	// the latest entry if it is of another incarnation and may be older: the
 	// answer to a poll that is sent after otherEntryAt decides.
-	ownEntry     bool
+	ownEntry bool
+	// full is the largest capacity that this incarnation had so far.
+	full         placement.Resources
 	otherEntry   *estate.Worker
 	otherEntryAt time.Duration
 	// fenced is set once the worker has answered a poll with this owner's
@@ -147,6 +149,7 @@
 		w.leavesAt = now + entry.Remaining
 	}
 	entry.StartedMS = cmp.Or(entry.StartedMS, w.StartedMS)
+	w.recordCapacity(entry.Capacity)
 	w.Worker = entry
 	w.ownEntry, w.otherEntry = true, nil
 }
