scheduler: start tasks only by entries that are recent on the worker's clock

Cause: a decision used state without a bound on its age. Leases and host lists have one, the capacity of an entry had none.

Change: for pools whose workers do not reject overload, a start's deadline ends CapacityValidity after its worker wrote its entry (contact_ms and heartbeat_ms, less 3 % for a slow clock), and a worker gets no task when less than 500 ms of it are left. Both times are on the worker's own clock, which the entry holds and which decides on the deadline: the bound holds however late the feed, the owner or the network is, and at any processor share. An entry without a clock counts from its reading. Workers that reject overload are as before.

Ruled out: a bound on the age of the feed alone.

Cost: such workers get no task while their entries are older than 3.86 s. With entries read 2 s late each of 40 jobs completes within 1 s (TestTasksStartWhileEntriesAreRead2SecondsLate). A worker that was idle for 10 minutes with a clock that is 2 % slow gets its task; with the plain estimate of its clock it does not.

--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -145,7 +145,7 @@
 		TakeoverBackoff: time.Duration(max(takeoverCores-s.ProcessorShare, 0) * float64(takeoverBackoffPerCore)),
 		HolderLease:     s.Bounds.HolderLease, Migration: s.Bounds.Migration,
 		Scheduling: scheduler.Options{
-			MaxLease: s.Bounds.MaxLease, StopGrace: s.Bounds.StopGrace,
+			MaxLease: s.Bounds.MaxLease, StopGrace: s.Bounds.StopGrace, CapacityValidity: s.Bounds.Contact + s.Bounds.Heartbeat,
 		},
 		Rows: store, Operator: platform.NewOperator(store, unreadable), Discovery: platform.NewDiscovery(store, unreadable),
 		Runner: platform.NewWorkers(), Fleet: platform.NewFleet(s.Fleet), Recommender: platform.NewRecommender(s.Recommender),
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -28,7 +28,7 @@
 func (e *Engine) start(t *task, w *worker, number int, ticket string, now time.Duration) {
 	s := t.step
 	r := &run{task: t, number: number, worker: w, sentAt: now, progressAt: now, throttledPercent: 100, confirmedAt: -1}
-	r.deadlineMS = w.clock(now) + startWindow.Milliseconds()
+	r.deadlineMS = w.startDeadline(now)
 	w.leaseMS = max(w.leaseMS, r.deadlineMS)
 	t.lastRun = number
 	if t.startable() {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -31,6 +31,10 @@
 	MaxLease time.Duration
 	// StopGrace is the longest time that a worker takes to stop a run.
 	StopGrace time.Duration
+	// CapacityValidity is how long after a worker wrote its entry tasks may be
+	// started by the capacity in it, if the worker does not reject overload. 0 is
+	// no limit.
+	CapacityValidity time.Duration
 	// Parts is the number of parts that the records of jobs are spread over,
 	// and PartOf returns the part of a job.
 	Parts  int
@@ -197,7 +201,10 @@
 	workers []*worker
 	// overcommits is set if the workers start whatever they are told to.
 	overcommits bool
-	ready       map[*step]struct{}
+	// capacityValidity limits the age of its workers' entries at a start, 0 for
+	// no limit.
+	capacityValidity time.Duration
+	ready            map[*step]struct{}
 	// readyLongRunning counts the long-running steps among them.
 	readyLongRunning int
 	// needsPass is set if a scheduling pass may have something to start.
@@ -245,7 +252,7 @@
 	}
 	for _, p := range e.pools {
 		p.needsPass = true
-		p.overcommits = e.overcommits(p.name)
+		p.overcommits, p.capacityValidity = e.overcommits(p.name), e.capacityValidity(p.name)
 	}
 }
 
@@ -261,7 +268,7 @@
 func (e *Engine) pool(name string) *pool {
 	p := e.pools[name]
 	if p == nil {
-		p = &pool{name: name, ready: map[*step]struct{}{}, queues: map[string]*queueStats{}, overcommits: e.overcommits(name)}
+		p = &pool{name: name, ready: map[*step]struct{}{}, queues: map[string]*queueStats{}, overcommits: e.overcommits(name), capacityValidity: e.capacityValidity(name)}
 		e.pools[name] = p
 	}
 	return p
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -509,7 +509,7 @@
 	sim.fence = sim.version
 	epoch := sim.fence
 	e := New(Options{
-		Token: sim.fence, Epoch: epoch, MaxLease: testMaxLease, StopGrace: 100 * time.Millisecond,
+		Token: sim.fence, Epoch: epoch, MaxLease: testMaxLease, StopGrace: 100 * time.Millisecond, CapacityValidity: shrinkGrace,
 		Parts: 2, PartOf: func(job string) int { return int(job[15]) % 2 },
 		UnixMS: func(now time.Duration) int64 { return now.Milliseconds() }, Log: sim.log,
 	})
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -31,7 +31,9 @@
 	// answer to a poll that is sent after otherEntryAt decides.
 	ownEntry bool
 	// full is the largest capacity that this incarnation had so far.
-	full         placement.Resources
+	full placement.Resources
+	// entryAt is when the latest entry was read.
+	entryAt      time.Duration
 	otherEntry   *estate.Worker
 	otherEntryAt time.Duration
 	// fenced is set once the worker has answered a poll with this owner's
@@ -151,7 +153,7 @@
 	entry.StartedMS = cmp.Or(entry.StartedMS, w.StartedMS)
 	w.recordCapacity(entry.Capacity)
 	w.Worker = entry
-	w.ownEntry, w.otherEntry = true, nil
+	w.ownEntry, w.entryAt, w.otherEntry = true, now, nil
 }
 
 func (e *Engine) addWorker(entry estate.Worker, now time.Duration) *worker {
@@ -292,6 +294,8 @@
 		return w.reservation.String()
 	case w.paused(now):
 		return "paused"
+	case w.capacityOutdated(now):
+		return "capacity outdated"
 	}
 	return ""
 }
