--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -146,6 +146,7 @@
 		HolderLease:     s.Bounds.HolderLease, Migration: s.Bounds.Migration,
 		Scheduling: scheduler.Options{
 			MaxLease: s.Bounds.MaxLease, StopGrace: s.Bounds.StopGrace, CancelWithin: s.Bounds.CancelWithin,
+			CapacityValidity: s.Bounds.Contact + s.Bounds.Heartbeat,
 		},
 		Rows: store, Operator: platform.NewOperator(store, unreadable), Discovery: platform.NewDiscovery(store, unreadable),
 		Runner: platform.NewWorkers(), Fleet: platform.NewFleet(s.Fleet, unreadable), Recommender: platform.NewRecommender(s.Recommender),
--- a/internal/scheduler/cancelsage.go
+++ b/internal/scheduler/cancelsage.go
@@ -9,14 +9,9 @@
 	"github.com/egretpitch/egretpitch/internal/event"
 )
 
-const (
-	// startMargin is left of Options.CancelWithin when the time for a start ends.
-	// It covers the error of the estimate of a worker's clock.
-	startMargin = 200 * time.Millisecond
-	// minStartWindow is the least time that is left for a start to reach its
-	// worker when it is decided.
-	minStartWindow = 300 * time.Millisecond
-)
+// startMargin is left of Options.CancelWithin when the time for a start ends. It
+// covers the error of the estimate of a worker's clock.
+const startMargin = 200 * time.Millisecond
 
 // CancelsRead reports that all cancellations that were stored before asOf have
 // been handled, after the answer that told of them had waited in this process.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -35,6 +35,10 @@
 	// within which its tasks may still start. It bounds the age of the known
 	// cancellations that a start relies on; 0 is no bound.
 	CancelWithin time.Duration
+	// CapacityValidity is how long after a worker wrote its entry tasks may be
+	// started by the capacity in it, if the worker does not reject overload. 0 is
+	// no limit.
+	CapacityValidity time.Duration
 	// Parts is the number of parts that the records of jobs are spread over,
 	// and PartOf returns the part of a job.
 	Parts  int
@@ -57,6 +61,9 @@
 	// from its sending. It covers the error of the estimate of the worker's
 	// clock.
 	startWindow = 1500 * time.Millisecond
+	// minStartWindow is the least time that must be left for a start to reach its
+	// worker when it is decided.
+	minStartWindow = 300 * time.Millisecond
 	// clockDrift is the fraction by which a worker's clock may be slow; the
 	// platform's bound is 2 %.
 	clockDrift = 0.03
@@ -210,7 +217,12 @@
 type pool struct {
 	name    string
 	workers []*worker
-	ready   map[*step]struct{}
+	// overcommits is set if the workers start whatever they are told to.
+	overcommits bool
+	// capacityValidity limits the age of its workers' entries at a start, 0 for
+	// no limit.
+	capacityValidity time.Duration
+	ready            map[*step]struct{}
 	// readyLongRunning counts the long-running steps among them.
 	readyLongRunning int
 	// needsPass is set if a scheduling pass may have something to start.
@@ -258,6 +270,7 @@
 	}
 	for _, p := range e.pools {
 		p.needsPass = true
+		p.overcommits, p.capacityValidity = e.overcommits(p.name), e.capacityValidity(p.name)
 	}
 }
 
@@ -273,7 +286,7 @@
 func (e *Engine) pool(name string) *pool {
 	p := e.pools[name]
 	if p == nil {
-		p = &pool{name: name, ready: map[*step]struct{}{}, queues: map[string]*queueStats{}}
+		p = &pool{name: name, ready: map[*step]struct{}{}, queues: map[string]*queueStats{}, overcommits: e.overcommits(name), capacityValidity: e.capacityValidity(name)}
 		e.pools[name] = p
 	}
 	return p
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -50,6 +50,8 @@
 	// that are not in pool "p".
 	catalogVersion int64
 	poolOf         map[string]string
+	// unknown holds what tasks request whose jobs no owner knows.
+	unknown map[workload.TaskID]placement.Resources
 	// estateCatalog replaces the catalog of catalogVersion, if set.
 	estateCatalog *estate.Catalog
 	log           *zap.Logger
@@ -138,6 +140,8 @@
 	unlisted, removed bool
 	// startedAt is when this incarnation started; its clock counts from there.
 	startedAt time.Duration
+	// slow is the fraction by which the clock is slow.
+	slow float64
 	// clockStep is how far the clock that gives start times was set forward.
 	clockStep time.Duration
 	token     int64
@@ -162,6 +166,8 @@
 	stopTakes time.Duration
 	// overcommits is set for workers that accept starts beyond their capacity.
 	overcommits bool
+	// former holds the capacities that this incarnation had before.
+	former []formerCapacity
 }
 
 type fakeRun struct {
@@ -207,7 +213,10 @@
 	return f
 }
 
-func (f *fakeWorker) clock(now time.Duration) int64 { return (now - f.startedAt).Milliseconds() }
+func (f *fakeWorker) clock(now time.Duration) int64 {
+	ms := (now - f.startedAt).Milliseconds()
+	return ms - int64(float64(ms)*f.slow)
+}
 
 // restart starts a new incarnation under the same id.
 func (f *fakeWorker) restart(now time.Duration) {
@@ -216,7 +225,7 @@
 	f.startedAt = now
 	f.token, f.leaseMS, f.lastEnd = 0, 0, 0
 	f.running, f.ended, f.highestRun = map[runKey]*fakeRun{}, nil, map[workload.TaskID]int{}
-	f.endedAt = map[int64]moment{}
+	f.endedAt, f.former = map[int64]moment{}, nil
 	f.up = true
 }
 
@@ -301,12 +310,12 @@
 		a.Outcome = platform.OrderNoTicket
 		return a
 	}
-	if free := sim.freeOn(f); !sim.requestsOf(o.Task).Fits(free) {
+	if !sim.requestsOf(o.Task).Fits(sim.freeOn(f)) {
 		if !f.overcommits {
 			a.Outcome = platform.OrderNoCapacity
 			return a
 		}
-		sim.violate("task %v run %d starts on %s, which has only %+v free", o.Task, o.Run, f.ID, free)
+		sim.checkCapacity(f, o)
 	}
 	f.highestRun[o.Task] = o.Run
 	sim.checkStart(f, o)
@@ -314,12 +323,12 @@
 	return a
 }
 
-// requestsOf returns what a task requests, nothing if its job was not
-// submitted.
+// requestsOf returns what a task requests. If its job was not submitted, that is
+// nothing unless it is among the unknown ones.
 func (sim *simulation) requestsOf(t workload.TaskID) placement.Resources {
 	j := sim.records[t.Job]
 	if j == nil {
-		return placement.Resources{}
+		return sim.unknown[t]
 	}
 	return j.spec.Steps[t.Step].Requests()
 }
@@ -516,7 +525,8 @@
 	epoch := sim.fence
 	e := New(Options{
 		Token: sim.fence, Epoch: epoch, MaxLease: testMaxLease, StopGrace: 100 * time.Millisecond, CancelWithin: sim.cancelWithin,
-		Parts: 2, PartOf: func(job string) int { return int(job[15]) % 2 },
+		CapacityValidity: shrinkGrace,
+		Parts:            2, PartOf: func(job string) int { return int(job[15]) % 2 },
 		UnixMS: func(now time.Duration) int64 { return now.Milliseconds() }, Log: sim.log,
 	})
 	owner := &testOwner{Engine: e, sim: sim, token: sim.fence, recordVersion: sim.recordVersion}
@@ -563,7 +573,7 @@
 		case f.unlisted:
 			owner.WorkerUnlisted(f.ID, owner.sim.now)
 		case f.up && f.reachable:
-			owner.WorkerListed(f.Worker, owner.sim.now)
+			owner.WorkerListed(f.entry(), owner.sim.now)
 		}
 	}
 	owner.recordAtOnce()
@@ -576,7 +586,7 @@
 	var entries []estate.Worker
 	for _, f := range sorted(sim.workers) {
 		if f.up && f.reachable && !f.unlisted {
-			entries = append(entries, f.Worker)
+			entries = append(entries, f.entry())
 		}
 	}
 	owner.entriesReadAt = max(owner.entriesReadAt, sim.now+late)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -29,7 +29,11 @@
 	// ownEntry is set once an entry of this incarnation was read. otherEntry is
 	// the latest entry if it is of another incarnation and may be older: the
 	// answer to a poll that is sent after otherEntryAt decides.
-	ownEntry     bool
+	ownEntry bool
+	// full is the largest capacity that this incarnation had so far.
+	full placement.Resources
+	// entryAt is when the latest entry was read.
+	entryAt      time.Duration
 	otherEntry   *estate.Worker
 	otherEntryAt time.Duration
 	// fenced is set once the worker has answered a poll with this owner's
@@ -129,6 +133,9 @@
 	}
 	w.pool.needsPass = true
 	w.listed = true
+	if w.hasNewerEntry(entry) {
+		return
+	}
 	if entry.Pool != w.Pool {
 		w.pool.remove(w)
 		w.pool = e.pool(entry.Pool)
@@ -144,8 +151,9 @@
 		w.leavesAt = now + entry.Remaining
 	}
 	entry.StartedMS = cmp.Or(entry.StartedMS, w.StartedMS)
+	w.recordCapacity(entry.Capacity)
 	w.Worker = entry
-	w.ownEntry, w.otherEntry = true, nil
+	w.ownEntry, w.entryAt, w.otherEntry = true, now, nil
 }
 
 func (e *Engine) addWorker(entry estate.Worker, now time.Duration) *worker {
@@ -272,6 +280,8 @@
 	switch {
 	case !w.listed:
 		return "not listed"
+	case w.pool.overcommits && !w.ownEntry:
+		return "capacity unknown"
 	case w.Draining:
 		return "draining"
 	case w.failedPolls > 0:
@@ -284,12 +294,19 @@
 		return w.reservation.String()
 	case w.paused(now):
 		return "paused"
+	case w.capacityOutdated(now):
+		return "capacity outdated"
 	}
 	return ""
 }
 
 // free returns the resources that the worker has left.
-func (w *worker) free() placement.Resources { return w.Capacity.Sub(w.used) }
+func (w *worker) free() placement.Resources {
+	if w.runsUnknown() {
+		return placement.Resources{}
+	}
+	return w.Capacity.Sub(w.used)
+}
 
 // holds reports whether the worker holds capacity for long-running tasks.
 func (w *worker) holds() bool { return w.held != placement.Resources{} }
