scheduler: tests of tasks that crash worker after worker

Cause: the loss of a run counts nothing against its task, so a task under which its worker crashes is started on the next one without end.

--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -154,6 +154,8 @@
 	stopTakes time.Duration
 	// overcommits is set for workers that accept starts beyond their capacity.
 	overcommits bool
+	// started, if set, is called after each start that the worker carries out.
+	started func(workload.TaskID)
 }
 
 type fakeRun struct {
@@ -303,6 +305,9 @@
 	f.highestRun[o.Task] = o.Run
 	sim.checkStart(f, o)
 	f.running[key] = &fakeRun{task: o.Task, run: o.Run, startedAt: sim.now, throttlePercent: 100}
+	if f.started != nil {
+		f.started(o.Task)
+	}
 	return a
 }
 
