scheduler: tests of crashes over owners, gangs and copies say which case fails

Cause: members of a gang that crash nothing ended after 300 ms and the gang with them, before a crash after 400 ms; a task whose run takes much longer than its estimate gets a copy that has nothing to do with silence; a loop had no end when a job ended.

Change: gang members run on, the estimate covers the run, the loop ends with an error. Three changes of owner with crashes before the answers to the starts are a test of their own, with the same bound; TestCrashesOfATaskCountOverOwners keeps two changes for that delay and three for all others.

--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -156,6 +156,7 @@
 		c.newIDs, c.delay = newIDs, delay
 		job := jobOf(1, 2, 2)
 		job.Steps[0].Speculative = true
+		job.Steps[0].Estimate = 3 * time.Second // so that no run lags behind
 		c.crashes = func(task workload.TaskID) bool { return task.Index == 0 }
 		c.submit(c.owner, job)
 		c.play(40 * time.Second)
@@ -175,6 +176,9 @@
 			job := jobOf(1, 3, 5)
 			job.Steps[0].Gang = true
 			c.crashes = func(task workload.TaskID) bool { return all || task.Index == 1 }
+			for _, f := range c.workers {
+				f.duration = forever // a member that ends ends the gang
+			}
 			c.submit(c.owner, job)
 			c.endGangs()
 			c.play(60 * time.Second)
@@ -209,27 +213,45 @@
 // or after, with or without the record of it.
 func TestCrashesOfATaskCountOverOwners(t *testing.T) {
 	forEachReturn(t, func(t *testing.T, newIDs bool, delay time.Duration) {
-		for _, after := range []time.Duration{10 * time.Millisecond, 200 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond, 2500 * time.Millisecond} {
-			c := newCrashSimulation(t, 8)
-			c.newIDs, c.delay = newIDs, delay
-			job := jobOf(1, 1, 2)
-			c.crashes = isTaskOf(job)
-			c.submit(c.owner, job)
-			task := workload.TaskID{Job: job.ID}
-			seen := 0
-			for c.now < 60*time.Second && c.state(job.ID) != workload.Failed {
-				c.play(testTick)
-				if c.crashed[task] > seen && seen < 3 {
-					seen = c.crashed[task]
-					c.play(after)
-					c.succeed()
-				}
-			}
-			c.checkGivenUp(t, job)
+		changes := 3
+		if delay == 0 {
+			changes = 2 // see TestCrashesBeforeAnAnswerCountOverThreeChangesOfOwner
 		}
+		crashesOverOwners(t, newIDs, delay, changes)
 	})
 }
 
+// A crash before the answer to the start weighs less, and no owner sees the first
+// three.
+func TestCrashesBeforeAnAnswerCountOverThreeChangesOfOwner(t *testing.T) {
+	for _, newIDs := range []bool{false, true} {
+		crashesOverOwners(t, newIDs, 0, 3)
+	}
+}
+
+// crashesOverOwners replaces the owner after each of the first crashes.
+func crashesOverOwners(t *testing.T, newIDs bool, delay time.Duration, changes int) {
+	t.Helper()
+	for _, after := range []time.Duration{10 * time.Millisecond, 200 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond, 2500 * time.Millisecond} {
+		c := newCrashSimulation(t, 8)
+		c.newIDs, c.delay = newIDs, delay
+		job := jobOf(1, 1, 2)
+		c.crashes = isTaskOf(job)
+		c.submit(c.owner, job)
+		task := workload.TaskID{Job: job.ID}
+		seen := 0
+		for c.now < 60*time.Second && c.state(job.ID) != workload.Failed {
+			c.play(testTick)
+			if c.crashed[task] > seen && seen < changes {
+				seen = c.crashed[task]
+				c.play(after)
+				c.succeed()
+			}
+		}
+		c.checkGivenUp(t, job)
+	}
+}
+
 // The last owner before the change is the only one that sees the last crash, and
 // the table service does not take its record.
 func TestCrashWithoutARecordIsNotFollowedByAStart(t *testing.T) {
@@ -313,7 +335,9 @@
 			for range 5 {
 				var on *fakeWorker
 				for on == nil {
-					c.play(testTick)
+					if c.play(testTick); c.now > 60*time.Second {
+						t.Fatalf("the task has no run, state %q", c.state(job.ID))
+					}
 					for _, f := range sorted(c.workers) {
 						if len(f.running) > 0 {
 							on = f
