scheduler: give up a task that crashes its workers

Cause: the loss of a run by a crash of its worker counted nothing against the task and was not stored, so that the engine and each successor started it again as if it were new. A copy of a speculative task went to the next worker as soon as the first left one poll unanswered. Class: an attempt whose outcome is only its victim's silence is repeated without memory.

Change: an unplanned end of a worker is recorded with the progress of the jobs whose runs it ended, with a weight: certain (right after the start), unanswered (start without an answer), presumed (the worker fell silent; confirmed by the host list or a new incarnation, withdrawn when the same one answers), bystander (the run had been listed for 500 ms or more). Ends that were announced or ordered count nothing. A task with a certain, unanswered or presumed crash, or with two of any weight, is a suspect: it gets no copy, starts only where all other runs are past that age, on one worker at a time for each job, and its worker takes no other job's tasks until it has survived the start (from two crashes on, until the run ends). A worker is held for suspects that find none. It is given up, and its job fails, after two certain crashes or three of any weight that only runs of its job can have caused, or four shared ones. It is not started before its last crash is recorded, nor after three of which one is still presumed. Events 942 to 944 and three counters show each step. A long-running task that is at work again has a clean record. A copy on account of silence waits 1.5 s for a run that had just started.

Why it works: after a crash the number of tasks that can have caused the next one is reduced to one job, so one more crash decides, or a success clears it.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -99,6 +99,9 @@
 	PollUnanswered       = New(939, zapcore.WarnLevel, "poll not answered")
 	EndIgnored           = New(940, zapcore.WarnLevel, "end ignored")
 	TaskWithoutRun       = New(941, zapcore.WarnLevel, "long-running task has no run")
+	CrashCounted         = New(942, zapcore.WarnLevel, "worker crash counted against a task")
+	SuspectIsolated      = New(943, zapcore.InfoLevel, "suspect task started apart from others")
+	TaskGivenUp          = New(944, zapcore.WarnLevel, "task given up")
 	RecoveryEnded        = New(933, zapcore.InfoLevel, "recovery ended")
 )
 
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -47,6 +47,7 @@
 		progress := j.progress
 		progress.Done = slices.Clone(progress.Done)
 		progress.Failures = slices.Clone(progress.Failures)
+		progress.Crashes = slices.Clone(progress.Crashes)
 		c.Records[i] = Record{Job: j.ID, Version: j.version, Progress: progress, seq: j.seq, job: j}
 	}
 	e.committing[part] = c
@@ -77,6 +78,9 @@
 			j.urgent = false
 			delete(e.dirty, j)
 		}
+		if len(j.progress.Crashes) > 0 {
+			e.pool(j.Pool).needsPass = true // tasks may wait for the record of a crash
+		}
 		e.forget(j)
 	}
 }
--- /dev/null
+++ b/internal/scheduler/crash.go
@@ -0,0 +1,227 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/egretpitch/egretpitch/internal/event"
+	"github.com/egretpitch/egretpitch/internal/fleetplan"
+	"github.com/egretpitch/egretpitch/internal/workload"
+)
+
+const (
+	// provenAfter is how long a worker must have survived the start of a run, as
+	// its answers show, before a crash is put down to runs that started later.
+	provenAfter = 500 * time.Millisecond
+	// maxCertainCrashes is the number of crashes right after a start at which a
+	// task is given up, if only runs of its job can have caused the last one.
+	maxCertainCrashes = 2
+	// maxCrashes is the same bound for crashes of any weight, and
+	// maxSharedCrashes the one for crashes that other jobs can have caused too.
+	maxCrashes       = 3
+	maxSharedCrashes = 4
+	// strictAfter is the number of crashes from which a task is kept apart for
+	// the whole of its run.
+	strictAfter = 2
+)
+
+// crash is the end of a worker under a run of a task. It is recorded with the
+// progress of the job.
+type crash struct {
+	run    int
+	weight workload.CrashWeight
+}
+
+// presumedCrash is a crash of a worker that fell silent. It is confirmed or
+// withdrawn once the fate of the worker is known.
+type presumedCrash struct {
+	task  *task
+	run   int
+	begun bool
+	alone bool
+}
+
+// crashUnit returns the task whose record holds the crashes: the members of a
+// gang start together and share theirs.
+func (t *task) crashUnit() *task {
+	if t.step.Gang {
+		return t.step.tasks[0]
+	}
+	return t
+}
+
+// count returns the number of recorded crashes of at least the given weight.
+func (t *task) count(least workload.CrashWeight) int {
+	n := 0
+	for _, c := range t.crashUnit().crashes {
+		if c.weight >= least {
+			n++
+		}
+	}
+	return n
+}
+
+// proven reports whether the worker has survived the start of the run for a
+// while.
+func (r *run) proven() bool { return r.listed && r.confirmedAt-r.sentAt >= provenAfter }
+
+// begun reports whether the worker has certainly started the run.
+func (r *run) begun() bool { return r.listed || r.phase == runConfirmed || r.confirmedAt >= 0 }
+
+// endsAsPlanned reports whether the end of the worker was announced or ordered.
+func (w *worker) endsAsPlanned() bool {
+	return w.plannedEnd || w.Draining || w.leaving() || w.reservation == fleetplan.Ordered
+}
+
+// crashSuspects returns the runs under which the worker ends, and those of them
+// that can have caused it: the ones that started last. The rest had been running
+// for a while. alone is set if all of these belong to one job.
+func (w *worker) crashSuspects() (under, causes []*run, alone bool) {
+	for _, r := range w.runs {
+		unsent := r.phase == runSent && r.order != nil && r.order.Withdrawn()
+		if !unsent && !r.task.step.job.ended() && !r.task.done && (r.listed || !r.sentToPrevious()) {
+			under = append(under, r)
+		}
+	}
+	slices.SortFunc(under, func(a, b *run) int { return cmp.Or(a.task.compare(b.task), cmp.Compare(a.number, b.number)) })
+	causes = slices.DeleteFunc(slices.Clone(under), (*run).proven)
+	if len(causes) == 0 {
+		causes = slices.DeleteFunc(slices.Clone(under), func(r *run) bool { return !r.task.strict() })
+	}
+	alone = !slices.ContainsFunc(causes, func(r *run) bool { return r.task.step.job != causes[0].task.step.job })
+	return under, causes, alone
+}
+
+// countCrash records the unplanned end of a worker with the tasks that ran there.
+// A worker that is only silent may still live: its end is presumed. Runs that had
+// been listed for a while are no cause; two such crashes keep a task apart.
+func (e *Engine) countCrash(w *worker, presumed bool, now time.Duration) {
+	if w.endsAsPlanned() || w.crashCounted {
+		return
+	}
+	w.crashCounted = !presumed
+	under, causes, alone := w.crashSuspects()
+	for _, r := range under {
+		cause := slices.Contains(causes, r)
+		weight := workload.CrashBystander
+		switch {
+		case !cause && (presumed || r.task.step.LongRunning):
+			continue
+		case cause && presumed:
+			weight = workload.CrashPresumed
+			e.presumed[w.ID] = append(e.presumed[w.ID], presumedCrash{task: r.task.crashUnit(), run: r.number, begun: r.begun(), alone: alone})
+		case cause && r.begun():
+			weight = workload.CrashCertain
+		case cause:
+			weight = workload.CrashUnanswered
+		}
+		e.recordCrash(r.task.crashUnit(), crash{r.number, weight}, cause && alone, w.ID, now)
+	}
+}
+
+// settlePresumed confirms or withdraws the presumed crashes of a worker.
+func (e *Engine) settlePresumed(id string, crashed bool, now time.Duration) {
+	list := e.presumed[id]
+	delete(e.presumed, id)
+	for _, p := range list {
+		if p.task.step.job.ended() {
+			continue
+		}
+		weight := workload.CrashUnanswered
+		if p.begun {
+			weight = workload.CrashCertain
+		}
+		if crashed {
+			e.recordCrash(p.task, crash{p.run, weight}, p.alone, id, now)
+			continue
+		}
+		p.task.crashes = slices.DeleteFunc(slices.Clone(p.task.crashes), func(c crash) bool {
+			return c.run == p.run && c.weight == workload.CrashPresumed
+		})
+		e.storeCrashes(p.task, now)
+	}
+}
+
+// recordCrash adds a crash to the record of a task, or raises the weight of a
+// recorded one, and gives the task up if that suffices.
+func (e *Engine) recordCrash(t *task, c crash, alone bool, workerID string, now time.Duration) {
+	i := slices.IndexFunc(t.crashes, func(other crash) bool { return other.run == c.run })
+	switch {
+	case i >= 0 && t.crashes[i].weight >= c.weight:
+		return
+	case i >= 0:
+		t.crashes[i].weight = c.weight
+	default:
+		t.crashes = append(t.crashes, c)
+	}
+	e.stats.CrashesCounted++
+	event.CrashCounted.Log(e.opts.Log, zap.Stringer("task", t.id()), zap.Int("run", c.run), zap.String("worker", workerID),
+		zap.Stringer("weight", c.weight), zap.Bool("alone", alone), zap.Int("crashes", len(t.crashes)))
+	e.storeCrashes(t, now)
+	if t.condemned(c, alone) {
+		e.stats.TasksGivenUp++
+		event.TaskGivenUp.Log(e.opts.Log, zap.Stringer("task", t.id()), zap.Int("crashes", len(t.crashes)),
+			zap.Int("certain", t.count(workload.CrashCertain)), zap.String("reason", "its workers crash"))
+		e.endJob(t.step.job, workload.Failed, now)
+	}
+}
+
+// condemned reports whether the latest crash suffices to give the task up.
+// Presumed ones never do.
+func (t *task) condemned(latest crash, alone bool) bool {
+	if latest.weight < workload.CrashUnanswered {
+		return false
+	}
+	confirmed := t.count(workload.CrashUnanswered)
+	for _, c := range t.crashUnit().crashes {
+		if c.weight == workload.CrashBystander {
+			confirmed++
+		}
+	}
+	switch {
+	case confirmed >= maxSharedCrashes:
+		return true
+	case !alone:
+		return false
+	}
+	return t.count(workload.CrashCertain) >= maxCertainCrashes || confirmed >= maxCrashes
+}
+
+// storeCrashes writes the crashes of a task to the record of its job. The task is
+// not started again before that.
+func (e *Engine) storeCrashes(t *task, now time.Duration) {
+	j, number, index := t.step.job, t.step.occ.number, t.step.index
+	list := slices.DeleteFunc(slices.Clone(j.progress.Crashes), func(c workload.Crash) bool {
+		return c.Occurrence == number && c.Step == index && c.Index == t.index
+	})
+	for _, c := range t.crashes {
+		list = append(list, workload.Crash{Occurrence: number, Step: index, Index: t.index, Run: c.run, Weight: c.weight})
+	}
+	j.progress.Crashes = list
+	e.markDirty(j, true, now)
+	t.crashSeq = j.seq
+	t.step.hasSuspects = t.step.hasSuspects || len(t.crashes) > 0
+}
+
+// restoreCrashes applies the recorded crashes to the tasks of an occurrence.
+func (j *job) restoreCrashes(o *occurrence) {
+	for _, c := range j.progress.Crashes {
+		if t := j.find(c.Occurrence, c.Step, c.Index); t != nil && c.Occurrence == o.number {
+			t.crashes = append(t.crashes, crash{c.Run, c.Weight})
+			t.lastRun = max(t.lastRun, c.Run)
+			t.step.hasSuspects = true
+		}
+	}
+}
+
+// clearCrashes forgets the crashes of a long-running task that is at work.
+func (e *Engine) clearCrashes(r *run, now time.Duration) {
+	t := r.task.crashUnit()
+	if len(t.crashes) > 0 && t.step.LongRunning && r.proven() {
+		t.crashes = nil
+		e.storeCrashes(t, now)
+	}
+}
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -116,20 +116,32 @@
 // HostRemoved handles the move or maintenance of a worker's host, which ended
 // the worker.
 func (e *Engine) HostRemoved(id string, now time.Duration) {
-	if w := e.workers[id]; w != nil {
-		e.incarnationEnded(w, "host removed", now)
+	e.hostEnded(id, "host removed", true, now)
+}
+
+func (e *Engine) hostEnded(id, reason string, planned bool, now time.Duration) {
+	w := e.workers[id]
+	if w == nil {
+		e.settlePresumed(id, !planned, now)
+		return
 	}
+	w.plannedEnd = planned
+	e.incarnationEnded(w, reason, now)
 }
 
 // HostEnded handles a host list, requested at the given time, that shows the end
-// of a worker. A worker that has answered a later poll is another incarnation, and
+// of a worker, because its host was moved or maintained if planned is set. A worker that has answered a later poll is another incarnation, and
 // one that was not known then may be. HostEnded reports whether the worker is known
 // no more.
-func (e *Engine) HostEnded(id string, requested, now time.Duration) bool {
+func (e *Engine) HostEnded(id string, planned bool, requested, now time.Duration) bool {
 	if w := e.workers[id]; w != nil && max(w.answeredSentAt, w.knownSince) > requested {
 		return false
 	}
-	e.HostRemoved(id, now)
+	reason := "host has crashed"
+	if planned {
+		reason = "host removed"
+	}
+	e.hostEnded(id, reason, planned, now)
 	return true
 }
 
@@ -139,6 +151,7 @@
 func (e *Engine) HostLeft(id string, now time.Duration) bool {
 	w := e.workers[id]
 	if w == nil {
+		e.settlePresumed(id, true, now)
 		return true
 	}
 	if w.listed || w.failedPolls == 0 {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -79,6 +79,8 @@
 	requesting    bool
 	nextRequest   time.Duration
 	requestOffset int
+	// hasSuspects is set once a worker has ended under a task of the step.
+	hasSuspects bool
 	// gangRetry is the earliest time of the next start of a gang.
 	gangRetry time.Duration
 }
@@ -100,6 +102,11 @@
 	checkpoint  string
 	// notBefore is the earliest time of the next start.
 	notBefore time.Duration
+	// crashes are the workers that ended under the task, and crashSeq numbers the
+	// change of the record that holds the latest one. A gang's are with its first
+	// task.
+	crashes  []crash
+	crashSeq uint64
 	// failedOn holds the ids of the workers on which runs failed or stalled.
 	failedOn []string
 }
@@ -274,6 +281,7 @@
 			t.lastRun = max(t.lastRun, f[3])
 		}
 	}
+	j.restoreCrashes(o)
 	for _, s := range o.steps {
 		e.enqueue(s)
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -51,6 +51,9 @@
 	measure()
 	mayFit := func(s *step) bool {
 		size := s.Requests()
+		if s.hasSuspects {
+			return true // it may have to hold a worker first
+		}
 		if !s.LongRunning {
 			return size.Fits(mostUnheld)
 		}
@@ -145,11 +148,15 @@
 	if !e.ensureTickets(s, asked, now) {
 		return
 	}
+	var refused, suspectRefused bool // tasks of the kind have no place
 	for _, t := range s.tasks {
-		if s.idle == 0 {
+		if s.idle == 0 || (refused && suspectRefused) {
 			return
 		}
-		if !t.startable() || now < t.notBefore {
+		if s.hasSuspects && ((refused && !t.suspect()) || (suspectRefused && t.suspect())) {
+			continue
+		}
+		if !t.startable() || now < t.notBefore || e.waitsForRecord(t) {
 			continue
 		}
 		w, ticket := e.chooseWorker(t, open, now)
@@ -159,6 +166,11 @@
 		switch {
 		case w != nil:
 			e.start(t, w, e.nextRun(t), ticket, now)
+		case t.suspect():
+			e.holdForSuspect(t, open, now)
+			suspectRefused = true
+		case s.hasSuspects:
+			refused = true
 		case !s.hasLastResort() || len(t.failedOn) == 0:
 			return // no worker takes any other task of the step
 		}
@@ -174,7 +186,7 @@
 	var bestFit fit
 	var bestTicket string
 	for _, w := range open {
-		if !s.fitsOn(w) {
+		if !s.fitsOn(w) || !t.separate(w, now) {
 			continue
 		}
 		ticket, ok := e.ticket(s, w, now)
@@ -222,6 +234,8 @@
 	avoided bool
 	// remote workers are not on the rack of the task's data.
 	remote bool
+	// beside is the number of runs that a suspect would join.
+	beside int
 	// left is the fraction of the worker's processors that would stay free.
 	left float64
 }
@@ -230,6 +244,9 @@
 	if f.avoided != o.avoided {
 		return !f.avoided
 	}
+	if f.beside != o.beside {
+		return f.beside < o.beside
+	}
 	if f.remote != o.remote {
 		return !f.remote
 	}
@@ -241,6 +258,9 @@
 		avoided: slices.Contains(t.failedOn, w.ID) || (w.onProbation && len(w.runs) > 0) || (w.pendingRemoval && t.step.LongRunning),
 		remote:  t.step.Rack != "" && !slices.Contains(w.Labels, t.step.Rack),
 	}
+	if t.suspect() {
+		f.beside = len(w.runs)
+	}
 	if w.Capacity.Processors > 0 {
 		f.left = (w.free().Processors - size.Processors) / w.Capacity.Processors
 	}
@@ -249,13 +269,16 @@
 
 // placeGang starts all tasks of a step together, or none.
 func (e *Engine) placeGang(s *step, open []*worker, now time.Duration) {
-	if s.idle < s.left || now < s.gangRetry {
+	if s.idle < s.left || now < s.gangRetry || e.waitsForRecord(s.tasks[0]) {
 		return // members of an earlier start still run
 	}
 	if !e.ensureTickets(s, open, now) {
 		return
 	}
-	chosen := e.gangWorkers(s, e.withTicket(s, open, now))
+	chosen := e.gangWorkers(s, e.withTicket(s, s.tasks[0].separated(open, now), now))
+	if chosen == nil && s.tasks[0].suspect() {
+		chosen = e.gangWorkers(s, e.withTicket(s, s.tasks[0].besideNoSuspect(open), now))
+	}
 	if chosen == nil {
 		return
 	}
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -18,7 +18,8 @@
 	pollRetry    = 100 * time.Millisecond
 	pollRetryMax = 800 * time.Millisecond
 	// warmingWait is the wait of a long poll while a long-running task starts
-	// up: other tasks of its step may be interrupted only once it is ready.
+	// up: other tasks of its step may be interrupted only once it is ready. It is
+	// also the wait while the worker takes no other tasks because of a suspect.
 	warmingWait = 200 * time.Millisecond
 	// acknowledgeWithin is how long after an answer of a worker its ends are
 	// acknowledged. It is shorter than a restart of the worker and a task, and
@@ -161,7 +162,7 @@
 	} else {
 		o.Wait = pollWait
 		switch {
-		case w.warming():
+		case w.warming(), w.testedJob() != nil:
 			o.Wait = warmingWait
 		case w.mixed():
 			o.Wait = mixedWait
@@ -222,6 +223,7 @@
 		return
 	}
 	w.StartedMS = cmp.Or(w.StartedMS, status.StartedMS)
+	e.settlePresumed(w.ID, false, now)
 	w.answeredSentAt = max(w.answeredSentAt, o.sentAt)
 	if w.otherEntry != nil && o.sentAt > w.otherEntryAt {
 		w.otherEntry = nil // it was of a previous incarnation
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -500,7 +500,7 @@
 		for owner.workers["w1"].StartedMS != f.StartedMS {
 			sim.run(testTick, owner)
 		}
-		if owner.HostEnded("w1", requested, sim.now) || owner.workers["w1"] == nil {
+		if owner.HostEnded("w1", false, requested, sim.now) || owner.workers["w1"] == nil {
 			t.Errorf("listed %t: the worker is known no more", listed)
 		}
 	}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -48,6 +48,7 @@
 		Checkpoint: t.checkpoint, Ticket: ticket,
 	}}
 	e.emit(r.order)
+	e.isolated(r)
 }
 
 // nextRun returns the number of a task's next run.
@@ -89,6 +90,7 @@
 	case platform.OrderFenced:
 		e.superseded = true
 	case platform.OrderWrongIncarnation:
+		r.withdraw() // no incarnation has carried it out
 		e.incarnationEnded(w, "another worker answers at its address", now)
 		return
 	}
@@ -253,6 +255,7 @@
 	}
 	r.percent = s.Percent
 	r.load = s.Load
+	e.clearCrashes(r, now)
 }
 
 // processEnds handles the ends that a worker lists, in their order.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -143,6 +143,8 @@
 	// dirtySince is when the first unwritten change was made, or when a commit
 	// was last applied.
 	dirtySince time.Duration
+	// presumed holds the crashes of silent workers whose fate is unknown, by id.
+	presumed map[string][]presumedCrash
 	// committing and retryAt are indexed by part.
 	committing []*Commit
 	seq        uint64
@@ -189,6 +191,10 @@
 	TasksWithoutRun, LongestWithoutRunMS int64
 	// OrphansStopped counts the stop orders for listed runs that no job needs.
 	OrphansStopped int64
+	// CrashesCounted counts the crashes of workers that were recorded with a task,
+	// SuspectsIsolated the starts of such tasks apart from others, and TasksGivenUp
+	// those that are not started again.
+	CrashesCounted, SuspectsIsolated, TasksGivenUp int64
 }
 
 // pool holds the workers and the waiting steps of a pool.
@@ -227,7 +233,7 @@
 func New(opts Options) *Engine {
 	return &Engine{
 		opts: opts, jobs: map[string]*job{}, knownJobs: map[string]struct{}{}, workers: map[string]*worker{}, pools: map[string]*pool{},
-		dirty: map[*job]struct{}{}, committing: make([]*Commit, opts.Parts), retryAt: make([]time.Duration, opts.Parts),
+		dirty: map[*job]struct{}{}, presumed: map[string][]presumedCrash{}, committing: make([]*Commit, opts.Parts), retryAt: make([]time.Duration, opts.Parts),
 	}
 }
 
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -63,7 +63,7 @@
 		}
 		for _, r := range w.runs {
 			t := r.task
-			if !t.step.Speculative || len(t.runs) != 1 || t.done || t.step.job.ended() || r.phase == runStopping || !r.lags(now) {
+			if !t.step.Speculative || t.suspect() || len(t.runs) != 1 || t.done || t.step.job.ended() || r.phase == runStopping || !r.lags(now) {
 				continue
 			}
 			others := slices.DeleteFunc(slices.Clone(open), func(o *worker) bool { return o == w })
@@ -81,7 +81,7 @@
 // lags reports whether a new run would end well before this one.
 func (r *run) lags(now time.Duration) bool {
 	if r.worker.failedPolls > 0 {
-		return true
+		return r.proven() || now-r.worker.silentSince >= silenceBeforeCopy
 	}
 	elapsed := r.confirmedAt - r.sentAt
 	if r.percent <= 0 {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -56,6 +56,14 @@
 	// pendingRemoval is set if the worker's host is to be maintained or moved
 	// soon.
 	pendingRemoval bool
+	// plannedEnd is set once the end of the worker is known to have been ordered.
+	plannedEnd bool
+	// crashCounted is set once the end of this incarnation is recorded with its
+	// tasks.
+	crashCounted bool
+	// heldUntil is until when only suspects may start on the worker, and heldAt
+	// when that was last decided.
+	heldUntil, heldAt time.Duration
 
 	runs map[runKey]*run
 	// orphans are runs that no job needs and that are being stopped.
@@ -63,6 +71,8 @@
 	// longRunning are the runs of long-running tasks. Sweeps look for those that
 	// need another worker, and workers have many other runs.
 	longRunning []*run
+	// suspects are the runs of tasks that were suspects when they started.
+	suspects []*run
 	// speculative counts the runs of tasks that permit copies.
 	speculative int
 	// used is the sum of the requests of runs and orphans.
@@ -211,6 +221,7 @@
 		case e.promptSentAt < w.silentAt && now <= w.leaseEnd()+e.opts.MaxLease:
 			e.probeAnother(w, now)
 		default:
+			e.countCrash(w, true, now)
 			for _, r := range w.runs {
 				if !r.sentToPrevious() || r.listed || now > r.sentAt+maxOrderDelay+e.opts.MaxLease {
 					e.loseRun(r, "lease expired", now)
@@ -321,6 +332,9 @@
 	if r.task.step.Speculative {
 		w.speculative++
 	}
+	if r.task.suspect() {
+		w.suspects = append(w.suspects, r)
+	}
 }
 
 func (w *worker) removeRun(r *run) {
@@ -330,6 +344,7 @@
 	}
 	delete(w.runs, key)
 	w.longRunning = slices.DeleteFunc(w.longRunning, func(other *run) bool { return other == r })
+	w.suspects = slices.DeleteFunc(w.suspects, func(other *run) bool { return other == r })
 	w.releaseResources(r.task.step.Requests())
 	if r.task.step.Speculative {
 		w.speculative--
--- a/internal/scheduler/workerhosts.go
+++ b/internal/scheduler/workerhosts.go
@@ -86,9 +86,17 @@
 // HostsListed handles a host list that was requested at the given time. known
 // are the hosts of the workers, which it updates.
 func (e *Engine) HostsListed(known WorkerHosts, list []estate.Host, requested, now time.Duration) {
+	for id := range e.presumed {
+		if _, ok := known[id]; !ok {
+			known[id] = WorkerHost{} // it started and fell silent between two lists
+		}
+	}
 	ended, left := known.update(list)
+	hosts := hostsByName(list)
 	for _, id := range ended {
-		if e.HostEnded(id, requested, now) {
+		h := hosts[known[id].Host]
+		planned := h.Pool != known[id].Pool || h.State == estate.HostMoving || h.State == estate.HostMaintenance
+		if e.HostEnded(id, planned, requested, now) {
 			delete(known, id)
 		}
 	}
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -30,6 +30,42 @@
 	// Failures lists the failed runs as [occurrence, step, index, run]. Each
 	// run is listed once, even if its end is reported several times.
 	Failures [][4]int `json:"failures,omitempty"`
+	// Crashes lists the workers that ended under a run, each run at most once.
+	Crashes []Crash `json:"crashes,omitempty"`
+}
+
+// Crash is the unplanned end of a worker under a run of a task. The members of a
+// gang share the crashes of the first one.
+type Crash struct {
+	Occurrence int         `json:"o"`
+	Step       int         `json:"s"`
+	Index      int         `json:"i"`
+	Run        int         `json:"r"`
+	Weight     CrashWeight `json:"w"`
+}
+
+// CrashWeight is how likely a crash was caused by the run.
+type CrashWeight int
+
+const (
+	// CrashBystander means that the run had been listed for a while.
+	CrashBystander CrashWeight = iota
+	// CrashPresumed means that the worker fell silent right after the start, and
+	// whether it has ended is unknown.
+	CrashPresumed
+	// CrashUnanswered means that the worker ended and its start got no answer.
+	CrashUnanswered
+	// CrashCertain means that the worker ended right after it had started the run.
+	CrashCertain
+)
+
+// String returns the weight for the log.
+func (w CrashWeight) String() string {
+	names := [...]string{"bystander", "presumed", "unanswered", "certain"}
+	if w < 0 || int(w) >= len(names) {
+		return "unknown"
+	}
+	return names[w]
 }
 
 // Encode returns the JSON encoding of the record for the table service.
