scheduler: count a crash as certain only while the run was on the worker

Cause: a run counted as begun when its start was answered, also by the next incarnation under the same id, which takes starts that were meant for the one before; and when its lease may have expired long before the crash. Two such counts give a task up, under which fewer than two workers have crashed.

Change: the answer to a start counts if the clock in it is not below the last one known, which a later incarnation's is; a crash that becomes known after the lease is uncertain, as are presumed ones that are confirmed. Random histories fail if a job has failed while fewer than two workers crashed under each task of it.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -40,7 +40,6 @@
 type presumedCrash struct {
 	task  *task
 	run   int
-	begun bool
 	alone bool
 }
 
@@ -68,8 +67,13 @@
 // while.
 func (r *run) proven() bool { return r.listed && r.confirmedAt-r.sentAt >= provenAfter }
 
-// begun reports whether the worker has certainly started the run.
-func (r *run) begun() bool { return r.listed || r.phase == runConfirmed || r.confirmedAt >= 0 }
+// begun reports whether this incarnation of the worker has certainly started the
+// run.
+func (r *run) begun() bool { return r.listed || r.startedHere }
+
+// leaseRuns reports whether the lease of the worker has not expired yet by any
+// clock: its runs were there until it ended, unless they had ended by themselves.
+func (w *worker) leaseRuns(now time.Duration) bool { return w.leaseMS > w.clock(now) }
 
 // endsAsPlanned reports whether the end of the worker was announced or ordered.
 func (w *worker) endsAsPlanned() bool {
@@ -112,11 +116,11 @@
 			continue
 		case cause && presumed:
 			weight = workload.CrashPresumed
-			e.presumed[w.ID] = append(e.presumed[w.ID], presumedCrash{task: r.task.crashUnit(), run: r.number, begun: r.begun(), alone: alone})
-		case cause && r.begun():
+			e.presumed[w.ID] = append(e.presumed[w.ID], presumedCrash{task: r.task.crashUnit(), run: r.number, alone: alone})
+		case cause && r.begun() && w.leaseRuns(now):
 			weight = workload.CrashCertain
 		case cause:
-			weight = workload.CrashUnanswered
+			weight = workload.CrashUncertain
 		}
 		e.recordCrash(r.task.crashUnit(), crash{r.number, weight}, cause && alone, w.ID, now)
 	}
@@ -130,12 +134,8 @@
 		if p.task.step.job.ended() {
 			continue
 		}
-		weight := workload.CrashUnanswered
-		if p.begun {
-			weight = workload.CrashCertain
-		}
 		if crashed {
-			e.recordCrash(p.task, crash{p.run, weight}, p.alone, id, now)
+			e.recordCrash(p.task, crash{p.run, workload.CrashUncertain}, p.alone, id, now)
 			continue
 		}
 		p.task.crashes = slices.DeleteFunc(slices.Clone(p.task.crashes), func(c crash) bool {
@@ -172,10 +172,10 @@
 // condemned reports whether the latest crash suffices to give the task up.
 // Presumed ones never do.
 func (t *task) condemned(latest crash, alone bool) bool {
-	if latest.weight < workload.CrashUnanswered {
+	if latest.weight < workload.CrashUncertain {
 		return false
 	}
-	confirmed := t.count(workload.CrashUnanswered)
+	confirmed := t.count(workload.CrashUncertain)
 	for _, c := range t.crashUnit().crashes {
 		if c.weight == workload.CrashBystander {
 			confirmed++
--- a/internal/scheduler/crash_simulation_test.go
+++ b/internal/scheduler/crash_simulation_test.go
@@ -28,9 +28,9 @@
 	hostOf map[string]string
 	known  WorkerHosts
 	booted int
-	// crashed counts the workers that crashed under a task, and startsAfterThird
-	// the starts after the third one.
-	crashed, startsAfterThird map[workload.TaskID]int
+	// startsAfterThird counts the starts of a task after three workers have crashed
+	// under it.
+	startsAfterThird map[workload.TaskID]int
 }
 
 // entriesInterval is the time between two looks at the discovery entries.
@@ -39,7 +39,7 @@
 func newCrashSimulation(t testingT, workers int) *crashSimulation {
 	c := &crashSimulation{
 		simulation: newSimulation(t), crashes: func(workload.TaskID) bool { return false }, delay: 30 * time.Millisecond, downtime: 3 * time.Second,
-		hostLists: true, hostOf: map[string]string{}, known: WorkerHosts{}, crashed: map[workload.TaskID]int{}, startsAfterThird: map[workload.TaskID]int{},
+		hostLists: true, hostOf: map[string]string{}, known: WorkerHosts{}, startsAfterThird: map[workload.TaskID]int{},
 	}
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i+1)
@@ -80,13 +80,6 @@
 // crashWorker crashes a worker, whose host comes back after the downtime.
 func (c *crashSimulation) crashWorker(f *fakeWorker) {
 	c.tracef("%s crashes", f.ID)
-	under := map[workload.TaskID]bool{}
-	for key := range f.running {
-		under[key.task] = true
-	}
-	for task := range under {
-		c.crashed[task]++
-	}
 	f.crash()
 	f.incarnation++ // answers on the way are lost with it
 	incarnation := f.incarnation
--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -386,5 +386,19 @@
 		if !j.progress.State.Over() {
 			t.Errorf("job %s is still %s", id, j.progress.State)
 		}
+		if most := sim.mostCrashes(id); j.progress.State == workload.Failed && most < maxCertainCrashes {
+			t.Errorf("job %s has failed, though at most %d workers have crashed under a task of it: %+v", id, most, j.progress.Crashes)
+		}
+	}
+}
+
+// mostCrashes returns how many workers have crashed under a task of a job, at most.
+func (sim *simulation) mostCrashes(job string) int {
+	most := 0
+	for task, n := range sim.crashed {
+		if task.Job == job {
+			most = max(most, n)
+		}
 	}
+	return most
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -145,6 +145,9 @@
 	stopAt              time.Duration
 	stopAcked           bool
 	stopReason          string
+	// startedHere is set once the start was answered by this incarnation of the
+	// worker: the clock of a later one starts anew.
+	startedHere bool
 	// listed is set once a poll has shown the run.
 	listed  bool
 	percent float64
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -85,6 +85,7 @@
 			r.phase = runConfirmed
 		}
 		r.confirmedAt = now
+		r.startedHere = a.ClockMS > 0 && a.ClockMS >= w.clockMS
 		e.begin(r.task.step.job, now)
 		return
 	case platform.OrderFenced:
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -57,6 +57,8 @@
 	requestDelay, answerDelay func() time.Duration
 	// violation describes the first violated invariant.
 	violation string
+	// crashed counts the workers that crashed under each task.
+	crashed map[workload.TaskID]int
 	// trace lists the events so far, for the report of a violation.
 	trace []string
 }
@@ -171,6 +173,7 @@
 
 func newSimulation(t testingT) *simulation {
 	return &simulation{t: t, workers: map[string]*fakeWorker{}, records: map[string]*storedJob{}, inUse: map[string]UsedWorker{}, lastOrders: map[int64]time.Duration{},
+		crashed:        map[workload.TaskID]int{},
 		catalogVersion: 1, poolOf: map[string]string{}, log: zap.NewNop(),
 		requestDelay: func() time.Duration { return orderDelay }, answerDelay: func() time.Duration { return orderDelay },
 	}
@@ -217,6 +220,13 @@
 // crash ends an incarnation and its runs.
 func (f *fakeWorker) crash() {
 	f.up = false
+	under := map[workload.TaskID]bool{}
+	for key := range f.running {
+		under[key.task] = true
+	}
+	for task := range under {
+		f.sim.crashed[task]++
+	}
 	f.running = map[runKey]*fakeRun{}
 }
 
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -53,15 +53,16 @@
 	// CrashPresumed means that the worker fell silent right after the start, and
 	// whether it has ended is unknown.
 	CrashPresumed
-	// CrashUnanswered means that the worker ended and its start got no answer.
-	CrashUnanswered
+	// CrashUncertain means that the worker ended after the start, but the start got
+	// no answer, or the lease of the run may have expired before.
+	CrashUncertain
 	// CrashCertain means that the worker ended right after it had started the run.
 	CrashCertain
 )
 
 // String returns the weight for the log.
 func (w CrashWeight) String() string {
-	names := [...]string{"bystander", "presumed", "unanswered", "certain"}
+	names := [...]string{"bystander", "presumed", "uncertain", "certain"}
 	if w < 0 || int(w) >= len(names) {
 		return "unknown"
 	}
