scheduler: count a job that is given up once

Cause: the other tasks of a job that had just been given up were recorded with the same crash, and each gave the job up again: the counters and the log told of three failed jobs for one.

Change: crashes are not recorded with jobs that have ended. A test covers tasks that crash their workers 0.9 to 5 s after the start, beside others.

Evidence: TestTasksCompleteWhileJobsThatCrashWorkersArrive failed before (18 jobs counted as failed, want 6) and passes; TestTaskThatCrashesWorkersLateIsGivenUp passes with and without.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -148,6 +148,9 @@
 // recordCrash adds a crash to the record of a task, or raises the weight of a
 // recorded one, and gives the task up if that suffices.
 func (e *Engine) recordCrash(t *task, c crash, alone bool, workerID string, now time.Duration) {
+	if t.step.job.ended() {
+		return // it has been given up for another task
+	}
 	i := slices.IndexFunc(t.crashes, func(other crash) bool { return other.run == c.run })
 	switch {
 	case i >= 0 && t.crashes[i].weight >= c.weight:
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -109,6 +109,9 @@
 		for _, job := range deadly {
 			c.checkGivenUp(t, job)
 		}
+		if got := c.owner.Stats().JobsFailed; got != int64(len(deadly)) {
+			t.Errorf("%d jobs are counted as failed, want %d", got, len(deadly))
+		}
 		completed := 0
 		for _, job := range innocent {
 			if c.state(job.ID) == workload.Completed {
@@ -121,6 +124,33 @@
 	}
 }
 
+// The worker crashes long after the start, beside tasks that have just started.
+func TestTaskThatCrashesWorkersLateIsGivenUp(t *testing.T) {
+	for _, newIDs := range []bool{false, true} {
+		for _, delay := range []time.Duration{900 * time.Millisecond, 2 * time.Second, 5 * time.Second} {
+			c := newCrashSimulation(t, 9)
+			c.newIDs, c.delay = newIDs, delay
+			var innocent []*workload.Job
+			deadly := jobOf(99, 2, 2)
+			c.crashes = isTaskOf(deadly)
+			c.submit(c.owner, deadly)
+			for i := range 90 {
+				job := jobOf(i+1, 3, 2)
+				innocent = append(innocent, job)
+				c.submit(c.owner, job)
+				c.play(200 * time.Millisecond)
+			}
+			c.play(30 * time.Second)
+			c.checkGivenUp(t, deadly)
+			for _, job := range innocent {
+				if got := c.state(job.ID); got != workload.Completed {
+					t.Errorf("state of a job that crashes nothing is %q, want completed", got)
+				}
+			}
+		}
+	}
+}
+
 // Workers crash at random, some of them twice under the same tasks.
 func TestTaskIsNotGivenUpForCrashesInCompany(t *testing.T) {
 	for _, newIDs := range []bool{false, true} {
