--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -101,6 +101,9 @@
 	TaskWithoutRun       = New(941, zapcore.WarnLevel, "long-running task has no run")
 	StartsHeld           = New(942, zapcore.WarnLevel, "starts held, the known cancellations are too old")
 	StartsResumed        = New(943, zapcore.InfoLevel, "starts resumed")
+	CrashCounted         = New(944, zapcore.WarnLevel, "worker crash counted against a task")
+	SuspectIsolated      = New(945, zapcore.InfoLevel, "suspect task started apart from others")
+	TaskGivenUp          = New(946, zapcore.WarnLevel, "task given up")
 	RecoveryEnded        = New(933, zapcore.InfoLevel, "recovery ended")
 )
 
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -63,6 +63,8 @@
 	cancelWithin time.Duration
 	// violation describes the first violated invariant.
 	violation string
+	// crashed counts the workers that crashed under each task.
+	crashed map[workload.TaskID]int
 	// trace lists the events so far, for the report of a violation.
 	trace []string
 }
@@ -168,6 +170,8 @@
 	overcommits bool
 	// former holds the capacities that this incarnation had before.
 	former []formerCapacity
+	// started, if set, is called after each start that the worker carries out.
+	started func(workload.TaskID)
 }
 
 type fakeRun struct {
@@ -183,6 +187,7 @@
 
 func newSimulation(t testingT) *simulation {
 	return &simulation{t: t, workers: map[string]*fakeWorker{}, records: map[string]*storedJob{}, inUse: map[string]UsedWorker{}, lastOrders: map[int64]time.Duration{},
+		crashed:        map[workload.TaskID]int{},
 		catalogVersion: 1, poolOf: map[string]string{}, log: zap.NewNop(),
 		requestDelay: func() time.Duration { return orderDelay }, answerDelay: func() time.Duration { return orderDelay },
 	}
@@ -232,6 +237,13 @@
 // crash ends an incarnation and its runs.
 func (f *fakeWorker) crash() {
 	f.up = false
+	under := map[workload.TaskID]bool{}
+	for key := range f.running {
+		under[key.task] = true
+	}
+	for task := range under {
+		f.sim.crashed[task]++
+	}
 	f.running = map[runKey]*fakeRun{}
 }
 
@@ -320,6 +332,9 @@
 	f.highestRun[o.Task] = o.Run
 	sim.checkStart(f, o)
 	f.running[key] = &fakeRun{task: o.Task, run: o.Run, startedAt: sim.now, throttlePercent: 100}
+	if f.started != nil {
+		f.started(o.Task)
+	}
 	return a
 }
 
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -30,6 +30,43 @@
 	// Failures lists the failed runs as [occurrence, step, index, run]. Each
 	// run is listed once, even if its end is reported several times.
 	Failures [][4]int `json:"failures,omitempty"`
+	// Crashes lists the workers that ended under a run, each run at most once.
+	Crashes []Crash `json:"crashes,omitempty"`
+}
+
+// Crash is the unplanned end of a worker under a run of a task. The members of a
+// gang share the crashes of the first one.
+type Crash struct {
+	Occurrence int         `json:"o"`
+	Step       int         `json:"s"`
+	Index      int         `json:"i"`
+	Run        int         `json:"r"`
+	Weight     CrashWeight `json:"w"`
+}
+
+// CrashWeight is how likely a crash was caused by the run.
+type CrashWeight int
+
+const (
+	// CrashBystander means that the run had been listed for a while.
+	CrashBystander CrashWeight = iota
+	// CrashPresumed means that the worker fell silent right after the start, and
+	// whether it has ended is unknown.
+	CrashPresumed
+	// CrashUncertain means that the worker ended after the start, but the start got
+	// no answer, or the lease of the run may have expired before.
+	CrashUncertain
+	// CrashCertain means that the worker ended right after it had started the run.
+	CrashCertain
+)
+
+// String returns the weight for the log.
+func (w CrashWeight) String() string {
+	names := [...]string{"bystander", "presumed", "uncertain", "certain"}
+	if w < 0 || int(w) >= len(names) {
+		return "unknown"
+	}
+	return names[w]
 }
 
 // maxPlainBytes is the size from which the lists are stored packed: a little
@@ -43,6 +80,7 @@
 	State    State  `json:"state"`
 	Done     []byte `json:"done"`
 	Failures []byte `json:"failures,omitempty"`
+	Crashes  []byte `json:"crashes,omitempty"`
 }
 
 // Encode returns the JSON encoding of the record for the table service.
@@ -52,7 +90,7 @@
 		return data, errors.Wrap(err, "encode progress")
 	}
 	packed := packedProgress{Queue: p.Queue, State: p.State}
-	done, failures := make([][]int, len(p.Done)), make([][]int, len(p.Failures))
+	done, failures, crashes := make([][]int, len(p.Done)), make([][]int, len(p.Failures)), make([][]int, len(p.Crashes))
 	for i := range p.Done {
 		done[i] = p.Done[i][:]
 	}
@@ -62,9 +100,17 @@
 	if packed.Done, err = packTasks(done, 3); err != nil {
 		return nil, err
 	}
+	for i, c := range p.Crashes {
+		crashes[i] = []int{c.Occurrence, c.Step, c.Index, c.Run, int(c.Weight)}
+	}
 	if packed.Failures, err = packTasks(failures, 4); err != nil {
 		return nil, err
 	}
+	if len(crashes) > 0 {
+		if packed.Crashes, err = packTasks(crashes, 5); err != nil {
+			return nil, err
+		}
+	}
 	data, err = json.Marshal(packed)
 	return data, errors.Wrap(err, "encode progress")
 }
@@ -92,14 +138,25 @@
 	for _, r := range done {
 		p.Done = append(p.Done, [3]int(r))
 	}
-	if len(w.Failures) == 0 {
-		return p, nil
+	if len(w.Failures) > 0 {
+		failures, err := unpackTasks(w.Failures, 4)
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range failures {
+			p.Failures = append(p.Failures, [4]int(r))
+		}
 	}
-	failures, err := unpackTasks(w.Failures, 4)
-	for _, r := range failures {
-		p.Failures = append(p.Failures, [4]int(r))
+	if len(w.Crashes) > 0 {
+		crashes, err := unpackTasks(w.Crashes, 5)
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range crashes {
+			p.Crashes = append(p.Crashes, Crash{Occurrence: r[0], Step: r[1], Index: r[2], Run: r[3], Weight: CrashWeight(r[4])})
+		}
 	}
-	return p, err
+	return p, nil
 }
 
 // Encode returns the JSON encoding of the job for the table service.
--- a/internal/workload/progress_test.go
+++ b/internal/workload/progress_test.go
@@ -6,6 +6,8 @@
 	"reflect"
 	"slices"
 	"testing"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 // testRowBytes is the platform's limit on the value of a row.
@@ -94,3 +96,21 @@
 		}
 	}
 }
+
+func TestProgressOfALargeJobKeepsItsCrashes(t *testing.T) {
+	p := &Progress{Queue: "q", State: Running, Crashes: []Crash{{Step: 1, Index: 7, Run: 1, Weight: CrashPresumed}, {Step: 1, Index: 7, Run: 2001, Weight: CrashCertain}}}
+	for i := range 20_000 {
+		p.Done = append(p.Done, [3]int{0, 0, i})
+	}
+	data, err := p.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeProgress(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(p, got); diff != "" {
+		t.Error(diff)
+	}
+}
