--- a/internal/node/cancelled_test.go
+++ b/internal/node/cancelled_test.go
@@ -11,6 +11,7 @@
 	"github.com/egretpitch/egretpitch/internal/ctxtime"
 	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/standin"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
@@ -46,27 +47,35 @@
 	delete(f.runs[id], task)
 }
 
-// The owner keeps its lease while its feeds of jobs and cancellations are silent, and a worker becomes free after the bound.
-func TestNoTaskStartsLongAfterItsJobWasCancelled(t *testing.T) {
+// nodeWithTwoTasks returns a node whose store holds a job of two tasks that each
+// need the whole test worker.
+func nodeWithTwoTasks(t *testing.T) (*Node, *standin.Rows, *testWorkers) {
+	t.Helper()
 	n, rows, _ := testNode(t)
-	feed := &silentFeed{Rows: rows}
-	n.Rows = feed
-	other := New(Options{Name: "entry-2", Rows: rows, Log: zap.NewNop()})
 	f := &testWorkers{
 		changed: make(chan struct{}), runs: map[string]map[workload.TaskID]int{}, ends: map[string][]platform.EndedRun{}, starts: map[string]int{},
 	}
 	n.Runner, n.Discovery, n.Fleet = f, f, f
 	n.Scheduling.MaxLease, n.Scheduling.StopGrace = 6*time.Second, 900*time.Millisecond
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
 	job := &workload.Job{ID: testID, Queue: "q", Pool: "p", Steps: []workload.Step{{Count: 2, Size: placement.Resources{Processors: testWorker.Capacity.Processors, MemoryMB: 10}}}}
 	submission, err := newSubmission(job, time.Now())
 	if err == nil {
-		_, err = rows.CommitRows(ctx, platform.RowTxn{Writes: submission.rows[:]})
+		_, err = rows.CommitRows(t.Context(), platform.RowTxn{Writes: submission.rows[:]})
 	}
 	if err != nil {
 		t.Fatal(err)
 	}
+	return n, rows, f
+}
+
+// The owner keeps its lease while its feeds of jobs and cancellations are silent, and a worker becomes free after the bound.
+func TestNoTaskStartsLongAfterItsJobWasCancelled(t *testing.T) {
+	n, rows, f := nodeWithTwoTasks(t)
+	feed := &silentFeed{Rows: rows}
+	n.Rows = feed
+	other := New(Options{Name: "entry-2", Rows: rows, Log: zap.NewNop()})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
 	f.list(testWorker)
 	n.acquire(ctx)
 	waitFor(t, "start of the first task", func() bool { starts, _ := f.counts("w"); return starts == 1 })
--- a/internal/node/draining_test.go
+++ b/internal/node/draining_test.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/egretpitch/egretpitch/internal/ctxtime"
-	"github.com/egretpitch/egretpitch/internal/estate"
-	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
@@ -35,23 +33,11 @@
 
 // The owner keeps its lease while its feed of workers' entries is silent.
 func TestNoTaskStartsLongAfterItsWorkerDrains(t *testing.T) {
-	n, rows, _ := testNode(t)
-	f := &testWorkers{
-		changed: make(chan struct{}), runs: map[string]map[workload.TaskID]int{}, ends: map[string][]platform.EndedRun{}, starts: map[string]int{},
-	}
+	n, _, f := nodeWithTwoTasks(t)
 	entries := &silentEntries{testWorkers: f}
-	n.Runner, n.Discovery, n.Fleet = f, entries, f
-	n.Scheduling.MaxLease, n.Scheduling.StopGrace = 6*time.Second, 900*time.Millisecond
+	n.Discovery = entries
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	job := &workload.Job{ID: testID, Queue: "q", Pool: "p", Steps: []workload.Step{{Count: 2, Size: placement.Resources{Processors: testWorker.Capacity.Processors, MemoryMB: 10}}}}
-	submission, err := newSubmission(job, time.Now())
-	if err == nil {
-		_, err = rows.CommitRows(ctx, platform.RowTxn{Writes: submission.rows[:]})
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
 	f.list(testWorker)
 	n.acquire(ctx)
 	waitFor(t, "start of the first task", func() bool { starts, _ := f.counts("w"); return starts == 1 })
@@ -59,7 +45,7 @@
 	time.Sleep(time.Second) // the call that was in flight has returned
 	draining := testWorker
 	draining.Draining = true
-	f.list([]estate.Worker{draining}...)
+	f.list(draining)
 	time.Sleep(drainBound + 500*time.Millisecond)
 	f.end("w", workload.TaskID{Job: testID})
 	time.Sleep(time.Second)
--- a/internal/node/versionmarks_test.go
+++ b/internal/node/versionmarks_test.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"github.com/egretpitch/egretpitch/internal/ctxtime"
-	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
@@ -46,27 +45,14 @@
 	return rows, stamp, err
 }
 
-// startLateAnswers returns a node whose store holds a job of two tasks that each
-// need the whole test worker.
+// startLateAnswers returns a node with a job of two tasks, whose table service
+// answers late, and another node that uses the service itself.
 func startLateAnswers(t *testing.T) (n, other *Node, service *lateAnswers, f *testWorkers) {
 	t.Helper()
-	n, rows, _ := testNode(t)
+	n, rows, f := nodeWithTwoTasks(t)
 	service = &lateAnswers{Rows: rows}
 	n.Rows = service
 	other = New(Options{Name: "entry-2", Rows: rows, Log: zap.NewNop()})
-	f = &testWorkers{
-		changed: make(chan struct{}), runs: map[string]map[workload.TaskID]int{}, ends: map[string][]platform.EndedRun{}, starts: map[string]int{},
-	}
-	n.Runner, n.Discovery, n.Fleet = f, f, f
-	n.Scheduling.MaxLease, n.Scheduling.StopGrace = 6*time.Second, 900*time.Millisecond
-	job := &workload.Job{ID: testID, Queue: "q", Pool: "p", Steps: []workload.Step{{Count: 2, Size: placement.Resources{Processors: testWorker.Capacity.Processors, MemoryMB: 10}}}}
-	submission, err := newSubmission(job, time.Now())
-	if err == nil {
-		_, err = rows.CommitRows(t.Context(), platform.RowTxn{Writes: submission.rows[:]})
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
 	return n, other, service, f
 }
 
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -130,9 +130,9 @@
 }
 
 // HostEnded handles a host list, requested at the given time, that shows the end
-// of a worker, because its host was moved or maintained if planned is set. A worker that has answered a later poll is another incarnation, and
-// one that was not known then may be. HostEnded reports whether the worker is known
-// no more.
+// of a worker; planned is set if its host was moved or is maintained. A worker that
+// has answered a later poll is another incarnation, and one that was not known then
+// may be. HostEnded reports whether the worker is known no more.
 func (e *Engine) HostEnded(id string, planned bool, requested, now time.Duration) bool {
 	if w := e.workers[id]; w != nil && max(w.answeredSentAt, w.knownSince) > requested {
 		return false
