--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -93,12 +93,15 @@
 }
 
 // step reads the table or its changes and advances the version if it succeeds.
+// outcome is called with the outcome of each call, nil or an error.
 func (f *feed) step(ctx context.Context, outcome func(error)) error {
-	read := f.changes
+	var handle handleAnswer
+	var err error
 	if f.version == unread {
-		read = func(ctx context.Context, _ func(error)) (handleAnswer, error) { return f.all(ctx) }
+		handle, err = f.all(ctx)
+	} else {
+		handle, err = f.changes(ctx, outcome)
 	}
-	handle, err := read(ctx, outcome)
 	outcome(err)
 	if err != nil {
 		return err
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -164,7 +164,7 @@
 	event.CrashCounted.Log(e.opts.Log, zap.Stringer("task", t.id()), zap.Int("run", c.run), zap.String("worker", workerID),
 		zap.Stringer("weight", c.weight), zap.Bool("alone", alone), zap.Int("crashes", len(t.crashes)))
 	e.storeCrashes(t, now)
-	if t.condemned(c, alone) {
+	if t.isGivenUp(c, alone) {
 		e.stats.TasksGivenUp++
 		event.TaskGivenUp.Log(e.opts.Log, zap.Stringer("task", t.id()), zap.Int("crashes", len(t.crashes)),
 			zap.Int("certain", t.count(workload.CrashCertain)), zap.String("reason", "its workers crash"))
@@ -172,9 +172,9 @@
 	}
 }
 
-// condemned reports whether the latest crash suffices to give the task up.
+// isGivenUp reports whether the latest crash suffices to give the task up.
 // Presumed ones never do.
-func (t *task) condemned(latest crash, alone bool) bool {
+func (t *task) isGivenUp(latest crash, alone bool) bool {
 	if latest.weight < workload.CrashUncertain {
 		return false
 	}
