scheduler: the fate of a silent worker is settled by its own incarnation, or by time

Now only the incarnation that fell silent withdraws its crash, a successor counts it as uncertain, and six seconds after the lease it is confirmed.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -38,9 +38,12 @@
 // presumedCrash is a crash of a worker that fell silent. It is confirmed or
 // withdrawn once the fate of the worker is known.
 type presumedCrash struct {
-	task  *task
-	run   int
-	alone bool
+	// startedMS is the incarnation that fell silent, and at when it was given up.
+	startedMS int64
+	at        time.Duration
+	task      *task
+	run       int
+	alone     bool
 }
 
 // crashUnit returns the task whose record holds the crashes: the members of a
@@ -116,7 +119,7 @@
 			continue
 		case cause && presumed:
 			weight = workload.CrashPresumed
-			e.presumed[w.ID] = append(e.presumed[w.ID], presumedCrash{task: r.task.crashUnit(), run: r.number, alone: alone})
+			e.presumed[w.ID] = append(e.presumed[w.ID], presumedCrash{startedMS: w.StartedMS, at: now, task: r.task.crashUnit(), run: r.number, alone: alone})
 		case cause && r.begun() && w.leaseRuns(now):
 			weight = workload.CrashCertain
 		case cause:
@@ -126,6 +129,30 @@
 	}
 }
 
+// fateTimeout is how long after its lease a worker that never answers again counts
+// as cut off. After that its crash is no longer presumed.
+const fateTimeout = 6 * time.Second
+
+// answeredAfterSilence settles the presumed crashes of a worker that answers: they
+// are withdrawn if it is the incarnation that fell silent.
+func (e *Engine) answeredAfterSilence(id string, startedMS int64, now time.Duration) {
+	list := e.presumed[id]
+	if len(list) == 0 {
+		return
+	}
+	silent := list[0].startedMS
+	e.settlePresumed(id, silent != 0 && startedMS != 0 && silent != startedMS, now)
+}
+
+// confirmPresumed confirms the presumed crashes of workers whose fate stays unknown.
+func (e *Engine) confirmPresumed(now time.Duration) {
+	for id, list := range e.presumed {
+		if len(list) > 0 && now-list[0].at > fateTimeout {
+			e.settlePresumed(id, true, now)
+		}
+	}
+}
+
 // settlePresumed confirms or withdraws the presumed crashes of a worker.
 func (e *Engine) settlePresumed(id string, crashed bool, now time.Duration) {
 	list := e.presumed[id]
@@ -213,7 +240,11 @@
 func (j *job) restoreCrashes(o *occurrence) {
 	for _, c := range j.progress.Crashes {
 		if t := j.find(c.Occurrence, c.Step, c.Index); t != nil && c.Occurrence == o.number {
-			t.crashes = append(t.crashes, crash{c.Run, c.Weight})
+			weight := c.Weight
+			if weight == workload.CrashPresumed {
+				weight = workload.CrashUncertain // nobody settles it any more
+			}
+			t.crashes = append(t.crashes, crash{c.Run, weight})
 			t.lastRun = max(t.lastRun, c.Run)
 			t.step.hasSuspects = true
 		}
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -223,7 +223,7 @@
 		return
 	}
 	w.StartedMS = cmp.Or(w.StartedMS, status.StartedMS)
-	e.settlePresumed(w.ID, false, now)
+	e.answeredAfterSilence(w.ID, w.StartedMS, now)
 	w.answeredSentAt = max(w.answeredSentAt, o.sentAt)
 	if w.otherEntry != nil && o.sentAt > w.otherEntryAt {
 		w.otherEntry = nil // it was of a previous incarnation
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -395,6 +395,7 @@
 		e.nextSweep = now + sweepInterval
 		e.createDueOccurrences(now)
 		e.expireLeases(now)
+		e.confirmPresumed(now)
 		e.finishRecovery(now)
 		e.checkRuns(now)
 		e.stopStalledRuns(now)
