--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -79,8 +79,11 @@
 	requesting    bool
 	nextRequest   time.Duration
 	requestOffset int
-	// hasSuspects is set once a worker has ended under a task of the step.
+	// hasSuspects is set once a worker has ended under a task of the step, and
+	// apartSince while tasks have only been kept from workers with free capacity to
+	// keep suspects apart.
 	hasSuspects bool
+	apartSince  time.Duration
 	// gangRetry is the earliest time of the next start of a gang.
 	gangRetry time.Duration
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -159,10 +159,11 @@
 		if !t.startable() || now < t.notBefore || e.waitsForRecord(t) {
 			continue
 		}
-		w, ticket := e.chooseWorker(t, open, now)
+		w, ticket, apart := e.chooseWorker(t, open, now)
 		if w == nil {
-			w, ticket = e.chooseWorker(t, t.lastResort(lastResort, now), now)
+			w, ticket, _ = e.chooseWorker(t, t.lastResort(lastResort, now), now)
 		}
+		s.keepApart(w == nil && apart, now)
 		switch {
 		case w != nil:
 			e.start(t, w, e.nextRun(t), ticket, now)
@@ -178,15 +179,20 @@
 }
 
 // chooseWorker returns the best worker for a task and its ticket, nil if no
-// worker is suitable.
-func (e *Engine) chooseWorker(t *task, open []*worker, now time.Duration) (*worker, string) {
+// worker is suitable. apart is set if a worker was left out only to keep suspects
+// apart.
+func (e *Engine) chooseWorker(t *task, open []*worker, now time.Duration) (w *worker, ticket string, apart bool) {
 	s := t.step
 	size := s.Requests()
 	var best *worker
 	var bestFit fit
 	var bestTicket string
 	for _, w := range open {
-		if !s.fitsOn(w) || !t.separate(w, now) {
+		if !s.fitsOn(w) {
+			continue
+		}
+		if !t.separate(w, now) && !s.apartForLong(now) {
+			apart = true
 			continue
 		}
 		ticket, ok := e.ticket(s, w, now)
@@ -198,7 +204,7 @@
 			best, bestFit, bestTicket = w, f, ticket
 		}
 	}
-	return best, bestTicket
+	return best, bestTicket, apart
 }
 
 // fitsOn reports whether the worker has the capacity for a task of the step and
@@ -279,6 +285,13 @@
 	if chosen == nil && s.tasks[0].suspect() {
 		chosen = e.gangWorkers(s, e.withTicket(s, s.tasks[0].besideNoSuspect(open), now))
 	}
+	if chosen == nil {
+		anywhere := e.gangWorkers(s, e.withTicket(s, open, now))
+		if s.apartForLong(now) {
+			chosen = anywhere
+		}
+		s.keepApart(anywhere != nil, now)
+	}
 	if chosen == nil {
 		return
 	}
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -67,7 +67,7 @@
 				continue
 			}
 			others := slices.DeleteFunc(slices.Clone(open), func(o *worker) bool { return o == w })
-			target, ticket := e.chooseWorker(t, others, now)
+			target, ticket, _ := e.chooseWorker(t, others, now)
 			if target == nil {
 				continue
 			}
--- a/internal/scheduler/suspect.go
+++ b/internal/scheduler/suspect.go
@@ -17,6 +17,9 @@
 	// maxHeldFraction is the fraction of a pool's workers that may be held for
 	// suspects at a time; one always may.
 	maxHeldFraction = 0.25
+	// maxApart is how long tasks wait for a worker of their own, or beside no
+	// suspect, though there is free capacity. After that they start anywhere.
+	maxApart = 1500 * time.Millisecond
 	// silenceBeforeCopy is how long a worker must be silent before a task that it
 	// had just started gets a copy: a host list shows a crash sooner.
 	silenceBeforeCopy = 1500 * time.Millisecond
@@ -88,6 +91,22 @@
 	return !j.testedElsewhere(w)
 }
 
+// apartForLong reports whether tasks of the step have been kept apart for too long.
+func (s *step) apartForLong(now time.Duration) bool {
+	return s.apartSince > 0 && now-s.apartSince > maxApart
+}
+
+// keepApart records whether a task of the step waits only to keep tasks apart. Once
+// that has taken too long, its other tasks need not wait as well.
+func (s *step) keepApart(waits bool, now time.Duration) {
+	switch {
+	case waits && s.apartSince == 0:
+		s.apartSince = now
+	case !waits && !s.apartForLong(now):
+		s.apartSince = 0
+	}
+}
+
 // waitsForRecord reports whether the task must not start yet: a crash is not
 // recorded, or too many workers fell silent under it whose fate is unknown.
 func (e *Engine) waitsForRecord(t *task) bool {
