scheduler: a transaction of progress is bounded by its size, too

45 records of large jobs can exceed the store's 1 MB, and a refused transaction was tried again with the same ones. Records are added while an estimate from above stays below 600 KB.

--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
 // commitRetry is the pause after a commit that was refused or whose outcome is
@@ -42,6 +44,13 @@
 		return cmp.Compare(a.seq, b.seq)
 	})
 	jobs = jobs[:min(len(jobs), maxCommitJobs)]
+	size := 0
+	for i, j := range jobs {
+		if size += progressSize(&j.progress); i > 0 && size > maxCommitBytes {
+			jobs = jobs[:i]
+			break
+		}
+	}
 	c := &Commit{Part: part, Records: make([]Record, len(jobs))}
 	for i, j := range jobs {
 		progress := j.progress
@@ -55,6 +64,18 @@
 	e.emit(c)
 }
 
+// progressSize estimates the size of a record in bytes from above. A larger record
+// than a row holds is stored packed.
+func progressSize(p *workload.Progress) int {
+	const (
+		plain  = 150 // queue and state
+		number = 8   // digits and separator
+		keys   = 30  // names of the fields of a crash
+		row    = 64 << 10
+	)
+	return min(row, plain+number*(3*len(p.Done)+4*len(p.Failures)+5*len(p.Crashes))+keys*len(p.Crashes))
+}
+
 func (e *Engine) anyUrgent() bool {
 	for j := range e.dirty {
 		if j.urgent {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -89,6 +89,9 @@
 	// condition and a write of the 100 entries that the platform allows, in
 	// addition to the fence.
 	maxCommitJobs = 45
+	// maxCommitBytes bounds the records of one transaction, so that the whole call,
+	// encoded in base64, stays below the platform's limit of 1 MB.
+	maxCommitBytes = 600 << 10
 	// maxCommitDelay is how long a change that is not urgent may stay
 	// unwritten.
 	maxCommitDelay = 400 * time.Millisecond
