--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -181,12 +181,10 @@
 // chooseWorker returns the best worker for a task and its ticket, nil if no
 // worker is suitable. apart is set if a worker was left out only to keep suspects
 // apart.
-func (e *Engine) chooseWorker(t *task, open []*worker, now time.Duration) (w *worker, ticket string, apart bool) {
+func (e *Engine) chooseWorker(t *task, open []*worker, now time.Duration) (best *worker, bestTicket string, apart bool) {
 	s := t.step
 	size := s.Requests()
-	var best *worker
 	var bestFit fit
-	var bestTicket string
 	for _, w := range open {
 		if !s.fitsOn(w) {
 			continue
@@ -281,11 +279,12 @@
 	if !e.ensureTickets(s, open, now) {
 		return
 	}
-	chosen := e.gangWorkers(s, e.withTicket(s, s.tasks[0].separated(open, now), now))
+	separated := s.tasks[0].separated(open, now)
+	chosen := e.gangWorkers(s, e.withTicket(s, separated, now))
 	if chosen == nil && s.tasks[0].suspect() {
 		chosen = e.gangWorkers(s, e.withTicket(s, s.tasks[0].besideNoSuspect(open), now))
 	}
-	if chosen == nil {
+	if chosen == nil && len(separated) < len(open) {
 		anywhere := e.gangWorkers(s, e.withTicket(s, open, now))
 		if s.apartForLong(now) {
 			chosen = anywhere
