--- a/internal/scheduler/suspect_wait_test.go
+++ b/internal/scheduler/suspect_wait_test.go
@@ -22,6 +22,21 @@
 	return longest
 }
 
+// crashTwiceUnder crashes the worker of a task twice, each time after it has run for
+// a while.
+func (c *crashSimulation) crashTwiceUnder(task workload.TaskID) {
+	for range 2 {
+		c.play(5 * time.Second)
+		for _, f := range sorted(c.workers) {
+			for key := range f.running {
+				if key.task == task && f.up {
+					c.crashWorker(f)
+				}
+			}
+		}
+	}
+}
+
 // Two workers crash at random under a task. Every other worker runs one small task
 // of another job for a long time and has three quarters of its capacity free.
 func TestTaskWhoseWorkersCrashedDoesNotWaitForLongTasks(t *testing.T) {
@@ -39,17 +54,7 @@
 		job := jobOf(2, 1, 2)
 		job.Steps[0].Estimate = time.Minute
 		c.submit(c.owner, job)
-		task := workload.TaskID{Job: job.ID}
-		for range 2 {
-			c.play(5 * time.Second)
-			for _, f := range sorted(c.workers) {
-				for key := range f.running {
-					if key.task == task && f.up {
-						c.crashWorker(f)
-					}
-				}
-			}
-		}
+		c.crashTwiceUnder(workload.TaskID{Job: job.ID})
 		wait := c.longestWait(job, 70*time.Second)
 		c.check()
 		if wait > 3*time.Second {
@@ -73,17 +78,7 @@
 	job := jobOf(2, 1, 2)
 	job.Steps[0].Estimate = time.Minute
 	c.submit(c.owner, job)
-	task := workload.TaskID{Job: job.ID}
-	for range 2 {
-		c.play(5 * time.Second)
-		for _, f := range sorted(c.workers) {
-			for key := range f.running {
-				if key.task == task && f.up {
-					c.crashWorker(f)
-				}
-			}
-		}
-	}
+	c.crashTwiceUnder(workload.TaskID{Job: job.ID})
 	c.play(3 * time.Second)
 	lasting := longRunningJob(3, 1, 2)
 	lasting.Steps[0].Requires = "held"
