scheduler: a crash is certain only while the worker's received lease runs

The worker was cut off before a poll renewed its lease; the run lapsed 1.5 s after its start, the worker crashed later, and the crash counted as certain, because the engine took the deadline of a poll without an answer for the worker's lease. Only deadlines of answered orders count now, so that crash is uncertain.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -74,9 +74,10 @@
 // run.
 func (r *run) begun() bool { return r.listed || r.startedHere }
 
-// leaseRuns reports whether the lease of the worker has not expired yet by any
-// clock: its runs were there until it ended, unless they had ended by themselves.
-func (w *worker) leaseRuns(now time.Duration) bool { return w.leaseMS > w.clock(now) }
+// leaseRuns reports whether the lease that the worker has certainly received has not
+// expired yet: its runs were there until it ended, unless they had ended by
+// themselves.
+func (w *worker) leaseRuns(now time.Duration) bool { return w.receivedLeaseMS > w.clock(now) }
 
 // endsAsPlanned reports whether the end of the worker was announced or ordered.
 func (w *worker) endsAsPlanned() bool {
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -233,6 +233,7 @@
 	if !overtaken {
 		w.recordContact(status.ClockMS, now, e)
 	}
+	w.receivedLeaseMS = max(w.receivedLeaseMS, o.DeadlineMS)
 	w.lastAckedEnd = max(w.lastAckedEnd, o.Acknowledged)
 	w.pendingEnds = slices.DeleteFunc(w.pendingEnds, func(p pendingEnd) bool { return p.number <= w.lastAckedEnd })
 	if !w.fenced {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -88,6 +88,7 @@
 		}
 		r.confirmedAt = now
 		r.startedHere = a.ClockMS > 0 && a.ClockMS >= w.clockMS
+		w.receivedLeaseMS = max(w.receivedLeaseMS, r.deadlineMS)
 		e.begin(r.task.step.job, now)
 		return
 	case platform.OrderFenced:
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -99,6 +99,8 @@
 	clockAt time.Duration
 	// leaseMS is the latest lease deadline that was sent, on the worker's clock.
 	leaseMS int64
+	// receivedLeaseMS is the latest one in an order that the worker has answered.
+	receivedLeaseMS int64
 	// inheritedLeaseEnd is when the last lease that a previous owner can have
 	// granted has expired.
 	inheritedLeaseEnd time.Duration
