node: one round of decisions covers the events of 2 ms

Cause: with hundreds of workers nearly every answer woke the control goroutine for a round of its own, which looks at all workers and steps and reads the clock for each event, by a system call.

Change: rounds are 2 ms apart under load, and events that wait are handled together with one reading of the clock, taken after the last was received.

--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -23,6 +23,10 @@
 	// decideInterval is the time between two rounds of decisions when no event
 	// arrives.
 	decideInterval = 50 * time.Millisecond
+	// roundInterval is the least time between two rounds of decisions. A round
+	// looks at every worker, so under load one round covers the events of this
+	// time; it delays a decision by less than a call takes.
+	roundInterval = 2 * time.Millisecond
 	// sweepInterval is the time between two updates of the heartbeat's contents
 	// and of the record of workers in use.
 	sweepInterval = 100 * time.Millisecond
@@ -65,9 +69,11 @@
 	engine            *scheduler.Engine
 	fleetController   *fleetController
 	events            chan func(now time.Duration)
-	cancel            context.CancelFunc
-	done              chan struct{}
-	acquiredAt        time.Duration
+	// batch holds the events that are handled together.
+	batch      []func(now time.Duration)
+	cancel     context.CancelFunc
+	done       chan struct{}
+	acquiredAt time.Duration
 	// jobsRead is the state of the table service up to which all accepted jobs
 	// are in the engine. Only run uses it.
 	jobsRead platform.Stamp
@@ -84,6 +90,8 @@
 	deciding, handingOver atomic.Bool
 
 	used usedWorkersRecord
+	// lastRound is when the last round of decisions ended.
+	lastRound time.Duration
 	// lastSweep is when the heartbeat's contents and the record of workers in
 	// use were last updated.
 	lastSweep   time.Duration
@@ -213,8 +221,12 @@
 	for {
 		select {
 		case fn := <-o.events:
-			fn(n.Clock.Now())
-			o.drainEvents()
+			if left := o.lastRound + roundInterval - n.Clock.Now(); left > 0 {
+				if err := ctxtime.Sleep(ctx, left); err != nil {
+					return err
+				}
+			}
+			o.handleEvents(fn)
 		case <-ticker.C:
 		case <-n.catalogChanged:
 			o.engine.SetCatalog(n.catalog.Load())
@@ -225,23 +237,31 @@
 			return errors.New("a worker has seen the fencing token of a later owner")
 		}
 		o.reconcile(ctx)
+		o.lastRound = n.Clock.Now()
 		if o.handingOver.Load() && !o.engine.Moving(handoverTimeout, n.Clock.Now()) {
 			return nil
 		}
 	}
 }
 
-// drainEvents handles the events that wait, so that one round of decisions
-// covers all of them.
-func (o *owner) drainEvents() {
-	for range eventQueueLength {
+// handleEvents handles an event and those that wait behind it, so that one round
+// of decisions covers all of them. Their common time is read after the last one
+// was received.
+func (o *owner) handleEvents(first func(time.Duration)) {
+	o.batch = append(o.batch[:0], first)
+	for waiting := true; waiting && len(o.batch) < eventQueueLength; {
 		select {
 		case fn := <-o.events:
-			fn(o.node.Clock.Now())
+			o.batch = append(o.batch, fn)
 		default:
-			return
+			waiting = false
 		}
 	}
+	now := o.node.Clock.Now()
+	for i, fn := range o.batch {
+		o.batch[i] = nil
+		fn(now)
+	}
 }
 
 // setUpEngine creates the engine and the fleet controller from the stored
