cmd/egretpitch-node: the owner's collector runs less often, within the memory limit

Cause: the collector was set for a small heap in all processes (60 %); in the owner it and its barriers took a seventh of the processor, which limits the estate, while memory is priced by host.

Change: 300 % while a process owns the control work; above 70 % of the host's memory limit, which is read from the settings now, the collector runs as often as it takes.

--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -32,6 +32,12 @@
 	// gcPercent is the garbage collector's target percentage. It is below the
 	// default of 100, for a smaller heap at the cost of processor time.
 	gcPercent = 60
+	// ownerGCPercent is that of the owner of the control work. The heap of that
+	// one process may be larger, while its processor time limits the estate.
+	ownerGCPercent = 300
+	// heapShare is the part of the memory limit from which the collector runs as
+	// often as it takes. The rest is for buffers of the kernel.
+	heapShare = 0.7
 	// lingerShare is the part of the shutdown grace during which callers are
 	// still served while the balancer notices that the process is not ready.
 	lingerShare = 0.45
@@ -91,6 +97,9 @@
 
 func run(opts options, s *platform.Settings) error {
 	debug.SetGCPercent(gcPercent)
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
+	}
 	log, flush, err := logging.New(os.Stdout, opts.LogLevel, s.Node)
 	if err != nil {
 		return err
@@ -143,7 +152,14 @@
 	return node.New(node.Options{
 		Name: s.Node, Address: s.CallersAddress,
 		TakeoverBackoff: time.Duration(max(takeoverCores-s.ProcessorShare, 0) * float64(takeoverBackoffPerCore)),
-		HolderLease:     s.Bounds.HolderLease, Migration: s.Bounds.Migration,
+		OwnershipChanged: func(owner bool) {
+			if owner {
+				debug.SetGCPercent(ownerGCPercent)
+			} else {
+				debug.SetGCPercent(gcPercent)
+			}
+		},
+		HolderLease: s.Bounds.HolderLease, Migration: s.Bounds.Migration,
 		Scheduling: scheduler.Options{
 			MaxLease: s.Bounds.MaxLease, StopGrace: s.Bounds.StopGrace, CancelWithin: s.Bounds.CancelWithin,
 			CapacityValidity: s.Bounds.Contact + s.Bounds.Heartbeat,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,9 @@
 	// control work, so that a process with more processor time can acquire it
 	// first.
 	TakeoverBackoff time.Duration
+	// OwnershipChanged is called when this process begins to own the control work
+	// and when it no longer does, if set.
+	OwnershipChanged func(owner bool)
 	// HolderLease is the minimum time between orders about hosts by two
 	// holders.
 	HolderLease time.Duration
@@ -80,6 +83,9 @@
 
 // New returns a Node. It does nothing until Run.
 func New(o Options) *Node {
+	if o.OwnershipChanged == nil {
+		o.OwnershipChanged = func(bool) {}
+	}
 	n := &Node{Options: o, incarnation: rand.Uint64() | 1, metrics: newMetrics(), catalogChanged: make(chan struct{}, 1)}
 	n.view.Store(&ownership.View{})
 	n.acceptor = newAcceptor(n)
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -115,11 +115,13 @@
 	o.lease.Renew(sent)
 	o.workerCalls, o.calls = newWorkerCallLimiter(o), newGoroutinePool()
 	n.owner.Store(o)
+	n.OwnershipChanged(true)
 	n.metrics.ownerships.Add(1)
 	event.OwnershipAcquired.Log(n.Log, zap.Int64("epoch", record.Epoch), zap.Int64("token", token), zap.String("former", previous.Owner))
 	go func() {
 		defer close(o.done)
 		defer n.owner.Store(nil)
+		defer n.OwnershipChanged(false)
 		defer n.endedToken.Store(o.token)
 		defer cancel()
 		go o.sendHeartbeats(ctx)
