scheduler, node: a start relies on the workers' entries for a bounded time

An owner whose feed of entries is silent keeps its lease by heartbeats and went on starting tasks on a worker that had been draining for longer than the platform permits (drain_ms).

Ruled out: a bound by the entry's own age; a worker writes its entry only each 1.5 s, and the age of the feed is what is missing.

Change: as with cancellations, an owner knows all entries that were stored before the sending of the read or feed call whose answer it has handled, or of the heartbeat whose version the feed has reached. A start is decided, sent and, by its deadline on the worker's clock, carried out only until that time + drain_ms - 0.2 s. Each feed has its own marks of versions. Events 942 and 943 and the counter EntriesAgeMS tell the age.

--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -161,7 +161,7 @@
 		},
 		HolderLease: s.Bounds.HolderLease, Migration: s.Bounds.Migration,
 		Scheduling: scheduler.Options{
-			MaxLease: s.Bounds.MaxLease, StopGrace: s.Bounds.StopGrace, CancelWithin: s.Bounds.CancelWithin,
+			MaxLease: s.Bounds.MaxLease, StopGrace: s.Bounds.StopGrace, CancelWithin: s.Bounds.CancelWithin, DrainWithin: s.Bounds.DrainWithin,
 			CapacityValidity: s.Bounds.Contact + s.Bounds.Heartbeat,
 		},
 		Rows: store, Operator: platform.NewOperator(store, unreadable), Discovery: platform.NewDiscovery(store, unreadable),
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -99,7 +99,7 @@
 	PollUnanswered       = New(939, zapcore.WarnLevel, "poll not answered")
 	EndIgnored           = New(940, zapcore.WarnLevel, "end ignored")
 	TaskWithoutRun       = New(941, zapcore.WarnLevel, "long-running task has no run")
-	StartsHeld           = New(942, zapcore.WarnLevel, "starts held, the known cancellations are too old")
+	StartsHeld           = New(942, zapcore.WarnLevel, "starts held, what they rely on is too old")
 	StartsResumed        = New(943, zapcore.InfoLevel, "starts resumed")
 	CrashCounted         = New(944, zapcore.WarnLevel, "worker crash counted against a task")
 	SuspectIsolated      = New(945, zapcore.InfoLevel, "suspect task started apart from others")
--- a/internal/node/cancels.go
+++ b/internal/node/cancels.go
@@ -61,7 +61,7 @@
 			o.engine.Cancel(r.Key, now)
 		}
 	}
-	asOf := o.reachVersion(c.stamp.Version)
+	asOf := o.reachVersion(&o.cancelMarks, c.stamp.Version)
 	if !c.more {
 		asOf = max(asOf, c.sent)
 	}
--- a/internal/node/draining_test.go
+++ b/internal/node/draining_test.go
@@ -56,3 +56,26 @@
 		t.Error("the owner has lost its lease, so it starts nothing in any case")
 	}
 }
+
+func TestEntriesOfAPageThatIsNotTheLastDoNotRenewTheirAge(t *testing.T) {
+	n, _, f := nodeWithTwoTasks(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	f.list(testWorker)
+	n.acquire(ctx)
+	waitFor(t, "start of the first task", func() bool { starts, _ := f.counts("w"); return starts == 1 })
+	o := n.owner.Load()
+	cancel()
+	<-o.done // this test has the engine to itself
+	o.cancelMarks, o.entryMarks = nil, versionMarks{{version: 5, at: 2 * time.Hour}, {version: 11, at: 4 * time.Hour}}
+	page := entryChanges{WorkerChanges: platform.WorkerChanges{Stamp: platform.Stamp{Version: 7}, LastVersion: 7}, sent: 3 * time.Hour}
+	o.applyEntries(page, 5*time.Hour)
+	if got := o.engine.EntriesAge(5 * time.Hour); got != 3*time.Hour {
+		t.Errorf("entries are %v old after a page that may not be the last, want 3h: the mark of version 5", got)
+	}
+	page.Version = 9
+	o.applyEntries(page, 5*time.Hour)
+	if got := o.engine.EntriesAge(5 * time.Hour); got != 2*time.Hour {
+		t.Errorf("entries are %v old after the last page, want 2h: since its call was sent", got)
+	}
+}
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -95,7 +95,8 @@
 		n.Clock.ObserveStore(stamp, n.Clock.Now())
 		o.mu.Lock()
 		o.lease.Renew(sent)
-		o.versionMarks = o.versionMarks.add(stamp.Version, sent)
+		o.cancelMarks = o.cancelMarks.add(stamp.Version, sent)
+		o.entryMarks = o.entryMarks.add(stamp.Version, sent)
 		o.mu.Unlock()
 	case errors.Is(err, platform.ErrConflict):
 		event.OwnershipLost.Log(n.Log, zap.Int64("epoch", o.record.Epoch), zap.Error(err))
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -36,6 +36,9 @@
 	// defaultCancelWithin is scheduler.Options.CancelWithin where the settings
 	// state none.
 	defaultCancelWithin = 3 * time.Second
+	// defaultDrainWithin is scheduler.Options.DrainWithin where the settings state
+	// none.
+	defaultDrainWithin = 2 * time.Second
 	// loadRetryDelay is the delay after a failed read of the stored state.
 	loadRetryDelay = 100 * time.Millisecond
 )
@@ -64,11 +67,12 @@
 	// it, for the log.
 	ownershipWasValid bool
 	pacer             ownership.Pacer
-	versionMarks      versionMarks
-	mu                sync.Mutex // guards lease, pacer and versionMarks
-	engine            *scheduler.Engine
-	fleetController   *fleetController
-	events            chan func(now time.Duration)
+	// cancelMarks and entryMarks date what the feeds have read.
+	cancelMarks, entryMarks versionMarks
+	mu                      sync.Mutex // guards lease, pacer and the marks
+	engine                  *scheduler.Engine
+	fleetController         *fleetController
+	events                  chan func(now time.Duration)
 	// batch holds the events that are handled together.
 	batch      []func(now time.Duration)
 	cancel     context.CancelFunc
@@ -147,7 +151,7 @@
 	hosts          []estate.Host
 	waves          []platform.PartRow
 	jobStamp       platform.Stamp
-	workers        platform.WorkerChanges
+	workers        entryChanges
 	cancels        cancelChanges
 }
 
@@ -179,7 +183,7 @@
 	if l.waves, _, err = n.Rows.ReadRows(ctx, waveTable, controlPart, "", ""); err != nil {
 		return nil, err
 	}
-	if l.workers, err = n.Discovery.ReadWorkers(ctx); err != nil {
+	if l.workers, err = n.readEntries(ctx); err != nil {
 		return nil, err
 	}
 	hostsCtx, cancelHosts := context.WithTimeout(ctx, hostsTimeout)
@@ -274,6 +278,7 @@
 	opts := n.Scheduling
 	opts.Token, opts.Epoch = o.token, o.record.Epoch
 	opts.CancelWithin = cmp.Or(opts.CancelWithin, defaultCancelWithin)
+	opts.DrainWithin = cmp.Or(opts.DrainWithin, defaultDrainWithin)
 	opts.Log = n.Log
 	opts.Parts, opts.PartOf = jobParts, partOf
 	opts.UnixMS = func(now time.Duration) int64 {
@@ -290,6 +295,7 @@
 	for _, w := range l.workers.Changed {
 		e.WorkerListed(w, now)
 	}
+	e.EntriesRead(l.workers.sent)
 	o.engine = e
 	o.fleetController = newFleetController(o, l.waves, workerHosts, now)
 	progress := make(map[string]platform.PartRow, len(l.progress))
--- a/internal/node/ownerfeeds.go
+++ b/internal/node/ownerfeeds.go
@@ -67,40 +67,57 @@
 	return kept
 }
 
+// entryChanges are entries of workers that were read.
+type entryChanges struct {
+	platform.WorkerChanges
+	// full is set if they are all entries.
+	full bool
+	// sent is when the read was sent.
+	sent time.Duration
+}
+
+// readEntries reads all entries of workers.
+func (n *Node) readEntries(ctx context.Context) (entryChanges, error) {
+	c := entryChanges{full: true, sent: n.Clock.Now()}
+	var err error
+	c.WorkerChanges, err = n.Discovery.ReadWorkers(ctx)
+	return c, err
+}
+
 // watchWorkers passes changes of the workers' entries to the engine until ctx
 // ends.
 func (o *owner) watchWorkers(ctx context.Context, version int64) {
 	n := o.node
-	answer := func(c platform.WorkerChanges, full bool, err error) (handleAnswer, error) {
+	answer := func(c entryChanges, err error) (handleAnswer, error) {
 		return func() (int64, error) {
-			o.post(ctx, func(now time.Duration) { o.applyWorkerChanges(c, full, now) })
+			o.post(ctx, func(now time.Duration) { o.applyEntries(c, now) })
 			return c.Version, nil
 		}, err
 	}
 	f := feed{
 		name: "workers' entries", log: n.Log, version: version, wait: feedLongPollWait, delay: workerFeedDelay,
-		readAll: func(ctx context.Context) (handleAnswer, error) {
-			c, err := n.Discovery.ReadWorkers(ctx)
-			return answer(c, true, err)
-		},
+		readAll: func(ctx context.Context) (handleAnswer, error) { return answer(n.readEntries(ctx)) },
 		readChanges: func(ctx context.Context, after int64) (handleAnswer, error) {
-			c, err := n.Discovery.WatchWorkers(ctx, after, feedLongPollWait)
-			return answer(c, false, err)
+			c := entryChanges{sent: n.Clock.Now()}
+			var err error
+			c.WorkerChanges, err = n.Discovery.WatchWorkers(ctx, after, feedLongPollWait)
+			return answer(c, err)
 		},
 	}
 	_ = f.run(ctx) // ends with ctx
 }
 
-// applyWorkerChanges passes changed and removed entries to the engine. After a
-// full read, every worker that is not among the entries counts as removed.
-func (o *owner) applyWorkerChanges(c platform.WorkerChanges, full bool, now time.Duration) {
+// applyEntries passes changed and removed entries to the engine, and the time up
+// to which all are known. After a full read, every worker that is not among the
+// entries counts as removed.
+func (o *owner) applyEntries(c entryChanges, now time.Duration) {
 	for _, w := range c.Changed {
 		o.engine.WorkerListed(w, now)
 	}
 	for _, id := range c.Removed {
 		o.engine.WorkerUnlisted(id, now)
 	}
-	if full {
+	if c.full {
 		listed := make(map[string]bool, len(c.Changed))
 		for _, w := range c.Changed {
 			listed[w.ID] = true
@@ -111,4 +128,9 @@
 			}
 		}
 	}
+	asOf := o.reachVersion(&o.entryMarks, c.Version)
+	if c.full || c.LastVersion < c.Version { // else there may be more of them
+		asOf = max(asOf, c.sent)
+	}
+	o.engine.EntriesRead(asOf)
 }
--- a/internal/node/versionmarks.go
+++ b/internal/node/versionmarks.go
@@ -39,11 +39,11 @@
 }
 
 // reachVersion returns the latest time up to which all that was stored is part of
-// a version that this owner has read.
-func (o *owner) reachVersion(version int64) time.Duration {
+// a version that this owner has read, and drops the marks up to it.
+func (o *owner) reachVersion(marks *versionMarks, version int64) time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	asOf, later := o.versionMarks.reach(version)
-	o.versionMarks = later
+	asOf, later := marks.reach(version)
+	*marks = later
 	return asOf
 }
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -133,6 +133,9 @@
 	Changed []estate.Worker
 	// Removed holds the ids of workers whose entry was removed or is invalid.
 	Removed []string
+	// LastVersion is the version of the latest of the changes. There may be more of
+	// them if it is the version of the whole answer.
+	LastVersion int64
 }
 
 // Discovery lists the workers and watches them for changes.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -35,6 +35,10 @@
 	// within which its tasks may still start. It bounds the age of the known
 	// cancellations that a start relies on; 0 is no bound.
 	CancelWithin time.Duration
+	// DrainWithin is the time after the storing of an entry that says that its
+	// worker drains within which tasks may still start there. It bounds the age of
+	// the known entries that a start relies on; 0 is no bound.
+	DrainWithin time.Duration
 	// CapacityValidity is how long after a worker wrote its entry tasks may be
 	// started by the capacity in it, if the worker does not reject overload. 0 is
 	// no limit.
@@ -176,10 +180,12 @@
 	ownership  OwnershipState
 	// cancelsAsOf is the time up to which all stored cancellations are known, and
 	// cancelsWaited how long the last answer about them had waited. startsHeld is
-	// set while they are too old for starts, since heldSince.
+	// set while either is too old for starts, since heldSince.
 	cancelsAsOf, cancelsWaited time.Duration
-	startsHeld                 bool
-	heldSince                  time.Duration
+	// entriesAsOf is the time up to which all stored entries of workers are known.
+	entriesAsOf time.Duration
+	startsHeld  bool
+	heldSince   time.Duration
 	// handingOver is set once the ownership is about to be released.
 	handingOver bool
 	// superseded is set once a worker has seen a higher token.
@@ -216,6 +222,9 @@
 	// OldestCancelsAtStartMS the greatest such age at any start so far, in
 	// milliseconds. StartsHeldMS is how long starts were held because of it.
 	CancelsAgeMS, OldestCancelsAtStartMS, StartsHeldMS int64
+	// EntriesAgeMS is the age of the known entries of workers at the last sweep, in
+	// milliseconds.
+	EntriesAgeMS int64
 	// CrashesCounted counts the crashes of workers that were recorded with a task,
 	// SuspectsIsolated the starts of such tasks apart from others, and TasksGivenUp
 	// those that are not started again.
@@ -403,7 +412,7 @@
 		e.checkRuns(now)
 		e.stopStalledRuns(now)
 		e.reportOutages(now)
-		e.stats.CancelsAgeMS = e.cancelsAge(now).Milliseconds()
+		e.stats.CancelsAgeMS, e.stats.EntriesAgeMS = e.cancelsAge(now).Milliseconds(), e.EntriesAge(now).Milliseconds()
 		if e.catalog != nil && ownership != OwnershipExpired && e.mayStart(now) {
 			e.evacuate(now)
 		}
