scheduler: crashes under different members of a gang do not add up

Change: each member has its own record and is given up by its own crashes. What keeps suspects apart still goes by the gang as a whole, since its members start together.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -46,19 +46,39 @@
 	alone     bool
 }
 
-// crashUnit returns the task whose record holds the crashes: the members of a
-// gang start together and share theirs.
-func (t *task) crashUnit() *task {
+// crashUnit returns the tasks that start together with the task: itself, or all
+// members of its gang.
+func (t *task) crashUnit() []*task {
 	if t.step.Gang {
-		return t.step.tasks[0]
+		return t.step.tasks
 	}
-	return t
+	return []*task{t}
 }
 
-// count returns the number of recorded crashes of at least the given weight.
-func (t *task) count(least workload.CrashWeight) int {
+// unitCrashes returns the recorded crashes under the task or, for a gang, under
+// any of its members: one a run, of the greatest weight.
+func (t *task) unitCrashes() []crash {
+	if !t.step.Gang {
+		return t.crashes
+	}
+	var list []crash
+	for _, member := range t.step.tasks {
+		for _, c := range member.crashes {
+			i := slices.IndexFunc(list, func(other crash) bool { return other.run == c.run })
+			if i < 0 {
+				list = append(list, c)
+				continue
+			}
+			list[i].weight = max(list[i].weight, c.weight)
+		}
+	}
+	return list
+}
+
+// countCrashes returns the number of crashes of at least the given weight.
+func countCrashes(list []crash, least workload.CrashWeight) int {
 	n := 0
-	for _, c := range t.crashUnit().crashes {
+	for _, c := range list {
 		if c.weight >= least {
 			n++
 		}
@@ -120,13 +140,13 @@
 			continue
 		case cause && presumed:
 			weight = workload.CrashPresumed
-			e.presumed[w.ID] = append(e.presumed[w.ID], presumedCrash{startedMS: w.StartedMS, at: now, task: r.task.crashUnit(), run: r.number, alone: alone})
+			e.presumed[w.ID] = append(e.presumed[w.ID], presumedCrash{startedMS: w.StartedMS, at: now, task: r.task, run: r.number, alone: alone})
 		case cause && r.begun() && w.leaseRuns(now):
 			weight = workload.CrashCertain
 		case cause:
 			weight = workload.CrashUncertain
 		}
-		e.recordCrash(r.task.crashUnit(), crash{r.number, weight}, cause && alone, w.ID, now)
+		e.recordCrash(r.task, crash{r.number, weight}, cause && alone, w.ID, now)
 	}
 }
 
@@ -195,19 +215,19 @@
 	if t.isGivenUp(c, alone) {
 		e.stats.TasksGivenUp++
 		event.TaskGivenUp.Log(e.opts.Log, zap.Stringer("task", t.id()), zap.Int("crashes", len(t.crashes)),
-			zap.Int("certain", t.count(workload.CrashCertain)), zap.String("reason", "its workers crash"))
+			zap.Int("certain", countCrashes(t.crashes, workload.CrashCertain)), zap.String("reason", "its workers crash"))
 		e.endJob(t.step.job, workload.Failed, now)
 	}
 }
 
 // isGivenUp reports whether the latest crash suffices to give the task up.
-// Presumed ones never do.
+// Presumed ones never do, nor those under other members of its gang.
 func (t *task) isGivenUp(latest crash, alone bool) bool {
 	if latest.weight < workload.CrashUncertain {
 		return false
 	}
-	confirmed := t.count(workload.CrashUncertain)
-	for _, c := range t.crashUnit().crashes {
+	confirmed := countCrashes(t.crashes, workload.CrashUncertain)
+	for _, c := range t.crashes {
 		if c.weight == workload.CrashBystander {
 			confirmed++
 		}
@@ -218,7 +238,7 @@
 	case !alone:
 		return false
 	}
-	return t.count(workload.CrashCertain) >= maxCertainCrashes || confirmed >= maxCrashes
+	return countCrashes(t.crashes, workload.CrashCertain) >= maxCertainCrashes || confirmed >= maxCrashes
 }
 
 // storeCrashes writes the crashes of a task to the record of its job. The task is
@@ -254,7 +274,7 @@
 
 // clearCrashes forgets the crashes of a long-running task that is at work.
 func (e *Engine) clearCrashes(r *run, now time.Duration) {
-	t := r.task.crashUnit()
+	t := r.task
 	if len(t.crashes) > 0 && t.step.LongRunning && r.proven() {
 		t.crashes = nil
 		e.storeCrashes(t, now)
--- a/internal/scheduler/suspect.go
+++ b/internal/scheduler/suspect.go
@@ -29,12 +29,16 @@
 // task is kept apart from tasks of other jobs until its worker has survived the
 // start.
 func (t *task) suspect() bool {
-	return t.step.hasSuspects && (t.count(workload.CrashPresumed) > 0 || len(t.crashUnit().crashes) >= strictAfter)
+	if !t.step.hasSuspects {
+		return false
+	}
+	crashes := t.unitCrashes()
+	return countCrashes(crashes, workload.CrashPresumed) > 0 || len(crashes) >= strictAfter
 }
 
 // strict reports whether the task is kept apart for the whole of its run.
 func (t *task) strict() bool {
-	return t.step.hasSuspects && !t.step.LongRunning && len(t.crashUnit().crashes) >= strictAfter
+	return t.step.hasSuspects && !t.step.LongRunning && len(t.unitCrashes()) >= strictAfter
 }
 
 // underTest reports whether the run has to show yet that its worker survives it.
@@ -110,14 +114,14 @@
 // waitsForRecord reports whether the task must not start yet: a crash is not
 // recorded, or too many workers fell silent under it whose fate is unknown.
 func (e *Engine) waitsForRecord(t *task) bool {
-	u := t.crashUnit()
-	if len(u.crashes) == 0 {
+	if !t.step.hasSuspects {
 		return false
 	}
-	if t.step.job.durable < u.crashSeq {
+	unit := t.crashUnit()
+	if slices.ContainsFunc(unit, func(u *task) bool { return t.step.job.durable < u.crashSeq }) {
 		return true
 	}
-	return len(u.crashes) >= maxCrashes && e.hasPresumed(u)
+	return len(t.unitCrashes()) >= maxCrashes && slices.ContainsFunc(unit, e.hasPresumed)
 }
 
 // hasPresumed reports whether a crash under the task is still presumed.
@@ -171,7 +175,7 @@
 	}
 	e.stats.SuspectsIsolated++
 	event.SuspectIsolated.Log(e.opts.Log, zap.Stringer("task", r.task.id()), zap.Int("run", r.number), zap.String("worker", r.worker.ID),
-		zap.Int("crashes", len(r.task.crashUnit().crashes)), zap.Int("others", len(r.worker.runs)-1))
+		zap.Int("crashes", len(r.task.unitCrashes())), zap.Int("others", len(r.worker.runs)-1))
 }
 
 // separated returns the workers that may take the task without bringing a suspect
