test/soak: a node is not started while it runs

Two faults overlap at one node: both wait for its end and both start it, the second process replaces the first in the node's fields, and only it is killed at the end.

Change: start does nothing while the process runs; the soak reports processes that outlive its run.

--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -50,6 +50,8 @@
 	mu                                sync.Mutex
 	cmd                               *exec.Cmd
 	ended                             chan struct{}
+	// processes are all that were started.
+	processes []*os.Process
 }
 
 // newWorld starts a platform and its nodes, which end with the test.
@@ -92,6 +94,9 @@
 	t.Cleanup(func() {
 		for _, n := range w.nodes {
 			n.kill()
+			if ids := n.running(); len(ids) > 0 {
+				t.Errorf("seed %d: processes %v of %s outlive the run", seed, ids, n.name)
+			}
 		}
 	})
 	return w
@@ -142,10 +147,18 @@
 	}
 }
 
-// start starts the process. It is not restarted when it ends.
+// start starts the process unless it runs: faults overlap, and two of them may have
+// ended it. It is not restarted when it ends.
 func (n *node) start(t testing.TB) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.cmd != nil {
+		select {
+		case <-n.ended:
+		default:
+			return
+		}
+	}
 	out, err := os.OpenFile(n.logPath, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		t.Error(err)
@@ -160,6 +173,7 @@
 	}
 	ended := make(chan struct{})
 	n.cmd, n.ended = cmd, ended
+	n.processes = append(n.processes, cmd.Process)
 	go func() {
 		_ = cmd.Wait() // an error is expected: the test kills nodes
 		_ = out.Close()
