node: the test of an unreadable record reads workers' entries as well

TestUnreadableRecordOfWorkersHoldsTasksForALeaseOnly plays the feeds by hand. Since a start relies on the age of the workers' entries, too, it has to report them as read, as it does for cancellations. Its bounds stay.

--- a/internal/node/usedworkers_test.go
+++ b/internal/node/usedworkers_test.go
@@ -268,7 +268,8 @@
 	startedAt := time.Duration(-1)
 	for at := time.Duration(0); at < 20*time.Second && startedAt < 0; at += 50 * time.Millisecond {
 		o.engine.Recorded(o.engine.InUse())
-		o.engine.CancelsRead(now+at, 0) // as the feed does
+		o.engine.CancelsRead(now+at, 0) // as the feeds do
+		o.engine.EntriesRead(now + at)
 		for _, order := range o.engine.Decide(now+at, scheduler.OwnershipValid) {
 			switch order := order.(type) {
 			case *scheduler.PollOrder:
