--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -29,8 +29,9 @@
 	maxFeedCalls = 4
 	// feedRetryDelay is the delay after a failed call of a feed.
 	feedRetryDelay = 100 * time.Millisecond
-	// readTimeout bounds a read of many rows.
-	readTimeout = 3 * time.Second
+	// readTimeout bounds a read of whole tables, whose pages have a bound of their
+	// own. A process with little processor time takes seconds for thousands of jobs.
+	readTimeout = 20 * time.Second
 )
 
 // feed follows a table of the platform. It reads the whole table first, and
