node: a small host takes over only what has stayed vacant

A host with 0.192 cores and a link of 10 Mbit/s saw the owner's heartbeat stand still for 2.2 s, slept for its backoff of 0.83 s, and took over without another look: the owner had reached the store again meanwhile (33.4 s, takeover at 34.2 s). After the final fault the same host acquired its own record at once, and could not read the jobs in time over its link ("store: read: context deadline exceeded"), while hosts with 0.8 cores stood by.

Change: the control work has to stay vacant in all views for the backoff.

What remains: a small host that is the only one to reach the store acquires the work and keeps it.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,8 +27,8 @@
 	Name string
 	// Address distinguishes hosts of the same name.
 	Address string
-	// TakeoverBackoff is how long the process waits before it acquires vacant
-	// control work, so that a process with more processor time can acquire it
+	// TakeoverBackoff is how long the control work has to stay vacant before the
+	// process acquires it, so that a process with more processor time can acquire it
 	// first.
 	TakeoverBackoff time.Duration
 	// OwnershipChanged is called when this process begins to own the control work
@@ -74,6 +74,10 @@
 	// acquireSent is when the last attempt to acquire the control work was
 	// sent. It belongs to the goroutine that watches the control table.
 	acquireSent time.Duration
+	// vacantSince is when the view was requested that first showed the control work
+	// as vacant, as all since have, 0 if the latest one does not. It belongs to the
+	// same goroutine.
+	vacantSince time.Duration
 	// stopping is set once the process shuts down. It then no longer acquires
 	// the control work.
 	stopping atomic.Bool
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/egretpitch/egretpitch/internal/ctxtime"
 	"github.com/egretpitch/egretpitch/internal/event"
 	"github.com/egretpitch/egretpitch/internal/ownership"
 	"github.com/egretpitch/egretpitch/internal/platform"
@@ -110,7 +109,13 @@
 		n.startOwnership(ctx, view.Record, ownership.Record{HostOrderHolder: "unknown"}, view.RecordVersion, n.acquireSent)
 		return
 	}
-	if view.Vacant(n.self(), sent) && ctxtime.Sleep(ctx, n.TakeoverBackoff) == nil {
+	switch {
+	case !view.Vacant(n.self(), sent):
+		n.vacantSince = 0
+	case n.vacantSince == 0 && n.TakeoverBackoff > 0:
+		n.vacantSince = sent
+	case sent-n.vacantSince >= n.TakeoverBackoff:
+		n.vacantSince = 0
 		n.acquire(ctx)
 	}
 }
