node, ownership: a small host hands the control work over to a larger one

Ruled out: to let small hosts never take over; an estate of small hosts, or one whose larger hosts are gone, has to be served.

Change: the owner record says whether its host is constrained. A host that is not writes an offer for that record, once, on the condition that it is still the record; the owner releases the control work as before a shutdown, and larger hosts acquire it at once while a small one waits its backoff.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -126,6 +126,12 @@
 // jobs got no answer or was refused.
 var CommitUnconfirmed = New(526, zapcore.WarnLevel, "progress commit unconfirmed")
 
+// Events of the hand-over from a host with too little processor time.
+var (
+	OwnershipOffered    = New(527, zapcore.InfoLevel, "offered to take the control work over")
+	OwnershipHandedOver = New(528, zapcore.InfoLevel, "control work handed over to a larger host")
+)
+
 // SettingsKept is logged when a process is told to reload its settings file
 // (SIGHUP) and the changes need a restart to take effect.
 var SettingsKept = New(104, zapcore.InfoLevel, "settings file changed, settings kept")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,5 +117,5 @@
 // self returns the owner record of this process, without epoch and host order
 // holder.
 func (n *Node) self() ownership.Record {
-	return ownership.Record{Owner: n.Name, Address: n.Address, Incarnation: n.incarnation}
+	return ownership.Record{Owner: n.Name, Address: n.Address, Incarnation: n.incarnation, Constrained: n.TakeoverBackoff > 0}
 }
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -449,7 +449,7 @@
 // workers in use if asked to: the successor then waits for none that has ended.
 func (o *owner) commitRelease(ctx context.Context, withWorkers bool) error {
 	record := o.record
-	record.Owner, record.Incarnation = "", 0
+	record.Owner, record.Incarnation, record.Constrained = "", 0, false
 	value, err := ownership.Encode(record)
 	if err != nil {
 		return err
--- a/internal/node/schema.go
+++ b/internal/node/schema.go
@@ -41,6 +41,7 @@
 var (
 	ownerRow     = controlRow(controlTable, "owner")
 	heartbeatRow = controlRow(controlTable, "beat")
+	offerRow     = controlRow(controlTable, "offer")
 )
 
 // partOf returns the number of a job's part.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -68,6 +68,7 @@
 				return 0, err
 			}
 			n.acquireIfVacant(ctx, sent)
+			n.offerOrHandOver(ctx)
 			return stamp.Version, nil
 		}, err
 	}
@@ -120,6 +121,33 @@
 	}
 }
 
+// offerOrHandOver moves the control work from a host with too little processor
+// time to one that has enough: such a host offers to take it over, and the owner
+// releases it.
+func (n *Node) offerOrHandOver(ctx context.Context) {
+	view := n.view.Load()
+	if o := n.owner.Load(); o != nil {
+		if view.Offered(o.token) && o.handingOver.CompareAndSwap(false, true) {
+			event.OwnershipHandedOver.Log(n.Log, zap.Int64("epoch", o.record.Epoch), zap.String("offered_by", view.Offer.By))
+			go n.release(ctx)
+		}
+		return
+	}
+	if n.stopping.Load() || !view.OfferDue(n.self()) {
+		return
+	}
+	value, err := ownership.Encode(ownership.Offer{By: n.Name, Token: view.RecordVersion})
+	if err == nil {
+		callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+		defer cancel()
+		_, err = n.Rows.CommitRows(callCtx, platform.RowTxn{
+			Conditions: []platform.RowCondition{{RowKey: ownerRow, Version: view.RecordVersion}},
+			Writes:     []platform.RowWrite{{RowKey: offerRow, Value: value}},
+		})
+	}
+	event.OwnershipOffered.Log(n.Log, zap.Int64("epoch", view.Record.Epoch), zap.String("owner", view.Record.Owner), zap.Error(err))
+}
+
 // observeControl publishes a new view of the ownership from the rows of the
 // control table, received at the given time.
 func (n *Node) observeControl(rows []platform.PartRow, received time.Duration) error {
@@ -135,6 +163,8 @@
 			err = view.ObserveRecord(r.Value, r.Version, received)
 		case r.RowKey == heartbeatRow:
 			err = view.ObserveHeartbeat(r.Value, r.Version, received)
+		case r.RowKey == offerRow:
+			err = view.ObserveOffer(r.Value)
 		}
 		if err != nil {
 			return err
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -51,6 +51,18 @@
 	// HostOrderHolder is the last host that was allowed to give orders about hosts.
 	// It is kept when the control work is released.
 	HostOrderHolder string `json:"duty_holder,omitempty"`
+	// Constrained is set if the owner's host has less processor time than the
+	// control work may take.
+	Constrained bool `json:"constrained,omitempty"`
+}
+
+// Offer is the row by which a process that is not constrained offers to take the
+// control work over from an owner that is.
+type Offer struct {
+	// By is the name of the offering process's host.
+	By string `json:"by"`
+	// Token is the version of the owner record that the offer is for.
+	Token int64 `json:"token"`
 }
 
 // Heartbeat is the row that the owner writes periodically. It also carries the
@@ -111,6 +123,8 @@
 	// LastOrders holds, by epoch, the latest time of an order of any owner up to
 	// that epoch, as far as heartbeats of the last minute told.
 	LastOrders map[int64]time.Duration
+	// Offer is the latest offer, also one to an earlier owner.
+	Offer Offer
 	// recordRead is set once the rows were read.
 	recordRead bool
 }
@@ -147,6 +161,27 @@
 	return nil
 }
 
+// ObserveOffer updates the view with an offer. It returns an error if value cannot
+// be decoded.
+func (v *View) ObserveOffer(value []byte) error {
+	var o Offer
+	if err := json.Unmarshal(value, &o); err != nil {
+		return errors.Wrap(err, "decode offer")
+	}
+	v.Offer = o
+	return nil
+}
+
+// OfferDue reports whether the process self should offer to take the control work
+// over: the owner is constrained, self is not, and there is no offer yet.
+func (v *View) OfferDue(self Record) bool {
+	return v.Record.Owner != "" && v.Record.Constrained && !self.Constrained && v.Offer.Token != v.RecordVersion
+}
+
+// Offered reports whether a process offers to take the control work over from the
+// owner with the given token.
+func (v *View) Offered(token int64) bool { return v.Offer.Token == token && v.RecordVersion == token }
+
 // lastOrdersKept is how long the time of an owner's last order is kept. It is
 // longer than the lease of a worker.
 const lastOrdersKept = time.Minute
