node, scheduler, platform: what a last read of the change found

- The time up to which a table is known was worked out twice, for cancellations and for workers' entries: knownUpTo serves both.
- The backoff before a takeover needs no case of its own for hosts without one.
- waitsForRecord asks again whether the task has crashes at all.
Since the members of a gang have records of their own it asked whether its step ever had some, so a task whose record had just been cleared waited for a commit.

No test changed.

--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -153,11 +153,11 @@
 		Name: s.Node, Address: s.CallersAddress,
 		TakeoverBackoff: time.Duration(max(takeoverCores-s.ProcessorShare, 0) * float64(takeoverBackoffPerCore)),
 		OwnershipChanged: func(owner bool) {
+			percent := gcPercent
 			if owner {
-				debug.SetGCPercent(ownerGCPercent)
-			} else {
-				debug.SetGCPercent(gcPercent)
+				percent = ownerGCPercent
 			}
+			debug.SetGCPercent(percent)
 		},
 		HolderLease: s.Bounds.HolderLease, Migration: s.Bounds.Migration,
 		Scheduling: scheduler.Options{
--- a/internal/node/cancels.go
+++ b/internal/node/cancels.go
@@ -61,9 +61,5 @@
 			o.engine.Cancel(r.Key, now)
 		}
 	}
-	asOf := o.reachVersion(&o.cancelMarks, c.stamp.Version)
-	if !c.more {
-		asOf = max(asOf, c.sent)
-	}
-	o.engine.CancelsRead(asOf, now-c.read)
+	o.engine.CancelsRead(o.knownUpTo(&o.cancelMarks, c.stamp.Version, c.sent, c.more), now-c.read)
 }
--- a/internal/node/ownerfeeds.go
+++ b/internal/node/ownerfeeds.go
@@ -128,9 +128,6 @@
 			}
 		}
 	}
-	asOf := o.reachVersion(&o.entryMarks, c.Version)
-	if c.full || c.LastVersion < c.Version { // else there may be more of them
-		asOf = max(asOf, c.sent)
-	}
-	o.engine.EntriesRead(asOf)
+	more := !c.full && c.LastVersion >= c.Version
+	o.engine.EntriesRead(o.knownUpTo(&o.entryMarks, c.Version, c.sent, more))
 }
--- a/internal/node/versionmarks.go
+++ b/internal/node/versionmarks.go
@@ -38,12 +38,17 @@
 	return asOf, later
 }
 
-// reachVersion returns the latest time up to which all that was stored is part of
-// a version that this owner has read, and drops the marks up to it.
-func (o *owner) reachVersion(marks *versionMarks, version int64) time.Duration {
+// knownUpTo returns the latest time up to which all that was stored in a table is
+// known from a read of it, which was sent at the given time and reached a version.
+// more is set if there may be further rows that were stored before. The marks up to
+// the version are dropped.
+func (o *owner) knownUpTo(marks *versionMarks, version int64, sent time.Duration, more bool) time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	asOf, later := marks.reach(version)
 	*marks = later
+	if !more {
+		asOf = max(asOf, sent)
+	}
 	return asOf
 }
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -110,12 +110,14 @@
 		n.startOwnership(ctx, view.Record, ownership.Record{HostOrderHolder: "unknown"}, view.RecordVersion, n.acquireSent)
 		return
 	}
-	switch {
-	case !view.Vacant(n.self(), sent):
+	if !view.Vacant(n.self(), sent) {
 		n.vacantSince = 0
-	case n.vacantSince == 0 && n.TakeoverBackoff > 0:
+		return
+	}
+	if n.vacantSince == 0 {
 		n.vacantSince = sent
-	case sent-n.vacantSince >= n.TakeoverBackoff:
+	}
+	if sent-n.vacantSince >= n.TakeoverBackoff {
 		n.vacantSince = 0
 		n.acquire(ctx)
 	}
--- a/internal/scheduler/suspect.go
+++ b/internal/scheduler/suspect.go
@@ -114,14 +114,15 @@
 // waitsForRecord reports whether the task must not start yet: a crash is not
 // recorded, or too many workers fell silent under it whose fate is unknown.
 func (e *Engine) waitsForRecord(t *task) bool {
-	if !t.step.hasSuspects {
+	crashes := t.unitCrashes()
+	if len(crashes) == 0 {
 		return false
 	}
 	unit := t.crashUnit()
 	if slices.ContainsFunc(unit, func(u *task) bool { return t.step.job.durable < u.crashSeq }) {
 		return true
 	}
-	return len(t.unitCrashes()) >= maxCrashes && slices.ContainsFunc(unit, e.hasPresumed)
+	return len(crashes) >= maxCrashes && slices.ContainsFunc(unit, e.hasPresumed)
 }
 
 // hasPresumed reports whether a crash under the task is still presumed.
