--- /dev/null
+++ b/internal/scheduler/released_test.go
@@ -0,0 +1,83 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// release lets an owner release its ownership and returns its successor.
+func (sim *simulation) release(owner *testOwner) *testOwner {
+	sim.replaceUsedWorkers(owner, owner.InUse(), owner.recordVersion)
+	owner.expired = true
+	sim.run(releaseTime)
+	return sim.newOwnerAfter(-ownershipLease) // its lease counts from the time at which the release is read
+}
+
+// fallSilent ends a worker whose entry stays and whose host no list shows as down.
+func (f *fakeWorker) fallSilent() {
+	f.crash()
+	f.reachable = false
+}
+
+func TestTaskOfASilentWorkerRestartsInTimeThoughOwnersAreReleased(t *testing.T) {
+	for every := 500 * time.Millisecond; every < 8*time.Second; every += 500 * time.Millisecond {
+		t.Run(fmt.Sprint("every ", every), func(t *testing.T) {
+			sim := newSimulation(t)
+			sim.replaceRecord = true
+			owner, w1, job := sim.runningTask("w2")
+			w1.fallSilent()
+			ranAt := sim.now
+			for !sim.hasRun(job) && sim.now < ranAt+20*time.Second {
+				sim.run(every, owner)
+				owner = sim.release(owner)
+			}
+			sim.run(time.Second, owner)
+			sim.checkRestart(t, job, ranAt, ranAt, owner)
+		})
+	}
+}
+
+// The owner knows that the run is over; only a worker that never ran it is silent.
+func TestTaskWithoutARunDoesNotWaitForASilentWorkerThatNeverRanIt(t *testing.T) {
+	sim := newSimulation(t)
+	sim.replaceRecord = true
+	owner, w1, job := sim.runningTask()
+	other := sim.addWorkerFor(owner, "w9", 2)
+	sim.submit(owner, longRunningJob(2, 1, 2))
+	sim.run(time.Second, owner)
+	other.fallSilent()
+	w1.fallSilent()
+	owner.HostRemoved("w1", sim.now)
+	sim.run(1500*time.Millisecond, owner)
+	owner = sim.release(owner)
+	sim.addWorkerFor(owner, "w2", 2)
+	released := sim.now
+	sim.checkRestart(t, job, released-restartTime, released-settlingTime, owner)
+}
+
+func TestTasksLeaveADrainingWorkerBesideASilentOne(t *testing.T) {
+	sim := newSimulation(t)
+	sim.replaceRecord = true
+	owner, w1, _ := sim.runningTask("w2")
+	other := sim.addWorkerFor(owner, "w9", 2)
+	other.duration = forever
+	filler := longRunningJob(2, 1, 2)
+	filler.Steps[0].Requires = "gpu"
+	other.Labels = append(other.Labels, "gpu")
+	owner.discover()
+	sim.submit(owner, filler)
+	sim.run(time.Second, owner)
+	if other.runsOf(filler) != 1 {
+		t.Fatal("the other task does not run on w9")
+	}
+	other.fallSilent()
+	sim.run(1500*time.Millisecond, owner)
+	owner = sim.release(owner)
+	left := 0
+	sim.leave(w1, 6*time.Second, owner, func(time.Duration) { left = len(w1.running) })
+	if left != 0 {
+		t.Error("the task is still on the worker when that ends, though another one had capacity for 6 s")
+	}
+	sim.check()
+}
