scheduler: log what a long-running task waited for when it starts again

Event 947 names the run that was given up, how long recovery held the pool, and the last worker that it waited for.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -104,6 +104,7 @@
 	CrashCounted         = New(944, zapcore.WarnLevel, "worker crash counted against a task")
 	SuspectIsolated      = New(945, zapcore.InfoLevel, "suspect task started apart from others")
 	TaskGivenUp          = New(946, zapcore.WarnLevel, "task given up")
+	TaskRestarted        = New(947, zapcore.InfoLevel, "long-running task starts again")
 	RecoveryEnded        = New(933, zapcore.InfoLevel, "recovery ended")
 )
 
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -96,6 +96,9 @@
 	// listedAt is when a worker last listed a run of the task that is not being
 	// stopped, or when the task could first be started.
 	listedAt time.Duration
+	// lostOn is the worker of the last run that was given up, and lostReason why,
+	// empty since the task has started again.
+	lostOn, lostReason string
 	// lastRun is the highest known run number.
 	lastRun  int
 	failures int
--- a/internal/scheduler/outage.go
+++ b/internal/scheduler/outage.go
@@ -119,6 +119,16 @@
 	event.TaskWithoutRun.Log(e.opts.Log, fields...)
 }
 
+// logRestart logs the start of a long-running task that this owner or a previous
+// one has started before, with what it waited for.
+func (e *Engine) logRestart(r *run, now time.Duration) {
+	t, p := r.task, r.worker.pool
+	event.TaskRestarted.Log(e.opts.Log, zap.Stringer("task", t.id()), zap.Int("run", r.number), zap.String("worker", r.worker.ID),
+		zap.Duration("without_run", now-t.listedAt), zap.String("lost_on", t.lostOn), zap.String("reason", t.lostReason),
+		zap.Duration("recovery", max(0, p.recoveredAt-e.recoverAt)), zap.String("unread", p.lastUnread))
+	t.lostOn, t.lostReason = "", ""
+}
+
 // passedOver returns why a worker does not get a task, "" if it could.
 func (e *Engine) passedOver(t *task, w *worker, now time.Duration) string {
 	s := t.step
--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -33,6 +33,7 @@
 // expired.
 func (e *Engine) Recover(used []UsedWorker, lastOrder func(epoch int64) time.Duration, now time.Duration) {
 	e.recovering = true
+	e.recoverAt = now
 	e.firstPollsEnd = now + firstPollsTimeout
 	for _, u := range used {
 		w := e.workers[u.ID]
@@ -66,6 +67,7 @@
 		case e.mayHaveInheritedRuns(w, now):
 			unpolled++
 			w.pool.unpolled++
+			w.pool.recoveredAt, w.pool.lastUnread = now, w.ID
 		case w.inherited:
 			w.inherited = false
 			w.leasedBy = 0
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -44,6 +44,9 @@
 	event.TaskPlaced.Log(e.opts.Log, zap.Stringer("task", t.id()), zap.Int("run", number), zap.String("worker", w.ID),
 		zap.Duration("waited", now-max(s.job.accepted, s.occ.due)), zap.Int64("catalog", e.catalog.Version), zap.Duration("cancels_age", e.cancelsAge(now)),
 		zap.Duration("cancels_waited", e.cancelsWaited))
+	if s.LongRunning && (t.lostOn != "" || s.job.inherited) {
+		e.logRestart(r, now)
+	}
 	e.stats.OldestCancelsAtStartMS = max(e.stats.OldestCancelsAtStartMS, e.cancelsAge(now).Milliseconds())
 	r.order = &StartOrder{Worker: w.Worker, run: r, NotAfter: e.startsUntil(), Start: platform.Start{
 		Task: t.id(), Run: number, Spec: s.job.Spec, DeadlineMS: r.deadlineMS, Token: w.token,
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -169,6 +169,8 @@
 	seq        uint64
 	retryAt    []time.Duration
 
+	// recoverAt is when the ownership started.
+	recoverAt time.Duration
 	// firstPollsEnd is until when workers of previous owners may answer a first
 	// poll, even if their leases have expired. givenUp counts those that answered
 	// none in time.
@@ -254,6 +256,10 @@
 	// unpolled counts the workers of previous owners that have not answered a
 	// poll yet.
 	unpolled int
+	// recoveredAt is when the last of them had answered or was given up, and
+	// lastUnread the id of the last one.
+	recoveredAt time.Duration
+	lastUnread  string
 	// arrived is the work in core-seconds that was accepted so far, in
 	// arrivedJobs jobs. Jobs that run until cancelled do not count.
 	arrived     float64
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -217,6 +217,7 @@
 	event.TaskLost.Log(e.opts.Log, zap.Stringer("task", r.task.id()), zap.Int("run", r.number), zap.String("worker", w.ID),
 		zap.Int64("incarnation", w.StartedMS), zap.String("reason", reason), zap.Duration("silent", now-w.lastContact), zap.Duration("lease_left", w.leaseEnd()-now))
 	r.task.settledRuns = append(r.task.settledRuns, r.number)
+	r.task.lostOn, r.task.lostReason = w.ID, reason
 	e.endRun(r, now)
 }
 
