scheduler, node, ownership: a wait for a silent worker does not begin anew with each owner

Cause: a successor counted the longest lease that its predecessor can have granted from the end of that ownership, for each worker that it cannot reach: 1.7 s and 6.38 s. The predecessor knew better: it renews no lease of a worker that does not answer, and at a release it knows every lease.

Change: the record of workers in use states when the lease of a silent worker ends, and the released owner record when all leases do, on the store's clock, from an upper estimate of it. An owner that states the end neither renews that lease nor starts tasks there before the worker is recorded anew. This replaces the epoch in the record and the ages of earlier owners' last orders in the heartbeats, which covered only workers that the last owner had never reached.

--- a/internal/node/clock.go
+++ b/internal/node/clock.go
@@ -16,6 +16,8 @@
 	// storeOffset is the store's clock minus this clock, in nanoseconds, plus
 	// one. It is 0 until an answer carried the store's clock.
 	storeOffset atomic.Int64
+	// latestStoreOffset is an upper estimate of the same.
+	latestStoreOffset atomic.Int64
 }
 
 // Now returns the time since the host started.
@@ -53,6 +55,47 @@
 	}
 }
 
+// ObserveStoreSent is ObserveStore for an answer to a call that was sent at the
+// given time. The store read its clock after that, so an upper estimate follows
+// as well.
+func (c *Clock) ObserveStoreSent(s platform.Stamp, sent, received time.Duration) {
+	c.ObserveStore(s, received)
+	if s.NowMS <= 0 {
+		return
+	}
+	observed := int64(time.Duration(s.NowMS+1)*time.Millisecond-sent) + 1
+	for {
+		old := c.latestStoreOffset.Load()
+		offset := observed
+		if old != 0 {
+			offset = min(observed, old+int64(driftAllowance))
+		}
+		if c.latestStoreOffset.CompareAndSwap(old, offset) {
+			return
+		}
+	}
+}
+
+// LatestStoreMS returns an upper estimate of the store's clock at the given time,
+// in whole milliseconds, or 0 if there is none yet.
+func (c *Clock) LatestStoreMS(at time.Duration) int64 {
+	o := c.latestStoreOffset.Load()
+	if o == 0 {
+		return 0
+	}
+	return (at + time.Duration(o-1)).Milliseconds() + 1
+}
+
+// LatestAt returns the latest time at which the store's clock can have shown a
+// number of milliseconds, or 0 if that is 0 or the store's clock is not known yet.
+func (c *Clock) LatestAt(ms int64) time.Duration {
+	o := c.storeOffset.Load()
+	if o == 0 || ms == 0 {
+		return 0
+	}
+	return time.Duration(ms)*time.Millisecond - time.Duration(o-1)
+}
+
 // StoreMS returns a lower estimate of the store's clock at now, in
 // milliseconds, or 0 if no answer has carried it yet.
 func (c *Clock) StoreMS(now time.Duration) int64 {
@@ -67,9 +110,8 @@
 // clock. The result is never after now; it is now if ms is 0 or the store's
 // clock is not known yet.
 func (c *Clock) FromStoreMS(ms int64, now time.Duration) time.Duration {
-	o := c.storeOffset.Load()
-	if o == 0 || ms == 0 {
-		return now
+	if at := c.LatestAt(ms); at != 0 {
+		return min(now, at)
 	}
-	return min(now, time.Duration(ms)*time.Millisecond-time.Duration(o-1))
+	return now
 }
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -72,12 +72,9 @@
 	o.pendingMu.Lock()
 	heartbeat := ownership.Heartbeat{
 		Incarnation: n.incarnation, PendingKnown: o.pending != nil, Pending: maps.Clone(o.pending),
-		JobsVersion: o.pendingAsOf.Version, JobsMS: o.pendingAsOf.NowMS, Surges: o.surges, Waves: o.waves, LastOrderAgeMS: map[int64]int64{},
+		JobsVersion: o.pendingAsOf.Version, JobsMS: o.pendingAsOf.NowMS, Surges: o.surges, Waves: o.waves,
 	}
 	o.pendingMu.Unlock()
-	for epoch, at := range o.lastOrders {
-		heartbeat.LastOrderAgeMS[epoch] = (sent - at - time.Millisecond).Milliseconds() // rounded down
-	}
 	value, err := ownership.Encode(heartbeat)
 	if err != nil {
 		event.OwnershipLeaseExpired.Log(n.Log, zap.Error(err))
@@ -92,7 +89,7 @@
 	switch {
 	case err == nil:
 		answered = true
-		n.Clock.ObserveStore(stamp, n.Clock.Now())
+		n.Clock.ObserveStoreSent(stamp, sent, n.Clock.Now())
 		o.mu.Lock()
 		o.lease.Renew(sent)
 		o.cancelMarks = o.cancelMarks.add(stamp.Version, sent)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -428,18 +428,18 @@
 	o := testOwner(t, standin.NewRows(), 1)
 	inherited := usedWorker{ID: "w1", Pool: "p", Host: "h1"}
 	o.engine = scheduler.New(scheduler.Options{Log: zap.NewNop()})
-	o.engine.Recover(workersOf([]usedWorker{inherited, {ID: "w2", Pool: "p"}}), o.lastOrder, 0)
+	o.engine.Recover(workersOf([]usedWorker{inherited, {ID: "w2", Pool: "p"}}, &o.node.Clock), o.previousLeasesEnd(), 0)
 	o.fleetController = newFleetController(o, nil, workerHostsOf([]usedWorker{inherited}), 0)
-	used := o.withHosts(o.engine.InUse())
+	used := o.withHosts(o.engine.InUse(o.node.Clock.Now()))
 	if !slices.Contains(used, inherited) {
 		t.Errorf("recorded are %+v, want %+v among them", used, inherited)
 	}
 	o.usedWorkersRecorded(used, 1, 1, nil)
-	if !o.usedWorkersUpToDate() {
+	if !o.usedWorkersUpToDate(o.node.Clock.Now()) {
 		t.Error("the record is to be written again, want it up to date")
 	}
 	o.fleetController.setHosts([]estate.Host{{Name: "h1", Pool: "p", WorkerID: "w1"}, {Name: "h2", Pool: "p", WorkerID: "w2"}}, 1, 1)
-	if o.usedWorkersUpToDate() {
+	if o.usedWorkersUpToDate(o.node.Clock.Now()) {
 		t.Error("the record is up to date without the host of a worker")
 	}
 }
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -61,10 +61,7 @@
 	// inherited is the last heartbeat before this ownership. The first heartbeats
 	// of this owner replace it before it has loaded the stored state.
 	inherited ownership.Heartbeat
-	// lastOrders holds the latest times of the orders of all owners up to an
-	// epoch. It does not change during the ownership.
-	lastOrders map[int64]time.Duration
-	lease      ownership.Lease
+	lease     ownership.Lease
 	// ownershipWasValid is whether the lease was valid when run last checked
 	// it, for the log.
 	ownershipWasValid bool
@@ -116,7 +113,6 @@
 	}
 	view := n.view.Load()
 	o.previousHeartbeat, o.inherited = view.HeartbeatSeen, view.Heartbeat
-	o.lastOrders = o.previousLastOrders(view)
 	o.waves = o.inherited.Waves
 	o.lease.Renew(sent)
 	o.workerCalls, o.calls = newWorkerCallLimiter(o), newGoroutinePool()
@@ -290,11 +286,11 @@
 	e := scheduler.New(opts)
 	e.SetCatalog(n.catalog.Load())
 	workerHosts := workerHostsOf(l.used)
-	used := workerHosts.PossiblyRunning(workersOf(l.used), l.hosts)
+	used := workerHosts.PossiblyRunning(workersOf(l.used, &n.Clock), l.hosts)
 	if l.usedIncomplete {
 		used = append(used, l.unknownWorkers(n.catalog.Load())...)
 	}
-	e.Recover(used, o.lastOrder, now)
+	e.Recover(used, o.previousLeasesEnd(), now)
 	for _, w := range l.workers.Changed {
 		e.WorkerListed(w, now)
 	}
@@ -392,28 +388,13 @@
 	return o.previousHeartbeat + ownership.LeaseDuration
 }
 
-// previousLastOrders returns the latest times of the orders of all owners up to
-// an epoch, by epoch: that of the previous owner, and those that it knew.
-func (o *owner) previousLastOrders(view *ownership.View) map[int64]time.Duration {
-	orders := map[int64]time.Duration{o.record.Epoch - 1: o.previousLeaseEnd()}
-	for epoch, at := range view.LastOrders {
-		if epoch < o.record.Epoch-1 {
-			orders[epoch] = at
-		}
+// previousLeasesEnd returns when every worker lease of previous owners has expired.
+func (o *owner) previousLeasesEnd() time.Duration {
+	end := o.node.Scheduling.LeasesEnd(o.previousLeaseEnd())
+	if released := o.node.Clock.LatestAt(o.previous.LeasesEndMS); released > 0 {
+		end = min(end, released)
 	}
-	return orders
-}
-
-// lastOrder returns the latest time at which an owner up to the given epoch,
-// which is below that of this owner, can have given an order.
-func (o *owner) lastOrder(epoch int64) time.Duration {
-	last := o.previousLeaseEnd()
-	for e, at := range o.lastOrders {
-		if e >= epoch {
-			last = min(last, at)
-		}
-	}
-	return last
+	return end
 }
 
 // handoverTimeout is how long a release waits for the tasks that have been
@@ -450,13 +431,18 @@
 func (o *owner) commitRelease(ctx context.Context, withWorkers bool) error {
 	record := o.record
 	record.Owner, record.Incarnation, record.Constrained = "", 0, false
+	leasesEnd := o.previousLeasesEnd()
+	if o.deciding.Load() {
+		leasesEnd = o.engine.LeasesEnd()
+	}
+	record.LeasesEndMS = o.node.Clock.LatestStoreMS(leasesEnd)
 	value, err := ownership.Encode(record)
 	if err != nil {
 		return err
 	}
 	txn := platform.RowTxn{Conditions: []platform.RowCondition{o.fence()}}
 	if withWorkers {
-		if txn, err = o.usedWorkersTxn(o.withHosts(o.engine.InUse())); err != nil {
+		if txn, err = o.usedWorkersTxn(o.withHosts(o.engine.InUse(o.node.Clock.Now()))); err != nil {
 			return err
 		}
 	}
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -179,7 +179,7 @@
 		o.engine.WorkerListed(w, 0)
 	}
 	o.answerPolls(0, testWorker.StartedMS)
-	txn, err := o.usedWorkersTxn(o.withHosts(o.engine.InUse()))
+	txn, err := o.usedWorkersTxn(o.withHosts(o.engine.InUse(o.node.Clock.Now())))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -187,8 +187,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	o.usedWorkersRecorded(o.withHosts(o.engine.InUse()), len(txn.Writes), stamp.Version, nil)
+	o.usedWorkersRecorded(o.withHosts(o.engine.InUse(o.node.Clock.Now())), len(txn.Writes), stamp.Version, nil)
 	o.engine.HostRemoved("w2", 0)
+	o.sendHeartbeat(t.Context(), o.node.Clock.Now())
 	o.deciding.Store(true)
 	o.done = make(chan struct{})
 	close(o.done)
@@ -207,6 +208,40 @@
 	}
 }
 
+func TestSuccessorOfAReleasedOwnerWaitsForNoLeaseThatWasNotGranted(t *testing.T) {
+	rows := standin.NewRows()
+	o := testOwner(t, rows, 1)
+	n := o.node
+	n.Scheduling.MaxLease = 6 * time.Second
+	o.engine = scheduler.New(scheduler.Options{Token: 1, Epoch: 1, MaxLease: 6 * time.Second, Log: zap.NewNop()})
+	o.engine.SetCatalog(testCatalog(1, "/q/"))
+	o.fleetController = newFleetController(o, nil, scheduler.WorkerHosts{}, 0)
+	now := n.Clock.Now()
+	o.engine.WorkerListed(testWorker, now)
+	for range 3 {
+		o.answerPolls(now, testWorker.StartedMS)
+		o.engine.Recorded(o.engine.InUse(now))
+	}
+	o.sendHeartbeat(t.Context(), n.Clock.Now())
+	o.deciding.Store(true)
+	o.done = make(chan struct{})
+	close(o.done)
+	n.owner.Store(o)
+	n.release(t.Context())
+	control, _, err := rows.ReadRows(t.Context(), controlTable, controlPart, "", "")
+	if err == nil {
+		err = n.observeControl(control, n.Clock.Now())
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	successor := &owner{node: n, previous: n.view.Load().Record, previousHeartbeat: n.Clock.Now()}
+	granted := o.engine.LeasesEnd()
+	if got := successor.previousLeasesEnd(); got < granted || got > granted+time.Second {
+		t.Errorf("the leases are taken to end %v after the last one does, want 0 to 1 s", got-granted)
+	}
+}
+
 // blockedDiscovery answers once it is released.
 type blockedDiscovery struct {
 	platform.Discovery
--- a/internal/node/usedworkers.go
+++ b/internal/node/usedworkers.go
@@ -61,12 +61,29 @@
 	StartedMS int64  `json:"born_ms,omitempty"`
 	// Host is the host of the worker, empty if it was not known.
 	Host string `json:"host,omitempty"`
-	// LeasedBy is that of scheduler.UsedWorker.
-	LeasedBy int64 `json:"leased_by,omitempty"`
+	// LeaseEndMS is scheduler.UsedWorker.LeaseEnd in milliseconds on the store's
+	// clock.
+	LeaseEndMS int64 `json:"lease_end_ms,omitempty"`
 }
 
-func (u *usedWorker) worker() scheduler.UsedWorker {
-	return scheduler.UsedWorker{Worker: estate.Worker{ID: u.ID, Pool: u.Pool, Address: u.Address, StartedMS: u.StartedMS}, LeasedBy: u.LeasedBy}
+// worker returns the worker for an engine.
+func (u *usedWorker) worker(clock *Clock) scheduler.UsedWorker {
+	return scheduler.UsedWorker{
+		Worker:   estate.Worker{ID: u.ID, Pool: u.Pool, Address: u.Address, StartedMS: u.StartedMS},
+		LeaseEnd: clock.LatestAt(u.LeaseEndMS),
+	}
+}
+
+// leaseEndTolerance is how much later than necessary a recorded LeaseEndMS may be:
+// the estimates of the store's clock vary by milliseconds.
+const leaseEndTolerance = 100 * time.Millisecond
+
+// sameRecord reports whether a record of the worker need not be replaced.
+func (u *usedWorker) sameRecord(recorded usedWorker) bool {
+	if late := recorded.LeaseEndMS - u.LeaseEndMS; u.LeaseEndMS > 0 && late >= 0 && late <= leaseEndTolerance.Milliseconds() {
+		recorded.LeaseEndMS = u.LeaseEndMS
+	}
+	return recorded == *u
 }
 
 // usedWorkersPerRow is the maximum number of workers in one row. With the usual
@@ -144,10 +161,10 @@
 }
 
 // workersOf returns the workers of a record.
-func workersOf(used []usedWorker) []scheduler.UsedWorker {
+func workersOf(used []usedWorker, clock *Clock) []scheduler.UsedWorker {
 	list := make([]scheduler.UsedWorker, len(used))
 	for i := range used {
-		list[i] = used[i].worker()
+		list[i] = used[i].worker(clock)
 	}
 	return list
 }
@@ -159,10 +176,10 @@
 	if o.used.writing {
 		return
 	}
-	if !o.engine.Unrecorded() && (now-o.used.lastWrite < usedWorkersInterval || o.usedWorkersUpToDate()) {
+	if !o.engine.Unrecorded() && (now-o.used.lastWrite < usedWorkersInterval || o.usedWorkersUpToDate(now)) {
 		return
 	}
-	list := o.engine.InUse()
+	list := o.engine.InUse(now)
 	used := o.withHosts(list)
 	txn, err := o.usedWorkersTxn(used)
 	if err != nil {
@@ -209,7 +226,7 @@
 		for _, u := range used {
 			o.used.recorded[u.ID] = u
 		}
-		o.engine.Recorded(workersOf(used))
+		o.engine.Recorded(workersOf(used, &o.node.Clock))
 	}
 }
 
@@ -218,7 +235,10 @@
 	used := make([]usedWorker, len(list))
 	for i, w := range list {
 		used[i] = usedWorker{
-			ID: w.ID, Pool: w.Pool, Address: w.Address, StartedMS: w.StartedMS, Host: o.fleetController.workerHosts[w.ID].Host, LeasedBy: w.LeasedBy,
+			ID: w.ID, Pool: w.Pool, Address: w.Address, StartedMS: w.StartedMS, Host: o.fleetController.workerHosts[w.ID].Host,
+		}
+		if w.LeaseEnd > 0 {
+			used[i].LeaseEndMS = o.node.Clock.LatestStoreMS(w.LeaseEnd)
 		}
 	}
 	return used
@@ -226,10 +246,10 @@
 
 // usedWorkersUpToDate reports whether the stored record lists exactly the
 // workers in use, with their hosts.
-func (o *owner) usedWorkersUpToDate() bool {
-	used := o.withHosts(o.engine.InUse())
+func (o *owner) usedWorkersUpToDate(now time.Duration) bool {
+	used := o.withHosts(o.engine.InUse(now))
 	for _, u := range used {
-		if o.used.recorded[u.ID] != u {
+		if !u.sameRecord(o.used.recorded[u.ID]) {
 			return false
 		}
 	}
--- a/internal/node/usedworkers_test.go
+++ b/internal/node/usedworkers_test.go
@@ -39,11 +39,11 @@
 	const listSent, answered = time.Second, 1500 * time.Millisecond
 	o.engine.WorkerListed(estate.Worker{ID: "w1", Pool: "p", StartedMS: 2}, answered)
 	o.answerPolls(answered, 2)
-	if used := o.engine.InUse(); len(used) != 1 {
+	if used := o.engine.InUse(o.node.Clock.Now()); len(used) != 1 {
 		t.Fatalf("workers in use are %v, want one", used)
 	}
 	o.fleetController.setHosts([]estate.Host{{Name: "h1", Pool: "p", State: estate.HostDown}}, listSent, 2*time.Second)
-	if used := o.engine.InUse(); len(used) != 1 {
+	if used := o.engine.InUse(o.node.Clock.Now()); len(used) != 1 {
 		t.Error("the worker has been removed, and its runs given up, after it answered a poll that was sent after the list was requested")
 	}
 }
@@ -51,11 +51,11 @@
 func TestRecordIsWrittenAgainAfterAWriteWithoutAnswer(t *testing.T) {
 	o := testOwner(t, standin.NewRows(), 1)
 	o.engine = scheduler.New(scheduler.Options{Log: zap.NewNop()})
-	o.engine.Recover(workersOf([]usedWorker{{ID: "w1", Pool: "p"}}), o.lastOrder, 0)
+	o.engine.Recover(workersOf([]usedWorker{{ID: "w1", Pool: "p"}}, &o.node.Clock), o.previousLeasesEnd(), 0)
 	o.fleetController = newFleetController(o, nil, scheduler.WorkerHosts{}, 0)
-	o.usedWorkersRecorded(o.withHosts(o.engine.InUse()), 1, 1, nil)
+	o.usedWorkersRecorded(o.withHosts(o.engine.InUse(o.node.Clock.Now())), 1, 1, nil)
 	o.usedWorkersRecorded(nil, 1, 0, errors.New("no answer")) // a record without the worker may be stored
-	if o.usedWorkersUpToDate() {
+	if o.usedWorkersUpToDate(o.node.Clock.Now()) {
 		t.Error("the record counts as up to date, though another one may be stored")
 	}
 }
@@ -64,41 +64,32 @@
 func TestSuccessorCountsTheWaitFromTheOwnerThatReachedTheWorker(t *testing.T) {
 	rows := standin.NewRows()
 	o := testOwner(t, rows, 1)
-	ended := o.node.Clock.Now() - 3*time.Second
-	o.record.Epoch = 8
-	o.lastOrders = map[int64]time.Duration{7: ended}
+	ctx := t.Context()
+	n := o.node
+	n.Scheduling.MaxLease = time.Second
+	ended := n.Clock.Now() - 3*time.Second
+	o.previousHeartbeat = ended - ownership.LeaseDuration
+	leaseEnd := n.Scheduling.LeasesEnd(ended)
 	o.engine = scheduler.New(scheduler.Options{Token: 1, Epoch: 8, MaxLease: time.Second, Log: zap.NewNop()})
 	o.engine.SetCatalog(testCatalog(1, "/q/"))
-	o.engine.Recover(workersOf([]usedWorker{{ID: "w1", Pool: "p"}}), o.lastOrder, 0)
+	o.engine.Recover(workersOf([]usedWorker{{ID: "w1", Pool: "p"}}, &n.Clock), o.previousLeasesEnd(), 0)
 	o.fleetController = newFleetController(o, nil, scheduler.WorkerHosts{}, 0)
-	if used := o.withHosts(o.engine.InUse()); used[0].LeasedBy != 0 {
-		t.Errorf("the worker is recorded as leased by %d before it failed to answer, want unknown", used[0].LeasedBy)
+	o.sendHeartbeat(ctx, n.Clock.Now())
+	if used := o.withHosts(o.engine.InUse(n.Clock.Now())); used[0].LeaseEndMS != 0 {
+		t.Errorf("the lease of the worker is recorded to end at %d ms before it failed to answer, want unknown", used[0].LeaseEndMS)
 	}
 	for _, order := range o.engine.Decide(0, scheduler.OwnershipValid) {
 		if poll, ok := order.(*scheduler.PollOrder); ok {
 			o.engine.Polled(poll, platform.WorkerStatus{}, errors.New("no answer"), 0)
 		}
 	}
-	ctx := t.Context()
-	txn, err := o.usedWorkersTxn(o.withHosts(o.engine.InUse()))
+	txn, err := o.usedWorkersTxn(o.withHosts(o.engine.InUse(n.Clock.Now())))
 	if err == nil {
 		_, err = rows.CommitRows(ctx, txn)
 	}
 	if err != nil {
 		t.Fatal(err)
 	}
-	o.sendHeartbeat(ctx, o.node.Clock.Now())
-
-	n := o.node
-	control, _, err := rows.ReadRows(ctx, controlTable, controlPart, "", "")
-	if err == nil {
-		err = n.observeControl(control, n.Clock.Now())
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-	successor := &owner{node: n, record: ownership.Record{Epoch: 9}, previousHeartbeat: n.view.Load().HeartbeatSeen}
-	successor.lastOrders = successor.previousLastOrders(n.view.Load())
 	stored, _, err := rows.ReadRows(ctx, usedWorkersTable, controlPart, "", "")
 	if err != nil || len(stored) != 1 {
 		t.Fatalf("%d rows, %v; want 1", len(stored), err)
@@ -107,11 +98,12 @@
 	if err := json.Unmarshal(stored[0].Value, &used); err != nil || len(used) != 1 {
 		t.Fatalf("record %s, %v; want one worker", stored[0].Value, err)
 	}
-	if got := successor.lastOrder(used[0].LeasedBy); got < ended || got > ended+time.Second {
-		t.Errorf("the last order is taken to be %v after the owner's end, want 0 to 1 s", got-ended)
+	if got := used[0].worker(&n.Clock).LeaseEnd; got < leaseEnd || got > leaseEnd+time.Second {
+		t.Errorf("the lease is taken to end %v after it does, want 0 to 1 s", got-leaseEnd)
 	}
-	if got, want := successor.lastOrder(8), successor.previousLeaseEnd(); got != want {
-		t.Errorf("the last order of the previous owner is at %v, want %v", got, want)
+	successor := &owner{node: n, record: ownership.Record{Epoch: 9}, previousHeartbeat: n.Clock.Now()}
+	if got, want := successor.previousLeasesEnd(), n.Scheduling.LeasesEnd(successor.previousLeaseEnd()); got != want {
+		t.Errorf("the leases of an owner that did not release its ownership end at %v, want %v", got, want)
 	}
 }
 
@@ -126,11 +118,11 @@
 	const answered, listSent = time.Second, 1500 * time.Millisecond
 	o.engine.WorkerListed(estate.Worker{ID: "w1", Pool: "p", StartedMS: 2}, answered)
 	o.answerPolls(answered, 2)
-	if used := o.engine.InUse(); len(used) != 1 {
+	if used := o.engine.InUse(o.node.Clock.Now()); len(used) != 1 {
 		t.Fatalf("workers in use are %v, want one", used)
 	}
 	o.fleetController.setHosts([]estate.Host{{Name: "h1", Pool: "p", State: estate.HostUp, WorkerID: "w1"}}, listSent, 2*time.Second)
-	if used := o.engine.InUse(); len(used) != 1 {
+	if used := o.engine.InUse(o.node.Clock.Now()); len(used) != 1 {
 		t.Error("the worker has been removed, and its runs given up, by a list that shows it")
 	}
 }
@@ -156,7 +148,7 @@
 	}
 	o.fleetController.setHosts(hosts, now, now)
 	o.answerPolls(now, 1)
-	o.engine.Recorded(o.engine.InUse())
+	o.engine.Recorded(o.engine.InUse(o.node.Clock.Now()))
 	o.fleetController.reconcile(t.Context(), now)
 	job := &workload.Job{ID: testID, Queue: "q", Pool: "p", Steps: []workload.Step{{Count: 1, LongRunning: true, Size: placement.Resources{Processors: 1}}}}
 	o.engine.AddJob(job, &workload.Progress{Queue: "q", State: workload.Running}, 1, 0, true, now)
@@ -178,7 +170,7 @@
 		name := strings.Repeat(letter, 200)
 		used := make([]usedWorker, 250)
 		for i := range used {
-			used[i] = usedWorker{ID: name, Pool: name, Address: strings.Repeat("x", 253) + ":65535", Host: name, StartedMS: 1 << 40, LeasedBy: 1 << 40}
+			used[i] = usedWorker{ID: name, Pool: name, Address: strings.Repeat("x", 253) + ":65535", Host: name, StartedMS: 1 << 40, LeaseEndMS: 1 << 40}
 		}
 		writes, err := usedWorkerRows(used, 0)
 		if err != nil {
@@ -267,7 +259,7 @@
 	o.setUpEngine(l, now)
 	startedAt := time.Duration(-1)
 	for at := time.Duration(0); at < 20*time.Second && startedAt < 0; at += 50 * time.Millisecond {
-		o.engine.Recorded(o.engine.InUse())
+		o.engine.Recorded(o.engine.InUse(o.node.Clock.Now()))
 		o.engine.CancelsRead(now+at, 0) // as the feeds do
 		o.engine.EntriesRead(now + at)
 		for _, order := range o.engine.Decide(now+at, scheduler.OwnershipValid) {
@@ -296,7 +288,7 @@
 func TestWorkersOfAnUnreadableRecordAreRecordedForASuccessor(t *testing.T) {
 	o, l := unreadableRecordTest(t)
 	o.setUpEngine(l, o.node.Clock.Now())
-	used := o.withHosts(o.engine.InUse())
+	used := o.withHosts(o.engine.InUse(o.node.Clock.Now()))
 	if len(used) != 1 || used[0].Pool != "p" {
 		t.Fatalf("workers in use are %+v, want one that stands for those of pool p", used)
 	}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -51,6 +51,10 @@
 	// HostOrderHolder is the last host that was allowed to give orders about hosts.
 	// It is kept when the control work is released.
 	HostOrderHolder string `json:"duty_holder,omitempty"`
+	// LeasesEndMS is when every worker lease of the owner that released the control
+	// work and of those before it has expired, in milliseconds on the store's clock.
+	// It is 0 if unknown, and while there is an owner.
+	LeasesEndMS int64 `json:"leases_end_ms,omitempty"`
 	// Constrained is set if the owner's host has less processor time than the
 	// control work may take.
 	Constrained bool `json:"constrained,omitempty"`
@@ -87,10 +91,6 @@
 	// Waves holds, by wave number, when the owner first saw each maintenance
 	// wave, in milliseconds on the store's clock.
 	Waves map[int64]int64 `json:"waves,omitempty"`
-	// LastOrderAgeMS holds, by epoch, the least time in milliseconds since the
-	// last order of any owner up to that epoch, negative if such an order may
-	// still be given. It holds for a heartbeat that is read late, too.
-	LastOrderAgeMS map[int64]int64 `json:"last_order_age_ms,omitempty"`
 }
 
 // Surge is a surge in a pool's demand.
@@ -120,9 +120,6 @@
 	// HeartbeatSeen is when the answer that first showed HeartbeatVersion, or a
 	// newer owner record, was received. The takeover timeout counts from it.
 	HeartbeatSeen time.Duration
-	// LastOrders holds, by epoch, the latest time of an order of any owner up to
-	// that epoch, as far as heartbeats of the last minute told.
-	LastOrders map[int64]time.Duration
 	// Offer is the latest offer, also one to an earlier owner.
 	Offer Offer
 	// recordRead is set once the rows were read.
@@ -157,7 +154,6 @@
 		return errors.Wrap(err, "decode heartbeat")
 	}
 	v.Heartbeat, v.HeartbeatVersion, v.HeartbeatSeen = h, version, received
-	v.LastOrders = mergeLastOrders(v.LastOrders, h, received)
 	return nil
 }
 
@@ -182,30 +178,6 @@
 // owner with the given token.
 func (v *View) Offered(token int64) bool { return v.Offer.Token == token && v.RecordVersion == token }
 
-// lastOrdersKept is how long the time of an owner's last order is kept. It is
-// longer than the lease of a worker.
-const lastOrdersKept = time.Minute
-
-// mergeLastOrders returns what is known after a heartbeat. The one that arrived
-// with the shortest delay tells the earliest time.
-func mergeLastOrders(known map[int64]time.Duration, h Heartbeat, received time.Duration) map[int64]time.Duration {
-	merged := map[int64]time.Duration{}
-	add := func(epoch int64, at time.Duration) {
-		if old, ok := merged[epoch]; !ok || at < old {
-			merged[epoch] = at
-		}
-	}
-	for epoch, at := range known {
-		if received-at < lastOrdersKept {
-			add(epoch, at)
-		}
-	}
-	for epoch, age := range h.LastOrderAgeMS {
-		add(epoch, received-time.Duration(age)*time.Millisecond)
-	}
-	return merged
-}
-
 // Vacant reports whether the process self may acquire the control work, given
 // an answer that was requested at sent and showed no newer heartbeat.
 func (v *View) Vacant(self Record, sent time.Duration) bool {
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -184,33 +184,3 @@
 		}
 	}
 }
-
-// Heartbeats are read late, and one is applied after a later one.
-func TestLastOrderOfAnOwnerIsNeverTakenForEarlierThanItWas(t *testing.T) {
-	const lastOrder = 2 * time.Second // of the owner with epoch 4
-	heartbeat := func(sent time.Duration) []byte {
-		value, err := Encode(Heartbeat{LastOrderAgeMS: map[int64]int64{4: (sent - lastOrder).Milliseconds()}})
-		if err != nil {
-			t.Fatal(err)
-		}
-		return value
-	}
-	var v View
-	for i, c := range []struct{ sent, received, want time.Duration }{
-		{1 * time.Second, 1500 * time.Millisecond, 2500 * time.Millisecond}, // before the last order
-		{4 * time.Second, 4200 * time.Millisecond, 2200 * time.Millisecond},
-		{5 * time.Second, 5900 * time.Millisecond, 2200 * time.Millisecond},
-		{3 * time.Second, 6 * time.Second, 2200 * time.Millisecond},
-		{7 * time.Second, 7010 * time.Millisecond, 2010 * time.Millisecond},
-	} {
-		if err := v.ObserveHeartbeat(heartbeat(c.sent), int64(i+1), c.received); err != nil {
-			t.Fatal(err)
-		}
-		if got := v.LastOrders[4]; got != c.want {
-			t.Errorf("heartbeat %d: the last order is at %v, want %v", i, got, c.want)
-		}
-	}
-	if err := v.ObserveHeartbeat([]byte("{}"), 9, 8*time.Second); err != nil || v.LastOrders[4] != 2010*time.Millisecond {
-		t.Errorf("%v, the last order is at %v after a heartbeat that does not tell; want 2.01s", err, v.LastOrders[4])
-	}
-}
--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -52,7 +52,7 @@
 	ended.reachable = false
 	owner.WorkerListed(ended.Worker, sim.now)
 	sim.run(time.Second, owner)
-	if used := owner.InUse(); len(used) != 1 || used[0].ID != "w1" {
+	if used := owner.InUse(owner.sim.now); len(used) != 1 || used[0].ID != "w1" {
 		t.Errorf("a successor has to wait for %v, want w1 alone", used)
 	}
 }
--- a/internal/scheduler/handover_test.go
+++ b/internal/scheduler/handover_test.go
@@ -18,20 +18,22 @@
 	first.expired = true
 	sim.run(releaseTime)
 	owner := sim.newOwnerAfter(releaseTime)
-	for sim.inUse["w1"].LeasedBy == 0 && sim.now < 10*time.Second {
+	leasesEnd := sim.now - releaseTime + atSlowClock(testMaxLease)
+	for sim.inUse["w1"].LeaseEnd == 0 && sim.now < 10*time.Second {
 		sim.run(testTick, owner)
 	}
-	if got := sim.inUse["w1"].LeasedBy; got == 0 || got >= owner.token {
-		t.Fatalf("the worker is recorded as leased by owner %d, want one before %d", got, owner.token)
+	if got := sim.inUse["w1"].LeaseEnd; got == 0 || got > leasesEnd {
+		t.Fatalf("the lease of the worker is recorded to end at %v, want at most %v, as the owner granted none", got, leasesEnd)
 	}
 	return owner, w1, job
 }
 
-// leasedBy returns which owner a record names for a worker, 0 for none.
-func leasedBy(list []UsedWorker, id string) int64 {
+// leaseEndIn returns when the lease of a worker ends according to a record, 0 if
+// that does not tell.
+func leaseEndIn(list []UsedWorker, id string) time.Duration {
 	for _, u := range list {
 		if u.ID == id {
-			return u.LeasedBy
+			return u.LeaseEnd
 		}
 	}
 	return 0
@@ -56,7 +58,7 @@
 			before := w1.leaseMS
 			writes := 0
 			sim.recordFault = func(list []UsedWorker) recordFault {
-				if leasedBy(list, "w1") > 0 || writes == fault.writes {
+				if leaseEndIn(list, "w1") > 0 || writes == fault.writes {
 					return recordFault{}
 				}
 				writes++
@@ -84,7 +86,7 @@
 	}
 }
 
-// The write that names the owner before is applied after the worker was reached.
+// The write that states the end of the lease is applied after the worker was reached.
 func TestLateRecordOfAnUnreachedWorkerDoesNotShortenTheWait(t *testing.T) {
 	for delay := 20 * time.Millisecond; delay < 2500*time.Millisecond; delay += 20 * time.Millisecond {
 		t.Run(fmt.Sprint(delay), func(t *testing.T) {
@@ -97,7 +99,7 @@
 			owner := sim.newOwnerAfter(releaseTime)
 			late := false
 			sim.recordFault = func(list []UsedWorker) recordFault {
-				if late || leasedBy(list, "w1") == 0 {
+				if late || leaseEndIn(list, "w1") == 0 {
 					return recordFault{}
 				}
 				late = true
--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -297,7 +297,14 @@
 			current = sim.newOwnerAfter(0)
 			owners = append(owners, current)
 		case 17:
-			// The owner releases its ownership; it gave its last order just before.
+			// The owner releases its ownership; it gave its last order just before. It
+			// may tell what its successor has to wait for, or be killed as it releases.
+			if draw(0, 2, "last record is written") > 0 {
+				sim.replaceUsedWorkers(current, current.InUse(sim.now), current.recordVersion)
+			}
+			if draw(0, 2, "leases are told") > 0 {
+				sim.releasedLeasesEnd = current.LeasesEnd()
+			}
 			current.expired = true
 			vacant := time.Duration(draw(0, 500, "vacant ms")) * time.Millisecond
 			sim.run(vacant, owners...)
--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -61,7 +61,7 @@
 	next := e.addWorker(entry, now)
 	next.listed, next.recorded = w.listed, w.recorded
 	next.full = w.full
-	next.inheritedLeaseEnd, next.leasedBy = w.inheritedLeaseEnd, w.leasedBy
+	next.inheritedLeaseEnd, next.leaseFrozen = w.inheritedLeaseEnd, w.leaseFrozen
 	next.inherited = w.inherited // starts of a previous owner may arrive until this incarnation has seen a higher token
 	for _, r := range open {
 		r.withdraw()
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -239,7 +239,6 @@
 	if !w.fenced {
 		w.fenced = true
 		w.inherited = false
-		w.leasedBy = 0
 		w.pool.needsPass = true
 		event.WorkerFenced.Log(e.opts.Log, zap.String("worker", w.ID), zap.Int64("token", w.token),
 			zap.Int("runs", len(status.Runs)), zap.Int("ends", len(status.Ends)))
--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,20 +17,35 @@
 // UsedWorker is a worker on which tasks may have been started.
 type UsedWorker struct {
 	estate.Worker
-	// LeasedBy is the epoch of the last owner that may have extended the worker's
-	// lease or started a task there, 0 if any owner may have. Owners that did not
-	// reach the worker did neither.
-	LeasedBy int64
+	// LeaseEnd is when the last lease of the worker has expired, 0 if its owner may
+	// still have extended it. An owner that states it neither renews the lease nor
+	// starts tasks there before the worker is recorded without it.
+	LeaseEnd time.Duration
+}
+
+// LeasesEnd returns when every lease has expired that owners granted which gave
+// their last order at the given time.
+func (o *Options) LeasesEnd(lastOrder time.Duration) time.Duration {
+	return lastOrder + atSlowClock(o.MaxLease)
+}
+
+// LeasesEnd returns when every lease has expired that this owner or a previous one
+// has granted so far.
+func (e *Engine) LeasesEnd() time.Duration {
+	end := time.Duration(0)
+	for _, w := range e.workers {
+		end = max(end, w.leaseEnd())
+	}
+	return end
 }
 
 // Recover starts an ownership. used are the workers that previous owners may
-// have started tasks on, and lastOrder returns the latest time at which an owner
-// up to the given epoch can have given an order. A task of an inherited job
-// without a known run may have an undiscovered one. It is not started until each
-// worker of the job's pool has answered a poll with this owner's token or has
-// certainly ended, or until every lease that a previous owner gave it has
-// expired.
-func (e *Engine) Recover(used []UsedWorker, lastOrder func(epoch int64) time.Duration, now time.Duration) {
+// have started tasks on, and leasesEnd is when every lease that they granted has
+// expired. A task of an inherited job without a known run may have an
+// undiscovered one. It is not started until each worker of the job's pool has
+// answered a poll with this owner's token or has certainly ended, or until the
+// leases of the others have expired.
+func (e *Engine) Recover(used []UsedWorker, leasesEnd, now time.Duration) {
 	e.recovering = true
 	e.recoverAt = now
 	e.firstPollsEnd = now + firstPollsTimeout
@@ -41,14 +55,17 @@
 			w = e.addWorker(u.Worker, now)
 		}
 		w.inherited = true
-		w.leasedBy = u.LeasedBy
-		w.inheritedLeaseEnd = lastOrder(cmp.Or(u.LeasedBy, e.opts.Epoch-1)) + atSlowClock(e.opts.MaxLease)
-		w.recorded = u.LeasedBy == 0
+		w.leaseFrozen = u.LeaseEnd > 0
+		w.inheritedLeaseEnd = leasesEnd
+		if w.leaseFrozen {
+			w.inheritedLeaseEnd = min(u.LeaseEnd, leasesEnd)
+		}
+		w.recorded = !w.leaseFrozen
 	}
 }
 
 // mayHaveInheritedRuns reports whether the worker may still have undiscovered
-// runs of a previous owner.
+// runs of a previous owner, or ends of such runs that it has not listed yet.
 func (e *Engine) mayHaveInheritedRuns(w *worker, now time.Duration) bool {
 	return w.inherited && now < max(w.inheritedLeaseEnd, e.firstPollsEnd)
 }
@@ -70,7 +87,6 @@
 			w.pool.recoveredAt, w.pool.lastUnread = now, w.ID
 		case w.inherited:
 			w.inherited = false
-			w.leasedBy = 0
 			e.givenUp++
 		}
 	}
--- a/internal/scheduler/released_test.go
+++ b/internal/scheduler/released_test.go
@@ -8,7 +8,8 @@
 
 // release lets an owner release its ownership and returns its successor.
 func (sim *simulation) release(owner *testOwner) *testOwner {
-	sim.replaceUsedWorkers(owner, owner.InUse(), owner.recordVersion)
+	sim.replaceUsedWorkers(owner, owner.InUse(owner.sim.now), owner.recordVersion)
+	sim.releasedLeasesEnd = owner.LeasesEnd()
 	owner.expired = true
 	sim.run(releaseTime)
 	return sim.newOwnerAfter(-ownershipLease) // its lease counts from the time at which the release is read
@@ -28,11 +29,14 @@
 			owner, w1, job := sim.runningTask("w2")
 			w1.fallSilent()
 			ranAt := sim.now
+			ownedSince := sim.now
 			for !sim.hasRun(job) && sim.now < ranAt+20*time.Second {
-				sim.run(every, owner)
-				owner = sim.release(owner)
+				if sim.now >= ownedSince+every {
+					owner = sim.release(owner)
+					ownedSince = sim.now
+				}
+				sim.run(testTick, owner)
 			}
-			sim.run(time.Second, owner)
 			sim.checkRestart(t, job, ranAt, ranAt, owner)
 		})
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -155,7 +155,7 @@
 	sim.addWorker("w2", "p", 8)
 	previous := sim.newOwner()
 	previous.expired = true
-	previous.Recorded(previous.InUse())
+	previous.Recorded(previous.InUse(sim.now))
 	job := jobOf(1, 4, 2)
 	previous.expired = false
 	sim.submit(previous, job)
@@ -424,7 +424,7 @@
 	sim.storeDown = true
 	sim.run(300*time.Millisecond, owner)
 	owner.WorkerUnlisted("w1", sim.now)
-	recorded := owner.InUse()
+	recorded := owner.InUse(owner.sim.now)
 	owner.Recorded(recorded)
 	owner.WorkerListed(f.Worker, sim.now)
 	sim.submit(owner, jobOf(2, 1, 2))
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -36,9 +35,9 @@
 	storeDown bool
 	// inUse holds the workers that owners recorded as used.
 	inUse map[string]UsedWorker
-	// lastOrders holds the latest times of the orders of all owners up to an
-	// epoch.
-	lastOrders map[int64]time.Duration
+	// releasedLeasesEnd is when every lease has expired according to the owner that
+	// released its ownership last, 0 if the next owner does not know.
+	releasedLeasesEnd time.Duration
 	// replaceRecord lets owners replace the record of workers in use every
 	// usedWorkersInterval.
 	replaceRecord bool
@@ -186,7 +185,7 @@
 const testMaxLease = 6 * time.Second
 
 func newSimulation(t testingT) *simulation {
-	return &simulation{t: t, workers: map[string]*fakeWorker{}, records: map[string]*storedJob{}, inUse: map[string]UsedWorker{}, lastOrders: map[int64]time.Duration{},
+	return &simulation{t: t, workers: map[string]*fakeWorker{}, records: map[string]*storedJob{}, inUse: map[string]UsedWorker{},
 		crashed:        map[workload.TaskID]int{},
 		catalogVersion: 1, poolOf: map[string]string{}, log: zap.NewNop(),
 		requestDelay: func() time.Duration { return orderDelay }, answerDelay: func() time.Duration { return orderDelay },
@@ -546,8 +545,12 @@
 	})
 	owner := &testOwner{Engine: e, sim: sim, token: sim.fence, recordVersion: sim.recordVersion}
 	e.SetCatalog(sim.catalog())
-	sim.lastOrders[epoch-1] = sim.now - ago
-	e.Recover(sorted(sim.inUse), sim.lastOrder, sim.now)
+	leasesEnd := e.opts.LeasesEnd(sim.now - ago)
+	if sim.releasedLeasesEnd > 0 {
+		leasesEnd = min(leasesEnd, sim.releasedLeasesEnd)
+	}
+	sim.releasedLeasesEnd = 0
+	e.Recover(sorted(sim.inUse), leasesEnd, sim.now)
 	owner.discover()
 	for _, j := range sorted(sim.records) {
 		p := j.progress
@@ -561,17 +564,6 @@
 	return owner
 }
 
-// lastOrder returns when an owner up to an epoch can have given its last order.
-func (sim *simulation) lastOrder(epoch int64) time.Duration {
-	last := time.Duration(math.MaxInt64)
-	for e, at := range sim.lastOrders {
-		if e >= epoch {
-			last = min(last, at)
-		}
-	}
-	return last
-}
-
 // ownershipState returns the state of an owner that learns of a successor at
 // once.
 func (owner *testOwner) ownershipState() OwnershipState {
@@ -620,7 +612,7 @@
 		return
 	}
 	// The record of workers in use is written before they are used.
-	list := owner.InUse()
+	list := owner.InUse(owner.sim.now)
 	for _, u := range list {
 		owner.sim.inUse[u.ID] = u
 	}
@@ -638,7 +630,7 @@
 		return
 	}
 	owner.recording = true
-	list := owner.InUse()
+	list := owner.InUse(owner.sim.now)
 	version := owner.recordVersion
 	if sim.recordFault != nil {
 		if ft := sim.recordFault(list); ft.lost {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -104,9 +104,9 @@
 	// inheritedLeaseEnd is when the last lease that a previous owner can have
 	// granted has expired.
 	inheritedLeaseEnd time.Duration
-	// leasedBy is the epoch of the last owner that can have granted one, 0 if
-	// that is to be recorded as unknown. It is set only while inherited is.
-	leasedBy int64
+	// leaseFrozen is set while the record of workers in use may state when the
+	// worker's lease ends. The lease is not renewed then.
+	leaseFrozen bool
 
 	// lastSeenEnd is the number of the last end that was handled, lastAckedEnd
 	// that of the last one that the worker may discard.
@@ -378,23 +378,29 @@
 	}
 }
 
+// frozenAfter is how long a worker must not have answered before its lease is
+// recorded as no longer renewed. A worker that answers again gets no lease before
+// it is recorded anew.
+const frozenAfter = 500 * time.Millisecond
+
 // InUse returns the workers that a successor has to fence before it may start a
 // task again. A worker that has not answered this owner has no task of it: it may
-// have ended long before its entry lapses. One that is left out gets no task
-// before it is recorded again. One that this owner has failed to reach is to be
-// recorded as leased by its predecessor, so that a successor does not wait for
-// leases of this owner.
-func (e *Engine) InUse() []UsedWorker {
+// have ended long before its entry lapses. One that is left out, or whose lease is
+// stated to end, gets no task and no lease before it is recorded again.
+func (e *Engine) InUse(now time.Duration) []UsedWorker {
 	var list []UsedWorker
 	for _, w := range e.workers {
-		if w.inherited && w.leasedBy == 0 && w.failedPolls > 0 {
-			w.leasedBy = e.opts.Epoch - 1
-		}
+		silent := w.failedPolls > 0 && (w.inherited || now-w.silentSince >= frozenAfter)
+		w.leaseFrozen = silent || (w.leaseFrozen && w.inherited)
 		inUse := w.inherited || w.occupied() || len(w.pendingEnds) > 0 || w.toRecord(e)
 		if inUse {
-			list = append(list, UsedWorker{Worker: w.Worker, LeasedBy: w.leasedBy})
+			u := UsedWorker{Worker: w.Worker}
+			if w.leaseFrozen {
+				u.LeaseEnd = w.leaseEnd()
+			}
+			list = append(list, u)
 		}
-		w.recorded = w.recorded && inUse && w.leasedBy == 0
+		w.recorded = w.recorded && inUse && !w.leaseFrozen
 	}
 	return list
 }
@@ -414,7 +420,7 @@
 // successor finds them. Tasks may be started on them from then on.
 func (e *Engine) Recorded(list []UsedWorker) {
 	for _, u := range list {
-		if w := e.workers[u.ID]; w != nil && u.LeasedBy == 0 && !w.otherIncarnation(u.StartedMS) && !w.recorded {
+		if w := e.workers[u.ID]; w != nil && u.LeaseEnd == 0 && !w.leaseFrozen && !w.otherIncarnation(u.StartedMS) && !w.recorded {
 			w.recorded = true
 			w.pool.needsPass = true
 		}
@@ -424,7 +430,7 @@
 // Unrecorded reports whether a worker has to be recorded before it can be used.
 func (e *Engine) Unrecorded() bool {
 	for _, w := range e.workers {
-		if !w.recorded && w.fenced && (w.occupied() || w.toRecord(e)) {
+		if !w.recorded && w.fenced && w.failedPolls == 0 && (w.occupied() || w.toRecord(e)) {
 			return true
 		}
 	}
