scheduler, node: a task waits only for workers that may run it

Cause: recovery was by pool. One worker that a new owner could not reach held up every inherited task of its pool: those whose run is known to be over, and those that run on a worker that leaves, as they may be stopped only where they can start again.

Change: the record of a silent worker names the tasks that it may run. Its owner has read them, and starts none there until the worker is recorded anew. A task whose run a worker lists has no other run: previous owners started none before its end. And a long-running task waits for leases only, not for 0.7 s of first answers as well: those may list ends, after which it goes on anyway.

--- a/internal/node/usedworkers.go
+++ b/internal/node/usedworkers.go
@@ -64,14 +64,51 @@
 	// LeaseEndMS is scheduler.UsedWorker.LeaseEnd in milliseconds on the store's
 	// clock.
 	LeaseEndMS int64 `json:"lease_end_ms,omitempty"`
+	// Tasks and TasksKnown are those of scheduler.UsedWorker, the former separated
+	// by spaces so that workers can be compared.
+	Tasks      string `json:"tasks,omitempty"`
+	TasksKnown bool   `json:"tasks_known,omitempty"`
 }
 
-// worker returns the worker for an engine.
+// worker returns the worker for an engine. Tasks that cannot be read are unknown.
 func (u *usedWorker) worker(clock *Clock) scheduler.UsedWorker {
-	return scheduler.UsedWorker{
+	w := scheduler.UsedWorker{
 		Worker:   estate.Worker{ID: u.ID, Pool: u.Pool, Address: u.Address, StartedMS: u.StartedMS},
-		LeaseEnd: clock.LatestAt(u.LeaseEndMS),
+		LeaseEnd: clock.LatestAt(u.LeaseEndMS), TasksKnown: u.TasksKnown,
 	}
+	for _, name := range strings.Fields(u.Tasks) {
+		id, err := workload.ParseTaskID(name)
+		if err != nil {
+			w.Tasks, w.TasksKnown = nil, false
+			break
+		}
+		w.Tasks = append(w.Tasks, id)
+	}
+	return w
+}
+
+const (
+	// maxTaskNames bounds the names of the tasks of one worker in the record, in
+	// bytes, so that they fit its row: some 300 tasks.
+	maxTaskNames = 8 << 10
+	// maxAllTaskNames bounds those of all workers, so that the record fits one
+	// transaction.
+	maxAllTaskNames = 100 << 10
+)
+
+// setTasks sets the tasks of a record if their names have at most the given number
+// of bytes. It returns how many they have.
+func (u *usedWorker) setTasks(tasks []workload.TaskID, most int) int {
+	names := make([]string, len(tasks))
+	for i, id := range tasks {
+		names[i] = id.String()
+	}
+	all := strings.Join(names, " ")
+	if len(all) > min(most, maxTaskNames) {
+		return 0
+	}
+	u.Tasks, u.TasksKnown = all, true
+	return len(all)
 }
 
 // leaseEndTolerance is how much later than necessary a recorded LeaseEndMS may be:
@@ -233,12 +270,16 @@
 // withHosts adds the names of the workers' hosts, where they are known.
 func (o *owner) withHosts(list []scheduler.UsedWorker) []usedWorker {
 	used := make([]usedWorker, len(list))
+	taskNames := 0
 	for i, w := range list {
 		used[i] = usedWorker{
 			ID: w.ID, Pool: w.Pool, Address: w.Address, StartedMS: w.StartedMS, Host: o.fleetController.workerHosts[w.ID].Host,
 		}
 		if w.LeaseEnd > 0 {
 			used[i].LeaseEndMS = o.node.Clock.LatestStoreMS(w.LeaseEnd)
+			if w.TasksKnown {
+				taskNames += used[i].setTasks(w.Tasks, maxAllTaskNames-taskNames)
+			}
 		}
 	}
 	return used
--- a/internal/scheduler/evacuate.go
+++ b/internal/scheduler/evacuate.go
@@ -163,7 +163,7 @@
 
 // mayStop reports whether a run may be stopped now to move its task.
 func (e *Engine) mayStop(r *run, now time.Duration) bool {
-	return r.phase == runConfirmed && !e.blockedByRecovery(r.task.step.job) && (e.mayInterrupt(r) || r.worker.endsSoon(now))
+	return r.phase == runConfirmed && !e.blockedByRecovery(r.task) && (e.mayInterrupt(r) || r.worker.endsSoon(now))
 }
 
 // evacuation is one call of holdCapacity.
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -96,6 +96,8 @@
 	// listedAt is when a worker last listed a run of the task that is not being
 	// stopped, or when the task could first be started.
 	listedAt time.Duration
+	// found is set once a worker has listed a run that a previous owner started.
+	found bool
 	// lostOn is the worker of the last run that was given up, and lostReason why,
 	// empty since the task has started again.
 	lostOn, lostReason string
--- a/internal/scheduler/liveness_test.go
+++ b/internal/scheduler/liveness_test.go
@@ -65,7 +65,7 @@
 		}
 	}
 	calm := s.ignoreDisruptions || s.now-s.disruptedAt >= settlingTime
-	for _, task := range slices.SortedFunc(maps.Keys(s.watched), compareTasks) {
+	for _, task := range slices.SortedFunc(maps.Keys(s.watched), workload.TaskID.Compare) {
 		w := s.watched[task]
 		if s.workersFailed && s.records[task.Job].progress.State == workload.Failed {
 			delete(s.watched, task) // MaxAttempts
--- a/internal/scheduler/outage.go
+++ b/internal/scheduler/outage.go
@@ -94,9 +94,9 @@
 		zap.Stringer("task", t.id()), zap.Duration("without_run", now-out.since), zap.Int("tasks", out.tasks), zap.String("pool", p.name),
 		zap.Float64("processors", t.step.Requests().Processors), zap.Int("memory_mb", t.step.Requests().MemoryMB),
 		zap.Int("max_per_worker", t.step.MaxPerWorker), zap.Bool("ownership_expired", e.ownership == OwnershipExpired),
-		zap.Bool("recovering", e.blockedByRecovery(t.step.job)),
+		zap.Bool("recovering", e.blockedByRecovery(t)),
 	}
-	if e.blockedByRecovery(t.step.job) {
+	if e.blockedByRecovery(t) {
 		var unpolled []string
 		for _, w := range p.workers {
 			if w.inherited && len(unpolled) < maxOutageWorkers {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -61,7 +61,7 @@
 	}
 	list := make([]candidate, 0, len(p.ready))
 	for s := range p.ready {
-		if mayFit(s) && !e.blockedByRecovery(s.job) {
+		if mayFit(s) && !e.allBlockedByRecovery(s) {
 			list = append(list, candidate{s, e.rank(s, now)})
 		}
 	}
@@ -156,7 +156,7 @@
 		if s.hasSuspects && ((refused && !t.suspect()) || (suspectRefused && t.suspect())) {
 			continue
 		}
-		if !t.startable() || now < t.notBefore || e.waitsForRecord(t) {
+		if !t.startable() || now < t.notBefore || e.waitsForRecord(t) || e.blockedByRecovery(t) {
 			continue
 		}
 		w, ticket, apart := e.chooseWorker(t, open, now)
@@ -273,8 +273,8 @@
 
 // placeGang starts all tasks of a step together, or none.
 func (e *Engine) placeGang(s *step, open []*worker, now time.Duration) {
-	if s.idle < s.left || now < s.gangRetry || e.waitsForRecord(s.tasks[0]) {
-		return // members of an earlier start still run
+	if s.idle < s.left || now < s.gangRetry || e.waitsForRecord(s.tasks[0]) || slices.ContainsFunc(s.tasks, e.blockedByRecovery) {
+		return // members of an earlier start still run, or may
 	}
 	if !e.ensureTickets(s, open, now) {
 		return
--- a/internal/scheduler/progress_test.go
+++ b/internal/scheduler/progress_test.go
@@ -123,8 +123,9 @@
 		p := s.owner.pool(name)
 		open, _ := p.openWorkers(s.now)
 		for st := range p.ready {
-			if st.LongRunning || s.owner.blockedByRecovery(st.job) || !slices.ContainsFunc(open, st.fitsOn) ||
-				!slices.ContainsFunc(st.tasks, func(t *task) bool { return t.startable() && s.now >= t.notBefore }) {
+			if st.LongRunning || !slices.ContainsFunc(open, st.fitsOn) || !slices.ContainsFunc(st.tasks, func(t *task) bool {
+				return t.startable() && s.now >= t.notBefore && !s.owner.blockedByRecovery(t)
+			}) {
 				continue
 			}
 			id := st.job.ID
--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -1,12 +1,14 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/event"
+	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
 // firstPollsTimeout is the time that workers get to answer the first polls of a
@@ -21,6 +23,10 @@
 	// still have extended it. An owner that states it neither renews the lease nor
 	// starts tasks there before the worker is recorded without it.
 	LeaseEnd time.Duration
+	// Tasks are the tasks that the worker may run or list the ends of. They are
+	// known only with LeaseEnd, and complete only if TasksKnown is set.
+	Tasks      []workload.TaskID
+	TasksKnown bool
 }
 
 // LeasesEnd returns when every lease has expired that owners granted which gave
@@ -42,9 +48,9 @@
 // Recover starts an ownership. used are the workers that previous owners may
 // have started tasks on, and leasesEnd is when every lease that they granted has
 // expired. A task of an inherited job without a known run may have an
-// undiscovered one. It is not started until each worker of the job's pool has
-// answered a poll with this owner's token or has certainly ended, or until the
-// leases of the others have expired.
+// undiscovered one. It is not started until each worker of the job's pool that may
+// have it has answered a poll with this owner's token or has certainly ended, or
+// until the leases of the others have expired.
 func (e *Engine) Recover(used []UsedWorker, leasesEnd, now time.Duration) {
 	e.recovering = true
 	e.recoverAt = now
@@ -59,6 +65,7 @@
 		w.inheritedLeaseEnd = leasesEnd
 		if w.leaseFrozen {
 			w.inheritedLeaseEnd = min(u.LeaseEnd, leasesEnd)
+			w.inheritedTasks, w.inheritedTasksKnown = u.Tasks, u.TasksKnown
 		}
 		w.recorded = !w.leaseFrozen
 	}
@@ -70,41 +77,90 @@
 	return w.inherited && now < max(w.inheritedLeaseEnd, e.firstPollsEnd)
 }
 
+// undiscovered are the tasks of a pool that may have undiscovered runs or ends of
+// previous owners.
+type undiscovered struct {
+	// workers counts the workers that have not answered a poll yet, and leased
+	// those whose leases may not have expired.
+	workers, leased int
+	// any is set if any task may be among them, and anyLeased if any may run.
+	any, anyLeased bool
+	// tasks and leasedTasks hold the tasks of the other workers.
+	tasks, leasedTasks map[workload.TaskID]struct{}
+}
+
+// add adds the tasks of a worker.
+func (u *undiscovered) add(w *worker, now time.Duration) {
+	u.workers++
+	leased := now < w.inheritedLeaseEnd
+	if leased {
+		u.leased++
+	}
+	if !w.inheritedTasksKnown {
+		u.any, u.anyLeased = true, u.anyLeased || leased
+		return
+	}
+	if u.tasks == nil {
+		u.tasks, u.leasedTasks = map[workload.TaskID]struct{}{}, map[workload.TaskID]struct{}{}
+	}
+	for _, id := range w.inheritedTasks {
+		u.tasks[id] = struct{}{}
+		if leased {
+			u.leasedTasks[id] = struct{}{}
+		}
+	}
+}
+
+// includes reports whether a task may be among them. Only a run matters for a
+// long-running task: it goes on after every end.
+func (u *undiscovered) includes(t *task) bool {
+	any, tasks := u.any, u.tasks
+	if t.step.LongRunning {
+		any, tasks = u.anyLeased, u.leasedTasks
+	}
+	_, ok := tasks[t.id()]
+	return any || ok
+}
+
 // finishRecovery ends the recovery once there can be no undiscovered runs.
 func (e *Engine) finishRecovery(now time.Duration) {
 	if !e.recovering {
 		return
 	}
-	unpolled := 0
+	before := map[*pool]undiscovered{}
 	for _, p := range e.pools {
-		p.unpolled = 0
+		before[p], p.undiscovered = p.undiscovered, undiscovered{}
 	}
+	unpolled := 0
 	for _, w := range e.workers {
 		switch {
 		case e.mayHaveInheritedRuns(w, now):
 			unpolled++
-			w.pool.unpolled++
+			w.pool.undiscovered.add(w, now)
 			w.pool.recoveredAt, w.pool.lastUnread = now, w.ID
 		case w.inherited:
 			w.inherited = false
 			e.givenUp++
 		}
 	}
+	for p, b := range before {
+		p.needsPass = p.needsPass || p.undiscovered.workers != b.workers || p.undiscovered.leased != b.leased
+	}
 	if unpolled > 0 {
-		for _, p := range e.pools {
-			p.needsPass = p.needsPass || p.unpolled == 0
-		}
 		return
 	}
 	e.recovering = false
-	for _, p := range e.pools {
-		p.needsPass = true
-	}
 	event.RecoveryEnded.Log(e.opts.Log, zap.Int("unread", e.givenUp), zap.Int("jobs", len(e.jobs)))
 }
 
-// blockedByRecovery reports whether a task of the job may have an undiscovered
-// run. Tasks run only in the pool of their job.
-func (e *Engine) blockedByRecovery(j *job) bool {
-	return e.recovering && j.inherited && e.pool(j.Pool).unpolled > 0
+// blockedByRecovery reports whether the task may have an undiscovered run, so that
+// it may not be started. Tasks run only in the pool of their job. A run that was
+// found is the only one: previous owners started no other before its end.
+func (e *Engine) blockedByRecovery(t *task) bool {
+	return e.recovering && t.step.job.inherited && !t.found && e.pool(t.step.job.Pool).undiscovered.includes(t)
+}
+
+// allBlockedByRecovery reports whether no task of the step may be started.
+func (e *Engine) allBlockedByRecovery(s *step) bool {
+	return e.recovering && s.job.inherited && !slices.ContainsFunc(s.tasks, func(t *task) bool { return !e.blockedByRecovery(t) })
 }
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -232,6 +232,7 @@
 		r.throttledPercent = unknownPercent
 	}
 	t.lastRun = s.Run
+	t.found = true
 	t.step.idle--
 	if t.step.idle == 0 {
 		e.dequeue(t.step)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -253,11 +253,11 @@
 	// nextCopySearch is the time of the next search for tasks that lag behind.
 	nextCopySearch time.Duration
 	queues         map[string]*queueStats
-	// unpolled counts the workers of previous owners that have not answered a
-	// poll yet.
-	unpolled int
-	// recoveredAt is when the last of them had answered or was given up, and
-	// lastUnread the id of the last one.
+	// undiscovered is what previous owners may have left on workers that have not
+	// answered a poll yet, as of the last sweep.
+	undiscovered undiscovered
+	// recoveredAt is when the last of these workers had answered or was given up,
+	// and lastUnread its id.
 	recoveredAt time.Duration
 	lastUnread  string
 	// arrived is the work in core-seconds that was accepted so far, in
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -256,14 +256,10 @@
 // runs returns the runs in a fixed order.
 func (f *fakeWorker) runs() []*fakeRun {
 	return slices.SortedFunc(maps.Values(f.running), func(a, b *fakeRun) int {
-		return cmp.Or(compareTasks(a.task, b.task), cmp.Compare(a.run, b.run))
+		return cmp.Or(a.task.Compare(b.task), cmp.Compare(a.run, b.run))
 	})
 }
 
-func compareTasks(a, b workload.TaskID) int {
-	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
-}
-
 // sorted returns the values of a map in the order of its keys.
 func sorted[V any](m map[string]V) []V {
 	values := make([]V, 0, len(m))
@@ -720,7 +716,7 @@
 }
 
 func (k orderKey) compare(o orderKey) int {
-	return cmp.Or(cmp.Compare(k.kind, o.kind), cmp.Compare(k.target, o.target), compareTasks(k.task, o.task), cmp.Compare(k.run, o.run))
+	return cmp.Or(cmp.Compare(k.kind, o.kind), cmp.Compare(k.target, o.target), k.task.Compare(o.task), cmp.Compare(k.run, o.run))
 }
 
 func keyOf(o Order) orderKey {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -104,6 +104,9 @@
 	// inheritedLeaseEnd is when the last lease that a previous owner can have
 	// granted has expired.
 	inheritedLeaseEnd time.Duration
+	// inheritedTasks and inheritedTasksKnown are the Tasks and TasksKnown of UsedWorker.
+	inheritedTasks      []workload.TaskID
+	inheritedTasksKnown bool
 	// leaseFrozen is set while the record of workers in use may state when the
 	// worker's lease ends. The lease is not renewed then.
 	leaseFrozen bool
@@ -397,14 +400,36 @@
 			u := UsedWorker{Worker: w.Worker}
 			if w.leaseFrozen {
 				u.LeaseEnd = w.leaseEnd()
+				u.Tasks, u.TasksKnown = w.possibleTasks()
 			}
 			list = append(list, u)
 		}
 		w.recorded = w.recorded && inUse && !w.leaseFrozen
 	}
+	slices.SortFunc(list, func(a, b UsedWorker) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
 
+// possibleTasks returns the tasks that the worker may run or list the ends of, and
+// whether all of them are known. They are if this owner has read the worker's runs,
+// and every end that it listed is recorded.
+func (w *worker) possibleTasks() (tasks []workload.TaskID, known bool) {
+	switch {
+	case w.inherited:
+		return w.inheritedTasks, w.inheritedTasksKnown
+	case w.lastRecordedEnd() < w.lastSeenEnd:
+		return nil, false
+	}
+	for key := range w.runs {
+		tasks = append(tasks, key.task)
+	}
+	for key := range w.orphans {
+		tasks = append(tasks, key.task)
+	}
+	slices.SortFunc(tasks, workload.TaskID.Compare)
+	return tasks, true
+}
+
 // toRecord reports whether the worker is to be used as soon as it is recorded.
 func (w *worker) toRecord(e *Engine) bool { return w.listed && w.fenced && !e.standby(w.Pool) }
 
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -3,6 +3,7 @@
 package workload
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 	"time"
@@ -221,6 +222,11 @@
 	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step)
 }
 
+// Compare orders tasks by job, occurrence, step and index.
+func (t TaskID) Compare(o TaskID) int {
+	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.Occurrence, o.Occurrence), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
+}
+
 // ParseTaskID parses a name that String returned.
 func ParseTaskID(name string) (TaskID, error) {
 	parts := strings.Split(name, ".")
