node: requests are answered before the shutdown ends

What callers saw: after a SIGTERM the connection of a request that the process had read whole ended without an answer.

Cause: the process ends 0.9 of the shutdown's grace after SIGTERM, whatever is in progress. A request waits for the store as long as its caller does, and nothing tied the two. The release of the control work had no bound of its own either: a write without an answer took all the time, and the listener was closed at its end, with nothing left for the requests in progress. Class: a wait whose bound outlasts the process that waits.

Evidence: TestNoWholeRequestIsLeftWithoutAnAnswerAroundAShutdown calls a real process on 16 connections until it is gone.

--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -188,21 +188,21 @@
 	metrics := echo.New()
 	metrics.GET("/metrics", echo.WrapHandler(expvar.Handler()))
 	node.NewJobsAPI(n).Register(metrics)
-	server, err := listen(s.CallersAddress, callers)
+	server, err := listen(n, s.CallersAddress, callers)
 	if err != nil {
 		return nil, err
 	}
-	if _, err := listen(s.ReadyAddress, ready); err != nil {
+	if _, err := listen(n, s.ReadyAddress, ready); err != nil {
 		return nil, err
 	}
-	_, err = listen(s.MetricsAddress, metrics)
+	_, err = listen(n, s.MetricsAddress, metrics)
 	return server, err
 }
 
 // listen serves a handler on an address. If the address is empty, the returned
 // server does not listen.
-func listen(address string, handler http.Handler) (*http.Server, error) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+func listen(n *node.Node, address string, handler http.Handler) (*http.Server, error) {
+	server := &http.Server{Handler: handler, BaseContext: n.RequestContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	if address == "" {
 		return server, nil
 	}
--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -81,8 +81,8 @@
 }
 
 // submit stores a job and returns the outcome, by the deadline at the latest.
-// It returns submitNotStored at once while the table service is unreachable or
-// the queue of the job's part is full.
+// It returns submitNotStored at once while the table service is unreachable, if
+// the queue of the job's part is full or if ctx has ended.
 func (a *acceptor) submit(ctx context.Context, job *workload.Job, deadline time.Time) submitOutcome {
 	s, err := newSubmission(job, deadline)
 	if err != nil {
@@ -91,7 +91,7 @@
 	if len(s.rows[0].Value) > maxRowBytes {
 		return submitTooLarge // its transaction would fail, with the other jobs in it
 	}
-	if a.node.reachability.unreachable() {
+	if a.node.reachability.unreachable() || ctx.Err() != nil {
 		return submitNotStored
 	}
 	select {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,6 +81,9 @@
 	// stopping is set once the process shuts down. It then no longer acquires
 	// the control work.
 	stopping atomic.Bool
+	// requests is the base context of requests. endRequests ends it.
+	requests    context.Context
+	endRequests context.CancelFunc
 	// catalogChanged signals the control goroutine that catalog was replaced.
 	catalogChanged chan struct{}
 }
@@ -91,6 +94,7 @@
 		o.OwnershipChanged = func(bool) {}
 	}
 	n := &Node{Options: o, incarnation: rand.Uint64() | 1, metrics: newMetrics(), catalogChanged: make(chan struct{}, 1)}
+	n.requests, n.endRequests = context.WithCancel(context.Background())
 	n.view.Store(&ownership.View{})
 	n.acceptor = newAcceptor(n)
 	n.newJobs = newNewJobs(n)
--- a/internal/node/queueapi.go
+++ b/internal/node/queueapi.go
@@ -97,6 +97,9 @@
 		start := time.Now()
 		r := &queueRequest{Context: c, deadline: start.Add(h.timeout(c.Request())), catalog: h.node.catalog.Load()}
 		a := h.route(r, serve)
+		if a.status >= http.StatusInternalServerError && h.node.requests.Err() != nil {
+			a.reason = "process is shutting down: " + a.reason
+		}
 		if r.queue != nil || a.status != http.StatusNotFound {
 			h.log(r, a, time.Since(start))
 		}
@@ -308,16 +311,3 @@
 		}
 	}
 }
-
-// Shutdown releases the control work, keeps serving for linger while the
-// balancer notices that the process is not ready, and then waits for the
-// requests in progress or the end of ctx.
-func (n *Node) Shutdown(ctx context.Context, server *http.Server, linger time.Duration) error {
-	n.stopping.Store(true)
-	n.release(ctx)
-	select {
-	case <-time.After(linger):
-	case <-ctx.Done():
-	}
-	return server.Shutdown(ctx)
-}
