node: the release of the control work takes no time from requests

What callers saw: an owner that is told to stop keeps its listener open for longer than other processes and then has less time for the requests that it read last. With a grace of 6 s it closes up to 1.2 s and a write later, after 3.9 s instead of 2.7 s, and gives up what is in progress at 4.6 s: a request read at the end had 0.7 s, of the 2.85 s that its caller may wait.

Cause: the time in which the balancer notices that the process is not ready was counted from the end of the release. It is not ready from the signal on.

Now it is counted from the signal. TestReleaseLeavesRequestsTheirPartOfTheShutdown failed before: "the server stops 3.002807404s after the signal, want 2s". 3 of 3 runs pass with the change.

--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -16,7 +16,7 @@
 // answered before the process ends.
 func (n *Node) RequestContext(net.Listener) context.Context { return n.requests }
 
-// Shutdown releases the control work, keeps serving for linger while the
+// Shutdown keeps serving for linger while it releases the control work and the
 // balancer notices that the process is not ready, and then waits for the
 // requests in progress. Those that are not answered shortly before the end of
 // ctx are refused, or answered that their outcome is unknown.
@@ -29,9 +29,10 @@
 		defer cancel()
 	}
 	defer context.AfterFunc(serving, n.endRequests)()
+	lingered := time.After(linger)
 	n.release(serving)
 	select {
-	case <-time.After(linger):
+	case <-lingered:
 	case <-serving.Done():
 	}
 	return server.Shutdown(ctx)
