node: an ownership acquired during the shutdown is released

What callers saw: nothing starts for as long as a takeover from a dead owner takes, though the owner got a SIGTERM and nothing else happened.

Cause: a process acquires vacant control work by a write that takes some milliseconds, up to 1.5 s. If the signal comes in that time, the shutdown finds no owner to release and never looks again. The ownership starts and ends with the process, and the record keeps its name: the successor waits until the heartbeats are overdue.

Evidence: TestOwnershipAcquiredDuringAShutdownIsReleased stops a process while its write is in flight. It needs the release by the new ownership; the second look of the shutdown covers one that starts as the linger ends. One release runs at a time, so that the shutdown waits for one in progress.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,8 @@
 	// owner is the current ownership of the control work, nil if this process
 	// does not own it.
 	owner atomic.Pointer[owner]
+	// releasing holds a token during a release.
+	releasing chan struct{}
 	// endedToken is the token of the last ownership that ended in this process.
 	endedToken atomic.Int64
 	// acquireSent is when the last attempt to acquire the control work was
@@ -93,7 +95,7 @@
 	if o.OwnershipChanged == nil {
 		o.OwnershipChanged = func(bool) {}
 	}
-	n := &Node{Options: o, incarnation: rand.Uint64() | 1, metrics: newMetrics(), catalogChanged: make(chan struct{}, 1)}
+	n := &Node{Options: o, incarnation: rand.Uint64() | 1, metrics: newMetrics(), catalogChanged: make(chan struct{}, 1), releasing: make(chan struct{}, 1)}
 	n.requests, n.endRequests = context.WithCancel(context.Background())
 	n.view.Store(&ownership.View{})
 	n.acceptor = newAcceptor(n)
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -109,7 +109,7 @@
 // service; token is the version of that record. The ownership lease counts from
 // sent, when the write of the record was sent.
 func (n *Node) startOwnership(ctx context.Context, record, previous ownership.Record, token int64, sent time.Duration) {
-	ctx, cancel := context.WithCancel(ctx)
+	ownerCtx, cancel := context.WithCancel(ctx)
 	o := &owner{
 		node: n, token: token, record: record, previous: previous, events: make(chan func(time.Duration), eventQueueLength),
 		cancel: cancel, done: make(chan struct{}), acquiredAt: n.Clock.Now(), ownershipWasValid: true,
@@ -130,11 +130,14 @@
 		defer n.OwnershipChanged(false)
 		defer n.endedToken.Store(o.token)
 		defer cancel()
-		go o.sendHeartbeats(ctx)
-		if err := o.run(ctx); err != nil && ctx.Err() == nil {
+		go o.sendHeartbeats(ownerCtx)
+		if err := o.run(ownerCtx); err != nil && ownerCtx.Err() == nil {
 			event.OwnershipLost.Log(n.Log, zap.Int64("epoch", record.Epoch), zap.Error(err))
 		}
 	}()
+	if n.stopping.Load() { // the record was written as the shutdown began
+		n.releaseSoon(ctx)
+	}
 }
 
 // fence returns the condition of an owner's writes in the control part: its
@@ -424,6 +427,12 @@
 // waits until this process gives no more orders. It then stores an owner record
 // without an owner, so that any other process may take over at once.
 func (n *Node) release(ctx context.Context) {
+	select {
+	case n.releasing <- struct{}{}:
+		defer func() { <-n.releasing }()
+	case <-ctx.Done():
+		return
+	}
 	o := n.owner.Load()
 	if o == nil {
 		return
@@ -445,6 +454,15 @@
 	event.OwnershipReleased.Log(n.Log, zap.Int64("epoch", o.record.Epoch), zap.Error(err))
 }
 
+// releaseSoon releases the control work without waiting for it.
+func (n *Node) releaseSoon(ctx context.Context) {
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, handoverTimeout+heartbeatTimeout)
+		defer cancel()
+		n.release(ctx)
+	}()
+}
+
 // commitRelease stores an owner record without an owner, with the record of
 // workers in use if asked to: the successor then waits for none that has ended.
 func (o *owner) commitRelease(ctx context.Context, withWorkers bool) error {
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -35,5 +35,6 @@
 	case <-lingered:
 	case <-serving.Done():
 	}
+	n.release(serving) // acquired since, by a write that was in flight
 	return server.Shutdown(ctx)
 }
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -28,3 +28,30 @@
 		t.Errorf("the server stops %v after the signal, want %v: the release took its time from the requests", took, linger)
 	}
 }
+
+func TestOwnershipAcquiredDuringAShutdownIsReleased(t *testing.T) {
+	n, rows, f := nodeWithTwoTasks(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	f.list(testWorker)
+	rows.SetFaults(standin.Faults{Latency: 300 * time.Millisecond})
+	acquired := make(chan struct{})
+	go func() {
+		defer close(acquired)
+		n.acquire(ctx)
+	}()
+	time.Sleep(100 * time.Millisecond) // the write is in flight
+	shutdownCtx, cancelShutdown := context.WithTimeout(ctx, 10*time.Second)
+	defer cancelShutdown()
+	if err := n.Shutdown(shutdownCtx, &http.Server{}, 2*time.Second); err != nil {
+		t.Error(err)
+	}
+	<-acquired
+	control, _, err := rows.ReadRows(ctx, controlTable, controlPart, "", "")
+	if err == nil {
+		err = n.observeControl(control, n.Clock.Now())
+	}
+	if owner := n.view.Load().Record.Owner; err != nil || owner != "" {
+		t.Errorf("%v, the process has ended and left the control work with %q", err, owner)
+	}
+}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -131,11 +131,7 @@
 	if o := n.owner.Load(); o != nil {
 		if view.Offered(o.token) && o.handingOver.CompareAndSwap(false, true) {
 			event.OwnershipHandedOver.Log(n.Log, zap.Int64("epoch", o.record.Epoch), zap.String("offered_by", view.Offer.By))
-			go func() {
-				ctx, cancel := context.WithTimeout(ctx, handoverTimeout+heartbeatTimeout)
-				defer cancel()
-				n.release(ctx)
-			}()
+			n.releaseSoon(ctx)
 		}
 		return
 	}
