egretpitch-node: signals are handled before an address is listened on

What callers saw: a process that had just started ended at once by the SIGHUP of a changed settings file, or by SIGTERM without a shutdown, with the requests that it had begun to read.

Cause: the addresses were listened and served on first, and the signals asked for after that. Until then both have the effect of an unhandled signal.

Evidence: TestSignalDoesNotEndAProcessThatHasJustStartedToAccept sends a signal as soon as the callers' address accepts. No record shows it: the platform sends its SIGHUPs and SIGTERMs seconds after a start.

Still open: a signal before main runs ends a process that accepts nothing yet.

--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -84,18 +84,20 @@
 		fmt.Println("egretpitch-node " + config.Version())
 		return
 	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(config.ExitUsage)
 	}
-	if err := run(opts, settings); err != nil {
+	if err := run(opts, settings, signals); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(config.ExitFailed)
 	}
 }
 
-func run(opts options, s *platform.Settings) error {
+func run(opts options, s *platform.Settings, signals <-chan os.Signal) error {
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
@@ -113,8 +115,6 @@
 	}
 	event.ProcessStarted.Log(log, zap.String("callers", s.CallersAddress), zap.String("ready", s.ReadyAddress),
 		zap.String("metrics", s.MetricsAddress), zap.String("store", s.Store.Address))
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	done := make(chan error, 1)
--- a/test/soak/shutdown_test.go
+++ b/test/soak/shutdown_test.go
@@ -194,3 +194,26 @@
 		})
 	}
 }
+
+func TestSignalDoesNotEndAProcessThatHasJustStartedToAccept(t *testing.T) {
+	_, n := startNode(t)
+	signals := []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM}
+	for i := range 20 {
+		s := signals[i%len(signals)]
+		n.kill()
+		n.start(t)
+		for {
+			c, err := net.Dial("tcp", n.callerAddress)
+			if err == nil {
+				n.signal(s)
+				_ = c.Close()
+				break
+			}
+		}
+		select {
+		case <-n.ended:
+			t.Fatalf("start %d: %v has ended the process at once", i, s)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
