egretpitch-node: the shutdown answers requests of the administration API

What callers saw: a request to the administration API, a submission included, ended without an answer although the process was stopped by SIGTERM.

Cause: only the server of the callers' API was shut down. The process ended with it, whatever was in progress at the other.

Evidence: TestShutdownAnswersRequestsOfTheAdministrationAPI lists the jobs of a process that drains, with a store that takes 1 s for an answer.

Both servers are now shut down, within the same time.

--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -135,7 +135,7 @@
 			grace := time.Duration(float64(s.Bounds.ShutdownGrace) * shutdownShare)
 			shutdownCtx, cancel := context.WithTimeout(context.Background(), grace)
 			defer cancel()
-			err := n.Shutdown(shutdownCtx, servers, time.Duration(float64(s.Bounds.ShutdownGrace)*lingerShare))
+			err := n.Shutdown(shutdownCtx, time.Duration(float64(s.Bounds.ShutdownGrace)*lingerShare), servers...)
 			stop()
 			event.ProcessStopped.Log(log, zap.Error(err))
 			return nil
@@ -170,9 +170,10 @@
 	})
 }
 
-// serve listens on the addresses in the settings and returns the server of the
-// callers' API.
-func serve(n *node.Node, s *platform.Settings) (*http.Server, error) {
+// serve listens on the addresses in the settings and returns the servers whose
+// requests are answered before the process ends: those of the callers' API and of
+// the administration API.
+func serve(n *node.Node, s *platform.Settings) ([]*http.Server, error) {
 	callers := echo.New()
 	node.NewQueueAPI(n, node.Codec{
 		DecodeJob: platform.DecodeJob, EncodeState: platform.EncodeState, EncodePending: platform.EncodePending,
@@ -188,15 +189,15 @@
 	metrics := echo.New()
 	metrics.GET("/metrics", echo.WrapHandler(expvar.Handler()))
 	node.NewJobsAPI(n).Register(metrics)
-	server, err := listen(n, s.CallersAddress, callers)
+	callersServer, err := listen(n, s.CallersAddress, callers)
 	if err != nil {
 		return nil, err
 	}
 	if _, err := listen(n, s.ReadyAddress, ready); err != nil {
 		return nil, err
 	}
-	_, err = listen(n, s.MetricsAddress, metrics)
-	return server, err
+	metricsServer, err := listen(n, s.MetricsAddress, metrics)
+	return []*http.Server{callersServer, metricsServer}, err
 }
 
 // listen serves a handler on an address. If the address is empty, the returned
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // answerShare is the part of a shutdown's time in which requests are served. The
@@ -20,7 +22,7 @@
 // balancer notices that the process is not ready, and then waits for the
 // requests in progress. Those that are not answered shortly before the end of
 // ctx are refused, or answered that their outcome is unknown.
-func (n *Node) Shutdown(ctx context.Context, server *http.Server, linger time.Duration) error {
+func (n *Node) Shutdown(ctx context.Context, linger time.Duration, servers ...*http.Server) error {
 	n.stopping.Store(true)
 	serving := ctx
 	if deadline, ok := ctx.Deadline(); ok {
@@ -36,5 +38,9 @@
 	case <-serving.Done():
 	}
 	n.release(serving) // acquired since, by a write that was in flight
-	return server.Shutdown(ctx)
+	var group errgroup.Group
+	for _, s := range servers {
+		group.Go(func() error { return s.Shutdown(ctx) })
+	}
+	return group.Wait()
 }
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -21,7 +21,7 @@
 	shutdownCtx, cancelShutdown := context.WithTimeout(ctx, 10*time.Second)
 	defer cancelShutdown()
 	began := time.Now()
-	if err := n.Shutdown(shutdownCtx, &http.Server{}, linger); err != nil {
+	if err := n.Shutdown(shutdownCtx, linger, &http.Server{}); err != nil {
 		t.Error(err)
 	}
 	if took := time.Since(began); took < linger || took > linger+700*time.Millisecond {
@@ -43,7 +43,7 @@
 	time.Sleep(100 * time.Millisecond) // the write is in flight
 	shutdownCtx, cancelShutdown := context.WithTimeout(ctx, 10*time.Second)
 	defer cancelShutdown()
-	if err := n.Shutdown(shutdownCtx, &http.Server{}, 2*time.Second); err != nil {
+	if err := n.Shutdown(shutdownCtx, 2*time.Second, &http.Server{}); err != nil {
 		t.Error(err)
 	}
 	<-acquired
--- a/test/soak/shutdown_test.go
+++ b/test/soak/shutdown_test.go
@@ -13,8 +13,10 @@
 	"testing"
 	"time"
 
+	"github.com/egretpitch/egretpitch/internal/adminapi"
 	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/platform"
+	store "github.com/egretpitch/egretpitch/internal/standin"
 	"github.com/egretpitch/egretpitch/internal/workload"
 	"github.com/egretpitch/egretpitch/platform/standin"
 )
@@ -217,3 +219,15 @@
 		}
 	}
 }
+
+func TestShutdownAnswersRequestsOfTheAdministrationAPI(t *testing.T) {
+	t.Parallel()
+	p, n := startNode(t)
+	p.Rows.SetFaults(store.Faults{Latency: time.Second})
+	n.signal(syscall.SIGTERM)
+	time.Sleep(800 * time.Millisecond)
+	sent := time.Now()
+	if _, err := adminapi.NewClient(n.adminAddress).Jobs(t.Context()); err != nil {
+		t.Errorf("no answer after %v: %v", time.Since(sent), err)
+	}
+}
