graceful, egretpitch-node: requests read during the shutdown are answered

What callers saw: an entry was stopped by SIGTERM, had read a whole request, and closed its connection without an answer.

Cause: net/http. Once Server.Shutdown has begun, a connection drops each request whose header it parses (conn.serve: "if c.server.shuttingDown() { return }", Go 1.26.8), and until a header is parsed Shutdown regards the connection as idle and closes it. New connections without a request, which Shutdown does not close, are hit most: an entry that drains closes each connection with its answer, so that every caller comes back on a new one. A request that waited for the process when its linger ended was read and dropped. Of a process with little processor time (0.192 cores) or a thin link (10 Mbit/s), that may be far longer than 0.2 s after its last byte was sent. Class: a request counts as received later than it is read.

Evidence: TestRequestThatIsReadLateIsAnsweredThoughTheListenerCloses holds a real process up for 0.4 s over the end of its linger, while 16 callers send.

graceful.Server does not let net/http know of the shutdown before the last connection has ended. It closes the listener, lets connections without a request end by a read deadline, 0.3 s later, and waits. The goroutine that reads finds either a request, and answers, or the deadline, so no request is in between. It is plain net/http until then.

--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -22,6 +22,7 @@
 
 	"github.com/egretpitch/egretpitch/internal/config"
 	"github.com/egretpitch/egretpitch/internal/event"
+	"github.com/egretpitch/egretpitch/internal/graceful"
 	"github.com/egretpitch/egretpitch/internal/logging"
 	"github.com/egretpitch/egretpitch/internal/node"
 	"github.com/egretpitch/egretpitch/internal/scheduler"
@@ -54,6 +55,9 @@
 	// request and the idle time of its connection.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
+	// arrivalTime is how long a shutdown still reads from open connections once
+	// the listeners are closed.
+	arrivalTime = 300 * time.Millisecond
 )
 
 type options struct {
@@ -173,7 +177,7 @@
 // serve listens on the addresses in the settings and returns the servers whose
 // requests are answered before the process ends: those of the callers' API and of
 // the administration API.
-func serve(n *node.Node, s *platform.Settings) ([]*http.Server, error) {
+func serve(n *node.Node, s *platform.Settings) ([]node.Server, error) {
 	callers := echo.New()
 	node.NewQueueAPI(n, node.Codec{
 		DecodeJob: platform.DecodeJob, EncodeState: platform.EncodeState, EncodePending: platform.EncodePending,
@@ -197,13 +201,15 @@
 		return nil, err
 	}
 	metricsServer, err := listen(n, s.MetricsAddress, metrics)
-	return []*http.Server{callersServer, metricsServer}, err
+	return []node.Server{callersServer, metricsServer}, err
 }
 
 // listen serves a handler on an address. If the address is empty, the returned
 // server does not listen.
-func listen(n *node.Node, address string, handler http.Handler) (*http.Server, error) {
-	server := &http.Server{Handler: handler, BaseContext: n.RequestContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+func listen(n *node.Node, address string, handler http.Handler) (*graceful.Server, error) {
+	server := &graceful.Server{ArrivalTime: arrivalTime, Server: http.Server{
+		Handler: handler, BaseContext: n.RequestContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}}
 	if address == "" {
 		return server, nil
 	}
--- /dev/null
+++ b/internal/graceful/server.go
@@ -0,0 +1,191 @@
+// Package graceful is an http.Server whose Shutdown answers every request that
+// the process reads. That of net/http drops a request whose header it parses once
+// the shutdown has begun, and closes a connection as idle until then.
+package graceful
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// pollInterval is how often Shutdown looks for connections that are open.
+const pollInterval = 5 * time.Millisecond
+
+// Server is an http.Server whose Serve and Shutdown are replaced. It sets
+// ConnState, and serves one listener.
+type Server struct {
+	http.Server
+	// ArrivalTime is how long connections without a request are still read from
+	// once Shutdown has closed the listener: requests may be on their way, or wait
+	// for a process with little processor time.
+	ArrivalTime time.Duration
+	mu          sync.Mutex // guards the fields below
+	listener    net.Listener
+	// served is closed when no more connections are accepted.
+	served chan struct{}
+	conns  map[*conn]bool
+	// stopping is set once Shutdown has begun.
+	stopping atomic.Bool
+}
+
+// Serve accepts connections on a listener until Shutdown. It then returns
+// http.ErrServerClosed.
+func (s *Server) Serve(l net.Listener) error {
+	served := make(chan struct{})
+	defer close(served)
+	s.mu.Lock()
+	if s.stopping.Load() {
+		s.mu.Unlock()
+		_ = l.Close()
+		return http.ErrServerClosed
+	}
+	s.listener, s.served, s.conns = l, served, map[*conn]bool{}
+	s.mu.Unlock()
+	s.ConnState = func(c net.Conn, state http.ConnState) { c.(*conn).observe(state) }
+	handler := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+	err := s.Server.Serve(&listener{Listener: l, server: s})
+	if s.stopping.Load() {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
+// Shutdown closes the listener and waits until every connection has ended or ctx
+// is done. A connection ends with the answer to the request that is in progress
+// or arrives within ArrivalTime.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	s.stopping.Store(true)
+	l, served := s.listener, s.served
+	s.mu.Unlock()
+	if l != nil {
+		_ = l.Close()
+		<-served
+		if err := s.endConnections(ctx); err != nil {
+			return err
+		}
+	}
+	return s.Server.Shutdown(ctx)
+}
+
+// endConnections waits until every connection has ended or ctx is done.
+func (s *Server) endConnections(ctx context.Context) error {
+	arriveBy := time.Now().Add(s.ArrivalTime)
+	s.mu.Lock()
+	for c := range s.conns {
+		c.end(arriveBy)
+	}
+	s.mu.Unlock()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for s.open() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// open returns the number of open connections.
+func (s *Server) open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// listener wraps and registers the connections of a server.
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: accepted, server: l.server, waiting: true}
+	l.server.mu.Lock()
+	defer l.server.mu.Unlock()
+	l.server.conns[c] = true
+	return c, nil
+}
+
+// conn is a connection that is ended by its read deadline while it waits for a
+// request. The goroutine that serves it then has read either a request, and
+// answers, or less, and closes it.
+type conn struct {
+	net.Conn
+	server *Server
+	mu     sync.Mutex
+	// waiting is set until the header of the next request has been read.
+	waiting bool
+	// deadline is the read deadline that net/http has set.
+	deadline time.Time
+	// arriveBy is when the connection ends if it still waits, zero before
+	// Shutdown.
+	arriveBy time.Time
+}
+
+// observe records a new state of the connection.
+func (c *conn) observe(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = state == http.StateNew || state == http.StateIdle
+	if !c.arriveBy.IsZero() {
+		_ = c.setReadDeadline()
+	}
+}
+
+// end lets the connection end by a deadline if it waits for a request until then.
+func (c *conn) end(arriveBy time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arriveBy = arriveBy
+	_ = c.setReadDeadline()
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return c.setReadDeadline()
+}
+
+// setReadDeadline sets the earlier one of the deadlines that apply. c.mu is held.
+func (c *conn) setReadDeadline() error {
+	t := c.deadline
+	if c.waiting && !c.arriveBy.IsZero() && (t.IsZero() || t.After(c.arriveBy)) {
+		t = c.arriveBy
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// CloseWrite lets net/http end an answer before it closes a connection on which
+// the caller still sends.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+func (c *conn) Close() error {
+	c.server.mu.Lock()
+	delete(c.server.conns, c)
+	c.server.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -18,11 +17,16 @@
 // answered before the process ends.
 func (n *Node) RequestContext(net.Listener) context.Context { return n.requests }
 
+// Server is a server of requests, which Shutdown finishes.
+type Server interface {
+	Shutdown(context.Context) error
+}
+
 // Shutdown keeps serving for linger while it releases the control work and the
 // balancer notices that the process is not ready, and then waits for the
 // requests in progress. Those that are not answered shortly before the end of
 // ctx are refused, or answered that their outcome is unknown.
-func (n *Node) Shutdown(ctx context.Context, linger time.Duration, servers ...*http.Server) error {
+func (n *Node) Shutdown(ctx context.Context, linger time.Duration, servers ...Server) error {
 	n.stopping.Store(true)
 	serving := ctx
 	if deadline, ok := ctx.Deadline(); ok {
--- a/test/soak/shutdown_test.go
+++ b/test/soak/shutdown_test.go
@@ -231,3 +231,37 @@
 		t.Errorf("no answer after %v: %v", time.Since(sent), err)
 	}
 }
+
+// A process that is late to read, as one with little processor time, is stopped over the end of its linger.
+func TestRequestThatIsReadLateIsAnsweredThoughTheListenerCloses(t *testing.T) {
+	t.Parallel()
+	_, n := startNode(t)
+	var conns []*callerConn
+	for i := range 16 {
+		c, err := dialCaller(n.callerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			if _, err := c.exchange(http.MethodGet, jobID(1, 0)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		conns = append(conns, c)
+	}
+	const linger = 1350 * time.Millisecond // 0.45 of the grace
+	n.signal(syscall.SIGTERM)
+	time.Sleep(linger - 200*time.Millisecond)
+	n.signal(syscall.SIGSTOP)
+	time.AfterFunc(200*time.Millisecond+lossSlack, func() { n.signal(syscall.SIGCONT) })
+	var callers sync.WaitGroup
+	for i, c := range conns {
+		callers.Go(func() {
+			if _, err := c.exchange(http.MethodGet, jobID(1, 0)); err != nil {
+				t.Errorf("connection %d, used before %v: %v", i, i%2 == 0, err)
+			}
+		})
+	}
+	callers.Wait()
+}
