entry, graceful: the entry answers requests read during its shutdown, too

The entry waits 0.5 s and then calls the Shutdown of net/http, which drops what it reads from then on.

Evidence: TestStopAnswersARequestOnAConnectionWithoutOneSoFar sends a request once the listener is closed.

graceful.Server now keeps the hooks of the server that it is given, and leaves HTTP/2 connections, known by their preface, to net/http: those get a GOAWAY, their streams go on, and no header is read that is not answered.

--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -207,9 +207,9 @@
 // listen serves a handler on an address. If the address is empty, the returned
 // server does not listen.
 func listen(n *node.Node, address string, handler http.Handler) (*graceful.Server, error) {
-	server := &graceful.Server{ArrivalTime: arrivalTime, Server: http.Server{
+	server := graceful.New(&http.Server{
 		Handler: handler, BaseContext: n.RequestContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-	}}
+	}, arrivalTime)
 	if address == "" {
 		return server, nil
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/egretpitch/egretpitch/internal/ctxtime"
 	"github.com/egretpitch/egretpitch/internal/event"
+	"github.com/egretpitch/egretpitch/internal/graceful"
 	"github.com/egretpitch/egretpitch/internal/operr"
 )
 
@@ -26,12 +27,14 @@
 	// connections, so that the load balancer sees that it is not ready before it
 	// stops listening.
 	shutdownDelay = 500 * time.Millisecond
+	// arrivalTime is how long requests may arrive on open connections after that.
+	arrivalTime = 300 * time.Millisecond
 )
 
 // Server is the HTTP server for callers' requests.
 type Server struct {
 	entry *Entry
-	http  *http.Server
+	http  *graceful.Server
 }
 
 // NewServer returns the server for callers' requests, over HTTP/1.1 and
@@ -45,7 +48,7 @@
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &Server{entry: e, http: &http.Server{
+	return &Server{entry: e, http: graceful.New(&http.Server{
 		Handler:           router,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -55,7 +58,7 @@
 		ConnState:         clearHandledOnIdle,
 		// "OPTIONS *" names no service and is refused like any other bad target.
 		DisableGeneralOptionsHandler: true,
-	}}
+	}, arrivalTime)}
 }
 
 // Serve accepts callers' connections on the listener until Shutdown is called,
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -117,6 +118,37 @@
 	}
 }
 
+func TestStopAnswersARequestOnAConnectionWithoutOneSoFar(t *testing.T) {
+	f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") })
+	c, err := net.Dial("tcp", f.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	f.raw(t, get("/orders/1")) // the connection before it is accepted
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.server.Shutdown(t.Context()) }()
+	for refused := false; !refused; {
+		probe, err := net.Dial("tcp", f.address)
+		if refused = err != nil; !refused {
+			probe.Close()
+		}
+	}
+	if _, err := io.WriteString(c, get("/orders/2")); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("a request that was read is not answered: %v", err)
+	}
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "done" {
+		t.Errorf("got %q, %v", body, err)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("shutdown failed: %v", err)
+	}
+}
+
 // slowTable blocks its first commit until release is closed.
 type slowTable struct {
 	platform.Table
--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -15,14 +15,14 @@
 // pollInterval is how often Shutdown looks for connections that are open.
 const pollInterval = 5 * time.Millisecond
 
-// Server is an http.Server whose Serve and Shutdown are replaced. It sets
-// ConnState, and serves one listener.
+// Server is an http.Server with another Shutdown. It serves one listener. HTTP/2
+// connections end as in net/http, with a GOAWAY, once the others have ended.
 type Server struct {
-	http.Server
-	// ArrivalTime is how long connections without a request are still read from
+	*http.Server
+	// arrivalTime is how long connections without a request are still read from
 	// once Shutdown has closed the listener: requests may be on their way, or wait
 	// for a process with little processor time.
-	ArrivalTime time.Duration
+	arrivalTime time.Duration
 	mu          sync.Mutex // guards the fields below
 	listener    net.Listener
 	// served is closed when no more connections are accepted.
@@ -32,6 +32,31 @@
 	stopping atomic.Bool
 }
 
+// New returns a server that serves as s does. Requests may arrive on open
+// connections for arrivalTime after the listener is closed.
+func New(s *http.Server, arrivalTime time.Duration) *Server {
+	server := &Server{Server: s, arrivalTime: arrivalTime}
+	connState, connContext, handler := s.ConnState, s.ConnContext, s.Handler
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		c.(*conn).observe(state)
+		if connState != nil {
+			connState(c.(*conn).Conn, state)
+		}
+	}
+	if connContext != nil {
+		s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+			return connContext(ctx, c.(*conn).Conn)
+		}
+	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if server.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+	return server
+}
+
 // Serve accepts connections on a listener until Shutdown. It then returns
 // http.ErrServerClosed.
 func (s *Server) Serve(l net.Listener) error {
@@ -45,14 +70,6 @@
 	}
 	s.listener, s.served, s.conns = l, served, map[*conn]bool{}
 	s.mu.Unlock()
-	s.ConnState = func(c net.Conn, state http.ConnState) { c.(*conn).observe(state) }
-	handler := s.Handler
-	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(w, r)
-	})
 	err := s.Server.Serve(&listener{Listener: l, server: s})
 	if s.stopping.Load() {
 		return http.ErrServerClosed
@@ -62,7 +79,7 @@
 
 // Shutdown closes the listener and waits until every connection has ended or ctx
 // is done. A connection ends with the answer to the request that is in progress
-// or arrives within ArrivalTime.
+// or arrives within the arrival time.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	s.stopping.Store(true)
@@ -80,7 +97,7 @@
 
 // endConnections waits until every connection has ended or ctx is done.
 func (s *Server) endConnections(ctx context.Context) error {
-	arriveBy := time.Now().Add(s.ArrivalTime)
+	arriveBy := time.Now().Add(s.arrivalTime)
 	s.mu.Lock()
 	for c := range s.conns {
 		c.end(arriveBy)
@@ -105,6 +122,17 @@
 	return len(s.conns)
 }
 
+// forget leaves a connection to net/http.
+func (s *Server) forget(c *conn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.http2 = true
+	_ = c.setReadDeadline()
+}
+
 // listener wraps and registers the connections of a server.
 type listener struct {
 	net.Listener
@@ -123,6 +151,9 @@
 	return c, nil
 }
 
+// http2Preface is what an HTTP/2 connection begins with, and no HTTP/1 request.
+const http2Preface = "PRI"
+
 // conn is a connection that is ended by its read deadline while it waits for a
 // request. The goroutine that serves it then has read either a request, and
 // answers, or less, and closes it.
@@ -132,11 +163,27 @@
 	mu     sync.Mutex
 	// waiting is set until the header of the next request has been read.
 	waiting bool
+	// http2 is set once the connection turns out to be HTTP/2.
+	http2 bool
 	// deadline is the read deadline that net/http has set.
 	deadline time.Time
 	// arriveBy is when the connection ends if it still waits, zero before
 	// Shutdown.
 	arriveBy time.Time
+	// first holds the first bytes that were read, up to len(http2Preface).
+	first []byte
+}
+
+// Read reads from the connection, and recognizes HTTP/2.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if missing := len(http2Preface) - len(c.first); n > 0 && missing > 0 {
+		c.first = append(c.first, b[:min(n, missing)]...)
+		if string(c.first) == http2Preface {
+			c.server.forget(c)
+		}
+	}
+	return n, err
 }
 
 // observe records a new state of the connection.
@@ -168,7 +215,7 @@
 // setReadDeadline sets the earlier one of the deadlines that apply. c.mu is held.
 func (c *conn) setReadDeadline() error {
 	t := c.deadline
-	if c.waiting && !c.arriveBy.IsZero() && (t.IsZero() || t.After(c.arriveBy)) {
+	if c.waiting && !c.http2 && !c.arriveBy.IsZero() && (t.IsZero() || t.After(c.arriveBy)) {
 		t = c.arriveBy
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -183,6 +230,7 @@
 	return nil
 }
 
+// Close implements net.Conn.
 func (c *conn) Close() error {
 	c.server.mu.Lock()
 	delete(c.server.conns, c)
--- a/internal/graceful/server_test.go
+++ b/internal/graceful/server_test.go
@@ -44,9 +44,9 @@
 
 // serve starts a server whose answer to each request is its path.
 func serve(t *testing.T, l net.Listener, arrivalTime time.Duration) *Server {
-	s := &Server{ArrivalTime: arrivalTime, Server: http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s := New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.WriteString(w, r.URL.Path)
-	})}}
+	})}, arrivalTime)
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
 	return s
@@ -119,7 +119,7 @@
 	<-l.received
 	shutdown := make(chan error, 1)
 	go func() { shutdown <- s.Shutdown(t.Context()) }()
-	time.Sleep(100 * time.Millisecond) // longer than ArrivalTime
+	time.Sleep(100 * time.Millisecond) // longer than the arrival time
 	close(l.release)
 	if got, err := c.receive(); err != nil || got != "/2" {
 		t.Errorf("answer %q, %v; want /2", got, err)
