--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -22,6 +22,7 @@
 
 	"github.com/egretpitch/egretpitch/internal/config"
 	"github.com/egretpitch/egretpitch/internal/event"
+	"github.com/egretpitch/egretpitch/internal/graceful"
 	"github.com/egretpitch/egretpitch/internal/logging"
 	"github.com/egretpitch/egretpitch/internal/node"
 	"github.com/egretpitch/egretpitch/internal/scheduler"
@@ -54,6 +55,9 @@
 	// request and the idle time of its connection.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
+	// arrivalTime is how long a shutdown still reads from open connections once
+	// the listeners are closed.
+	arrivalTime = 300 * time.Millisecond
 )
 
 type options struct {
@@ -84,18 +88,20 @@
 		fmt.Println("egretpitch-node " + config.Version())
 		return
 	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(config.ExitUsage)
 	}
-	if err := run(opts, settings); err != nil {
+	if err := run(opts, settings, signals); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(config.ExitFailed)
 	}
 }
 
-func run(opts options, s *platform.Settings) error {
+func run(opts options, s *platform.Settings, signals <-chan os.Signal) error {
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
@@ -113,8 +119,6 @@
 	}
 	event.ProcessStarted.Log(log, zap.String("callers", s.CallersAddress), zap.String("ready", s.ReadyAddress),
 		zap.String("metrics", s.MetricsAddress), zap.String("store", s.Store.Address))
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	done := make(chan error, 1)
@@ -135,7 +139,7 @@
 			grace := time.Duration(float64(s.Bounds.ShutdownGrace) * shutdownShare)
 			shutdownCtx, cancel := context.WithTimeout(context.Background(), grace)
 			defer cancel()
-			err := n.Shutdown(shutdownCtx, servers, time.Duration(float64(s.Bounds.ShutdownGrace)*lingerShare))
+			err := n.Shutdown(shutdownCtx, time.Duration(float64(s.Bounds.ShutdownGrace)*lingerShare), servers...)
 			stop()
 			event.ProcessStopped.Log(log, zap.Error(err))
 			return nil
@@ -170,9 +174,10 @@
 	})
 }
 
-// serve listens on the addresses in the settings and returns the server of the
-// callers' API.
-func serve(n *node.Node, s *platform.Settings) (*http.Server, error) {
+// serve listens on the addresses in the settings and returns the servers whose
+// requests are answered before the process ends: those of the callers' API and of
+// the administration API.
+func serve(n *node.Node, s *platform.Settings) ([]node.Server, error) {
 	callers := echo.New()
 	node.NewQueueAPI(n, node.Codec{
 		DecodeJob: platform.DecodeJob, EncodeState: platform.EncodeState, EncodePending: platform.EncodePending,
@@ -188,21 +193,23 @@
 	metrics := echo.New()
 	metrics.GET("/metrics", echo.WrapHandler(expvar.Handler()))
 	node.NewJobsAPI(n).Register(metrics)
-	server, err := listen(s.CallersAddress, callers)
+	callersServer, err := listen(n, s.CallersAddress, callers)
 	if err != nil {
 		return nil, err
 	}
-	if _, err := listen(s.ReadyAddress, ready); err != nil {
+	if _, err := listen(n, s.ReadyAddress, ready); err != nil {
 		return nil, err
 	}
-	_, err = listen(s.MetricsAddress, metrics)
-	return server, err
+	metricsServer, err := listen(n, s.MetricsAddress, metrics)
+	return []node.Server{callersServer, metricsServer}, err
 }
 
 // listen serves a handler on an address. If the address is empty, the returned
 // server does not listen.
-func listen(address string, handler http.Handler) (*http.Server, error) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+func listen(n *node.Node, address string, handler http.Handler) (*graceful.Server, error) {
+	server := graceful.New(&http.Server{
+		Handler: handler, BaseContext: n.RequestContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}, arrivalTime)
 	if address == "" {
 		return server, nil
 	}
