fleetplan, node, ownership: an evacuation is not timed anew by each owner

What operators see: a wave whose first host cannot be emptied does not reach the others while owners change within 10 s.

Change: heartbeats hold since when hosts are evacuated, as they do for waves.

--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -204,10 +204,11 @@
 
 // New returns a planner that continues the work of previous owners:
 // maintenanceStarted holds, by wave, the hosts whose maintenance they started,
-// surges the surges that they observed, and waveFirstSeen the time at which
-// each wave was first seen. migration is how long a host is unavailable while
-// it moves between pools.
-func New(migration time.Duration, maintenanceStarted map[int64][]string, surges []Surge, waveFirstSeen map[int64]time.Duration) *Planner {
+// surges the surges that they observed, waveFirstSeen the time at which each wave
+// was first seen, and evacuatingSince, by host, that of the evacuations that have
+// not ended. migration is how long a host is unavailable while it moves between
+// pools.
+func New(migration time.Duration, maintenanceStarted map[int64][]string, surges []Surge, waveFirstSeen map[int64]time.Duration, evacuatingSince map[string]time.Duration) *Planner {
 	p := &Planner{
 		migration: migration, demands: map[string]*demand{}, orders: map[string]order{}, refusals: map[string]refusal{}, maintenanceStarted: map[int64]map[string]bool{},
 		evacuating: map[string]string{}, evacuatingSince: map[string]time.Duration{}, undiscoveredSince: map[string]time.Duration{}, draining: map[string]string{}, completed: map[int64]bool{}, waveFirstSeen: map[int64]time.Duration{},
@@ -215,6 +216,7 @@
 	}
 	p.forecast.surges = surges
 	maps.Copy(p.waveFirstSeen, waveFirstSeen)
+	maps.Copy(p.evacuatingSince, evacuatingSince)
 	for wave, hosts := range maintenanceStarted {
 		for _, h := range hosts {
 			p.markMaintenanceStarted(wave, h)
@@ -238,6 +240,10 @@
 // WavesFirstSeen returns, by wave number, when each wave was first seen.
 func (p *Planner) WavesFirstSeen() map[int64]time.Duration { return maps.Clone(p.waveFirstSeen) }
 
+// EvacuatingSince returns, by host, since when the hosts are evacuated whose
+// evacuation has not ended.
+func (p *Planner) EvacuatingSince() map[string]time.Duration { return maps.Clone(p.evacuatingSince) }
+
 // MaintenanceStarted returns the sorted names of the wave's hosts whose
 // maintenance has started.
 func (p *Planner) MaintenanceStarted(wave int64) []string {
--- a/internal/fleetplan/fleetplan_test.go
+++ b/internal/fleetplan/fleetplan_test.go
@@ -76,7 +76,7 @@
 }
 
 func newFleet(sizes map[string]int) *fakeFleet {
-	f := &fakeFleet{pools: map[string]*fakePool{}, maintained: map[string]int{}, planner: New(testMigration, nil, nil, nil)}
+	f := &fakeFleet{pools: map[string]*fakePool{}, maintained: map[string]int{}, planner: New(testMigration, nil, nil, nil, nil)}
 	for _, pool := range []string{"a", "b", "c", "spare"} {
 		f.pools[pool] = &fakePool{standby: pool == "spare", demand: func(time.Duration) float64 { return 0 }}
 		for i := range sizes[pool] {
@@ -533,7 +533,7 @@
 		h.longRunning = 1
 	}
 	f.pools["b"].demand = surge(20*testCores, 0, time.Minute)
-	f.planner = New(testMigration, map[int64][]string{1: {"c-00"}}, nil, nil)
+	f.planner = New(testMigration, map[int64][]string{1: {"c-00"}}, nil, nil, nil)
 	f.run(time.Second)
 	f.waves = []estate.Wave{{Number: 1, Duration: 25 * time.Second, MaxDown: 1, Hosts: []string{"a-00", "c-00"}}}
 	f.run(time.Second)
--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -45,7 +45,7 @@
 
 // find returns whether a decision is made within a time. Nothing is carried out.
 func (p *planned) find(d time.Duration, wanted func(Decision) bool) bool {
-	planner := New(testMigration, nil, nil, nil)
+	planner := New(testMigration, nil, nil, nil, nil)
 	for now := tick; now < d; now += tick {
 		for _, dec := range planner.Plan(State{Now: now, HostsAt: now, Hosts: p.hosts, Pools: p.pools, Waves: p.waves}) {
 			if wanted(dec) {
@@ -111,7 +111,7 @@
 	}
 	p.pools = []Pool{a}
 	p.waves = []estate.Wave{{Number: 1, Duration: 20 * time.Second, MaxDown: 1, Hosts: []string{"h1"}}}
-	planner := New(testMigration, nil, nil, nil)
+	planner := New(testMigration, nil, nil, nil, nil)
 	state := State{Now: tick, HostsAt: tick, Hosts: p.hosts, Pools: p.pools, Waves: p.waves}
 	planner.Plan(state)
 	state.Now, state.HostsAt = 6*tick, 6*tick
@@ -134,7 +134,7 @@
 	}
 	p.pools = []Pool{a, b}
 	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h0", "h2"}}}
-	planner := New(testMigration, nil, nil, nil)
+	planner := New(testMigration, nil, nil, nil, nil)
 	var last time.Duration
 	for now := tick; now < 5*time.Minute; now += tick {
 		for _, dec := range planner.Plan(State{Now: now, HostsAt: now, Hosts: p.hosts, Pools: p.pools, Waves: p.waves}) {
@@ -186,7 +186,7 @@
 	p.pools = []Pool{a}
 	p.hosts[0].State, p.hosts[0].WorkerID = estate.HostMaintenance, ""
 	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h0", "h1"}}}
-	planner := New(testMigration, map[int64][]string{1: {"h0"}}, nil, nil)
+	planner := New(testMigration, map[int64][]string{1: {"h0"}}, nil, nil, nil)
 	state := State{Now: tick, HostsAt: tick, Hosts: p.hosts, Pools: p.pools, Waves: p.waves}
 	planner.Plan(state)
 	state.Now, state.HostsAt = 6*tick, 6*tick
@@ -200,7 +200,7 @@
 
 // findRefusing is find if all orders about a host are refused and no others are answered.
 func (p *planned) findRefusing(d time.Duration, host string, wanted func(Decision) bool) bool {
-	planner := New(testMigration, nil, nil, nil)
+	planner := New(testMigration, nil, nil, nil, nil)
 	for now := tick; now < d; now += tick {
 		for _, dec := range planner.Plan(State{Now: now, HostsAt: now, Hosts: p.hosts, Pools: p.pools, Waves: p.waves}) {
 			if wanted(dec) {
@@ -261,7 +261,7 @@
 		p.addHost(&a, Worker{LongRunningTasks: 1, Used: testCores})
 	}
 	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 2, Hosts: []string{"h0", "h1"}}}
-	planner := New(testMigration, nil, nil, nil)
+	planner := New(testMigration, nil, nil, nil, nil)
 	idleFrom := []time.Duration{0, 700 * time.Millisecond}
 	const shortFrom = 4 * time.Second
 	unanswered := map[time.Duration][]Decision{}
@@ -306,7 +306,7 @@
 	for range 2 {
 		p.addHost(&b, Worker{LongRunningTasks: 1, Used: testCores})
 	}
-	planner := New(testMigration, nil, nil, nil)
+	planner := New(testMigration, nil, nil, nil, nil)
 	now := tick
 	plan := func(d time.Duration) map[string]Reservation {
 		for end := now + d; now < end; now += tick {
@@ -352,7 +352,7 @@
 	w.LongRunningTasks, w.Used, w.Idle = 0, 0, true
 	p.pools = []Pool{a}
 	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{h.Name}}}
-	planner := New(testMigration, nil, nil, nil)
+	planner := New(testMigration, nil, nil, nil, nil)
 	var order *Decision
 	for now := tick; now < 20*time.Second; now += tick {
 		switch now {
@@ -418,7 +418,7 @@
 		p.addHost(&a, Worker{Used: 1})
 	}
 	p.pools = []Pool{a}
-	planner := New(testMigration, nil, []Surge{{Pool: "a"}}, nil)
+	planner := New(testMigration, nil, []Surge{{Pool: "a"}}, nil, nil)
 	now := tick
 	plan := func() map[string]Reservation {
 		planner.Plan(State{Now: now, HostsAt: now, Hosts: p.hosts, Pools: p.pools})
@@ -451,7 +451,7 @@
 	}
 	p.pools = []Pool{a}
 	p.waves = []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h0"}}}
-	planner := New(testMigration, nil, []Surge{{Pool: "a"}}, nil)
+	planner := New(testMigration, nil, []Surge{{Pool: "a"}}, nil, nil)
 	planner.Plan(State{Now: tick, HostsAt: tick, Hosts: p.hosts, Pools: p.pools, Waves: p.waves})
 	if got := planner.Reservations(); len(got) != 1 || got["w0"] != Emptying {
 		t.Errorf("reserved are %v, want only the worker that is evacuated", got)
@@ -468,10 +468,10 @@
 		p.addHost(&b, Worker{LongRunningTasks: 2, Used: 10})
 	}
 	waves := []estate.Wave{{Number: 1, Duration: 5 * time.Second, MaxDown: 1, Hosts: []string{"h0", "h2"}}}
-	planner := New(testMigration, nil, nil, nil)
+	planner := New(testMigration, nil, nil, nil, nil)
 	for now := tick; now < 2*time.Minute; now += tick {
 		if now%(9*time.Second) == 0 {
-			planner = New(testMigration, nil, planner.Surges(), planner.WavesFirstSeen())
+			planner = New(testMigration, nil, planner.Surges(), planner.WavesFirstSeen(), planner.EvacuatingSince())
 		}
 		for _, dec := range planner.Plan(State{Now: now, HostsAt: now, Hosts: p.hosts, Pools: []Pool{a, b}, Waves: waves}) {
 			if dec.Kind == Evacuate && dec.Host == "h2" {
--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -101,7 +101,7 @@
 	f := &fleetController{
 		owner: o, recorded: recorded, workerHosts: hosts,
 		planner: fleetplan.New(o.node.Migration, maintained,
-			o.previousSurges(now), o.previousWaves(now)),
+			o.previousSurges(now), timesOf(&o.node.Clock, o.inherited.Waves, now), timesOf(&o.node.Clock, o.inherited.Evacuations, now)),
 	}
 	f.firstOrderAt = o.firstHostOrder()
 	return f
@@ -134,24 +134,22 @@
 	return list
 }
 
-// wavesFirstSeen returns when each wave was first seen, in milliseconds of the
-// store's clock, for a successor.
-func (f *fleetController) wavesFirstSeen() map[int64]int64 {
-	seen := map[int64]int64{}
-	for wave, at := range f.planner.WavesFirstSeen() {
-		seen[wave] = f.owner.node.Clock.StoreMS(at)
+// storeTimes converts times to milliseconds of the store's clock, for a successor.
+func storeTimes[K comparable](clock *Clock, times map[K]time.Duration) map[K]int64 {
+	converted := make(map[K]int64, len(times))
+	for key, at := range times {
+		converted[key] = clock.StoreMS(at)
 	}
-	return seen
+	return converted
 }
 
-// previousWaves returns when each wave was first seen according to the inherited
-// heartbeat.
-func (o *owner) previousWaves(now time.Duration) map[int64]time.Duration {
-	seen := map[int64]time.Duration{}
-	for wave, ms := range o.inherited.Waves {
-		seen[wave] = o.node.Clock.FromStoreMS(ms, now)
+// timesOf converts the times in an inherited heartbeat.
+func timesOf[K comparable](clock *Clock, storeMS map[K]int64, now time.Duration) map[K]time.Duration {
+	times := make(map[K]time.Duration, len(storeMS))
+	for key, ms := range storeMS {
+		times[key] = clock.FromStoreMS(ms, now)
 	}
-	return seen
+	return times
 }
 
 // previousSurges returns the surges listed in the last heartbeat.
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -72,7 +72,7 @@
 	o.pendingMu.Lock()
 	heartbeat := ownership.Heartbeat{
 		Incarnation: n.incarnation, PendingKnown: o.pending != nil, Pending: maps.Clone(o.pending),
-		JobsVersion: o.pendingAsOf.Version, JobsMS: o.pendingAsOf.NowMS, Surges: o.surges, Waves: o.waves,
+		JobsVersion: o.pendingAsOf.Version, JobsMS: o.pendingAsOf.NowMS, Surges: o.surges, Waves: o.waves, Evacuations: o.evacuations,
 	}
 	o.pendingMu.Unlock()
 	value, err := ownership.Encode(heartbeat)
@@ -107,7 +107,9 @@
 	pending := o.engine.Pending()
 	o.pendingMu.Lock()
 	o.pending, o.pendingAsOf = pending, o.jobsRead
-	o.surges, o.waves = o.fleetController.surges(), o.fleetController.wavesFirstSeen()
+	planner := o.fleetController.planner
+	o.surges, o.waves = o.fleetController.surges(), storeTimes(&o.node.Clock, planner.WavesFirstSeen())
+	o.evacuations = storeTimes(&o.node.Clock, planner.EvacuatingSince())
 	o.pendingMu.Unlock()
 	o.node.metrics.setEngineStats(o.engine.Stats())
 }
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -80,13 +80,14 @@
 	// jobsRead is the state of the table service up to which all accepted jobs
 	// are in the engine. Only run uses it.
 	jobsRead platform.Stamp
-	// pending, pendingAsOf, surges and waves are the contents of the next
+	// pending, pendingAsOf, surges, waves and evacuations are the contents of the next
 	// heartbeat. run sets them under pendingMu.
 	pendingMu   sync.Mutex
 	pending     map[string]int
 	pendingAsOf platform.Stamp
 	surges      []ownership.Surge
 	waves       map[int64]int64
+	evacuations map[string]int64
 
 	// deciding is set once the stored state is loaded, and handingOver once the
 	// ownership is to be released: run then ends when no task is moving.
@@ -113,7 +114,7 @@
 	}
 	view := n.view.Load()
 	o.previousHeartbeat, o.inherited = view.HeartbeatSeen, view.Heartbeat
-	o.waves = o.inherited.Waves
+	o.waves, o.evacuations = o.inherited.Waves, o.inherited.Evacuations
 	o.lease.Renew(sent)
 	o.workerCalls, o.calls = newWorkerCallLimiter(o), newGoroutinePool()
 	n.owner.Store(o)
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -262,6 +262,10 @@
 	checkFirstHeartbeats(t, "waves", func(h ownership.Heartbeat) int { return len(h.Waves) })
 }
 
+func TestFirstHeartbeatsOfASuccessorKeepTheTimesOfEvacuations(t *testing.T) {
+	checkFirstHeartbeats(t, "evacuations", func(h ownership.Heartbeat) int { return len(h.Evacuations) })
+}
+
 func TestFirstHeartbeatsOfASuccessorKeepTheSurges(t *testing.T) {
 	checkFirstHeartbeats(t, "surges", func(h ownership.Heartbeat) int { return len(h.Surges) })
 }
@@ -274,7 +278,7 @@
 	f := &testWorkers{changed: make(chan struct{})}
 	blocked := &blockedDiscovery{Discovery: f, release: make(chan struct{})}
 	n.Runner, n.Discovery, n.Fleet = f, blocked, f
-	previous, err := ownership.Encode(ownership.Heartbeat{Incarnation: 5, Waves: map[int64]int64{3: 1}, Surges: []ownership.Surge{{Pool: "p", StoreMS: 1, Workers: 2}}})
+	previous, err := ownership.Encode(ownership.Heartbeat{Incarnation: 5, Waves: map[int64]int64{3: 1}, Evacuations: map[string]int64{"h1": 1}, Surges: []ownership.Surge{{Pool: "p", StoreMS: 1, Workers: 2}}})
 	if err == nil {
 		_, err = rows.CommitRows(t.Context(), platform.RowTxn{Writes: []platform.RowWrite{{RowKey: heartbeatRow, Value: previous}}})
 	}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -91,6 +91,9 @@
 	// Waves holds, by wave number, when the owner first saw each maintenance
 	// wave, in milliseconds on the store's clock.
 	Waves map[int64]int64 `json:"waves,omitempty"`
+	// Evacuations holds, by host, since when the hosts of waves are evacuated whose
+	// evacuation has not ended, in milliseconds on the store's clock.
+	Evacuations map[string]int64 `json:"evacuations,omitempty"`
 }
 
 // Surge is a surge in a pool's demand.
--- a/internal/scheduler/estate_simulation_test.go
+++ b/internal/scheduler/estate_simulation_test.go
@@ -298,7 +298,7 @@
 		s.inUse[w.ID] = w
 	}
 	s.listed, s.listedAt = nil, 0
-	s.planner = fleetplan.New(simMigration, maintained, surges, seen)
+	s.planner = fleetplan.New(simMigration, maintained, surges, seen, s.planner.EvacuatingSince())
 	s.owner = s.newOwner()
 	s.handingOver = false
 	s.recordHosts()
