node: a stated end of a lease is trusted only where it holds

- A host that booted after the stated end read it as unknown, and the worker as one that may be used without a new record.
- A build that does not know the stated end may use the worker before it replaces the record.
The end is trusted only from the owner right before.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -428,7 +428,7 @@
 	o := testOwner(t, standin.NewRows(), 1)
 	inherited := usedWorker{ID: "w1", Pool: "p", Host: "h1"}
 	o.engine = scheduler.New(scheduler.Options{Log: zap.NewNop()})
-	o.engine.Recover(workersOf([]usedWorker{inherited, {ID: "w2", Pool: "p"}}, &o.node.Clock), o.previousLeasesEnd(), 0)
+	o.engine.Recover(workersOf([]usedWorker{inherited, {ID: "w2", Pool: "p"}}, &o.node.Clock, o.record.Epoch), o.previousLeasesEnd(), 0)
 	o.fleetController = newFleetController(o, nil, workerHostsOf([]usedWorker{inherited}), 0)
 	used := o.withHosts(o.engine.InUse(o.node.Clock.Now()))
 	if !slices.Contains(used, inherited) {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -290,7 +290,7 @@
 	e := scheduler.New(opts)
 	e.SetCatalog(n.catalog.Load())
 	workerHosts := workerHostsOf(l.used)
-	used := workerHosts.PossiblyRunning(workersOf(l.used, &n.Clock), l.hosts)
+	used := workerHosts.PossiblyRunning(workersOf(l.used, &n.Clock, o.record.Epoch), l.hosts)
 	if l.usedIncomplete {
 		used = append(used, l.unknownWorkers(n.catalog.Load())...)
 	}
@@ -395,7 +395,7 @@
 // previousLeasesEnd returns when every worker lease of previous owners has expired.
 func (o *owner) previousLeasesEnd() time.Duration {
 	end := o.node.Scheduling.LeasesEnd(o.previousLeaseEnd())
-	if released := o.node.Clock.LatestAt(o.previous.LeasesEndMS); released > 0 {
+	if released, known := o.node.Clock.LatestAt(o.previous.LeasesEndMS); known && o.previous.LeasesEndMS > 0 {
 		end = min(end, released)
 	}
 	return end
--- a/internal/node/usedworkers.go
+++ b/internal/node/usedworkers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -64,18 +65,28 @@
 	// LeaseEndMS is scheduler.UsedWorker.LeaseEnd in milliseconds on the store's
 	// clock.
 	LeaseEndMS int64 `json:"lease_end_ms,omitempty"`
+	// Epoch is that of the owner that stated LeaseEndMS.
+	Epoch int64 `json:"epoch,omitempty"`
 	// Tasks and TasksKnown are those of scheduler.UsedWorker, the former separated
 	// by spaces so that workers can be compared.
 	Tasks      string `json:"tasks,omitempty"`
 	TasksKnown bool   `json:"tasks_known,omitempty"`
 }
 
-// worker returns the worker for an engine. Tasks that cannot be read are unknown.
-func (u *usedWorker) worker(clock *Clock) scheduler.UsedWorker {
-	w := scheduler.UsedWorker{
-		Worker:   estate.Worker{ID: u.ID, Pool: u.Pool, Address: u.Address, StartedMS: u.StartedMS},
-		LeaseEnd: clock.LatestAt(u.LeaseEndMS), TasksKnown: u.TasksKnown,
+// worker returns the worker for the engine of the owner with the given epoch. What
+// another owner than the one before stated about the lease may have changed since,
+// and tasks that cannot be read are unknown.
+func (u *usedWorker) worker(clock *Clock, epoch int64) scheduler.UsedWorker {
+	w := scheduler.UsedWorker{Worker: estate.Worker{ID: u.ID, Pool: u.Pool, Address: u.Address, StartedMS: u.StartedMS}}
+	if u.LeaseEndMS == 0 {
+		return w
 	}
+	end, known := clock.LatestAt(u.LeaseEndMS)
+	if !known || u.Epoch != epoch-1 {
+		w.LeaseEnd = math.MaxInt64
+		return w
+	}
+	w.LeaseEnd, w.TasksKnown = max(end, 1), u.TasksKnown // it may have ended before this host started
 	for _, name := range strings.Fields(u.Tasks) {
 		id, err := workload.ParseTaskID(name)
 		if err != nil {
@@ -197,11 +208,11 @@
 	return hosts
 }
 
-// workersOf returns the workers of a record.
-func workersOf(used []usedWorker, clock *Clock) []scheduler.UsedWorker {
+// workersOf returns the workers of a record for the owner with the given epoch.
+func workersOf(used []usedWorker, clock *Clock, epoch int64) []scheduler.UsedWorker {
 	list := make([]scheduler.UsedWorker, len(used))
 	for i := range used {
-		list[i] = used[i].worker(clock)
+		list[i] = used[i].worker(clock, epoch)
 	}
 	return list
 }
@@ -263,7 +274,7 @@
 		for _, u := range used {
 			o.used.recorded[u.ID] = u
 		}
-		o.engine.Recorded(workersOf(used, &o.node.Clock))
+		o.engine.Recorded(workersOf(used, &o.node.Clock, o.record.Epoch+1))
 	}
 }
 
@@ -276,7 +287,7 @@
 			ID: w.ID, Pool: w.Pool, Address: w.Address, StartedMS: w.StartedMS, Host: o.fleetController.workerHosts[w.ID].Host,
 		}
 		if w.LeaseEnd > 0 {
-			used[i].LeaseEndMS = o.node.Clock.LatestStoreMS(w.LeaseEnd)
+			used[i].LeaseEndMS, used[i].Epoch = o.node.Clock.LatestStoreMS(w.LeaseEnd), o.record.Epoch
 			if w.TasksKnown {
 				taskNames += used[i].setTasks(w.Tasks, maxAllTaskNames-taskNames)
 			}
--- a/internal/node/usedworkers_test.go
+++ b/internal/node/usedworkers_test.go
@@ -51,7 +51,7 @@
 func TestRecordIsWrittenAgainAfterAWriteWithoutAnswer(t *testing.T) {
 	o := testOwner(t, standin.NewRows(), 1)
 	o.engine = scheduler.New(scheduler.Options{Log: zap.NewNop()})
-	o.engine.Recover(workersOf([]usedWorker{{ID: "w1", Pool: "p"}}, &o.node.Clock), o.previousLeasesEnd(), 0)
+	o.engine.Recover(workersOf([]usedWorker{{ID: "w1", Pool: "p"}}, &o.node.Clock, o.record.Epoch), o.previousLeasesEnd(), 0)
 	o.fleetController = newFleetController(o, nil, scheduler.WorkerHosts{}, 0)
 	o.usedWorkersRecorded(o.withHosts(o.engine.InUse(o.node.Clock.Now())), 1, 1, nil)
 	o.usedWorkersRecorded(nil, 1, 0, errors.New("no answer")) // a record without the worker may be stored
@@ -72,7 +72,7 @@
 	leaseEnd := n.Scheduling.LeasesEnd(ended)
 	o.engine = scheduler.New(scheduler.Options{Token: 1, Epoch: 8, MaxLease: time.Second, Log: zap.NewNop()})
 	o.engine.SetCatalog(testCatalog(1, "/q/"))
-	o.engine.Recover(workersOf([]usedWorker{{ID: "w1", Pool: "p"}}, &n.Clock), o.previousLeasesEnd(), 0)
+	o.engine.Recover(workersOf([]usedWorker{{ID: "w1", Pool: "p"}}, &n.Clock, o.record.Epoch), o.previousLeasesEnd(), 0)
 	o.fleetController = newFleetController(o, nil, scheduler.WorkerHosts{}, 0)
 	o.sendHeartbeat(ctx, n.Clock.Now())
 	if used := o.withHosts(o.engine.InUse(n.Clock.Now())); used[0].LeaseEndMS != 0 {
@@ -98,7 +98,7 @@
 	if err := json.Unmarshal(stored[0].Value, &used); err != nil || len(used) != 1 {
 		t.Fatalf("record %s, %v; want one worker", stored[0].Value, err)
 	}
-	if got := used[0].worker(&n.Clock).LeaseEnd; got < leaseEnd || got > leaseEnd+time.Second {
+	if got := used[0].worker(&n.Clock, o.record.Epoch+1).LeaseEnd; got < leaseEnd || got > leaseEnd+time.Second {
 		t.Errorf("the lease is taken to end %v after it does, want 0 to 1 s", got-leaseEnd)
 	}
 	successor := &owner{node: n, record: ownership.Record{Epoch: 9}, previousHeartbeat: n.Clock.Now()}
@@ -170,7 +170,7 @@
 		name := strings.Repeat(letter, 200)
 		used := make([]usedWorker, 250)
 		for i := range used {
-			used[i] = usedWorker{ID: name, Pool: name, Address: strings.Repeat("x", 253) + ":65535", Host: name, StartedMS: 1 << 40, LeaseEndMS: 1 << 40}
+			used[i] = usedWorker{ID: name, Pool: name, Address: strings.Repeat("x", 253) + ":65535", Host: name, StartedMS: 1 << 40, LeaseEndMS: 1 << 40, Epoch: 1 << 40}
 		}
 		writes, err := usedWorkerRows(used, 0)
 		if err != nil {
