scheduler: a late start of a next incarnation is waited for after a release

What callers would see: a task runs twice. An unanswered start may be carried out by the next incarnation of its worker, up to 12 s later, with a lease of its own. The owner waits for that, but the end of the lease that it recorded, or told at its release, was that of the previous incarnation.

The end that is passed on now covers such a start. An answered poll fences it, so the wait ends with the first answer. The tasks of an inherited worker stay with its next incarnation: no other one can have been started there.

TestLateStartOfANextIncarnationRunsNoTaskTwiceAfterARelease: runs twice in each of four variants before.

--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -61,8 +61,12 @@
 	next := e.addWorker(entry, now)
 	next.listed, next.recorded = w.listed, w.recorded
 	next.full = w.full
-	next.inheritedLeaseEnd, next.leaseFrozen = w.inheritedLeaseEnd, w.leaseFrozen
+	next.leaseFrozen = w.leaseFrozen
 	next.inherited = w.inherited // starts of a previous owner may arrive until this incarnation has seen a higher token
+	next.inheritedTasks, next.inheritedTasksKnown = w.inheritedTasks, w.inheritedTasksKnown
+	if next.inherited || len(open) > 0 {
+		next.inheritedLeaseEnd = max(w.inheritedLeaseEnd, now+maxOrderDelay+atSlowClock(e.opts.MaxLease)) // a late start brings a lease
+	}
 	for _, r := range open {
 		r.withdraw()
 		r.worker = next
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -239,6 +239,7 @@
 	if !w.fenced {
 		w.fenced = true
 		w.inherited = false
+		w.inheritedLeaseEnd = min(w.inheritedLeaseEnd, now+atSlowClock(e.opts.MaxLease)) // the worker accepts no earlier order any more
 		w.pool.needsPass = true
 		event.WorkerFenced.Log(e.opts.Log, zap.String("worker", w.ID), zap.Int64("token", w.token),
 			zap.Int("runs", len(status.Runs)), zap.Int("ends", len(status.Ends)))
--- a/internal/scheduler/released_test.go
+++ b/internal/scheduler/released_test.go
@@ -85,3 +85,37 @@
 	}
 	sim.check()
 }
+
+// The start gets no answer, and is carried out by the next incarnation, which the owner or its successor discovers.
+func TestLateStartOfANextIncarnationRunsNoTaskTwiceAfterARelease(t *testing.T) {
+	for _, byOwner := range []bool{true, false} {
+		for _, longRunning := range []bool{true, false} {
+			sim := newSimulation(t)
+			sim.replaceRecord = true
+			w1 := sim.addWorkerFor(nil, "w1", 2)
+			owner := sim.newOwner()
+			sim.run(30*time.Second, owner)
+			sim.injectFault = func(o Order) orderFault {
+				_, start := o.(*StartOrder)
+				return orderFault{lost: start, applied: start, delay: 400 * time.Millisecond}
+			}
+			job := jobOf(1, 1, 2)
+			job.Steps[0].LongRunning = longRunning
+			sim.submit(owner, job)
+			sim.run(100*time.Millisecond, owner)
+			sim.injectFault = nil
+			w1.crash()
+			w1.restart(sim.now)
+			if byOwner {
+				owner.WorkerListed(w1.entry(), sim.now)
+			}
+			w1.reachable = false
+			sim.run(2*time.Second, owner)
+			owner = sim.release(owner)
+			owner.WorkerListed(w1.entry(), sim.now)
+			sim.addWorkerFor(owner, "w2", 2)
+			sim.run(8*time.Second, owner)
+			sim.check()
+		}
+	}
+}
