scheduler: a found run of a batch task hides no failure before it

What callers would see: a job whose queue permits two attempts runs three times. Since a task whose run is found waits for no other worker. That holds for runs, not for the ends of earlier ones, which may be failures that nobody has recorded. Long-running tasks have no such limit.

TestFailureBeforeAFoundRunCounts: 3 starts before, 2 on.

--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -153,11 +153,13 @@
 	event.RecoveryEnded.Log(e.opts.Log, zap.Int("unread", e.givenUp), zap.Int("jobs", len(e.jobs)))
 }
 
-// blockedByRecovery reports whether the task may have an undiscovered run, so that
-// it may not be started. Tasks run only in the pool of their job. A run that was
-// found is the only one: previous owners started no other before its end.
+// blockedByRecovery reports whether the task may have an undiscovered run, or an
+// undiscovered end that matters, so that it may not be started. Tasks run only in
+// the pool of their job. A run that was found is the only one, as previous owners
+// started no other before its end; other runs may have failed before it.
 func (e *Engine) blockedByRecovery(t *task) bool {
-	return e.recovering && t.step.job.inherited && !t.found && e.pool(t.step.job.Pool).undiscovered.includes(t)
+	onlyRun := t.found && t.step.LongRunning
+	return e.recovering && t.step.job.inherited && !onlyRun && e.pool(t.step.job.Pool).undiscovered.includes(t)
 }
 
 // allBlockedByRecovery reports whether no task of the step may be started.
--- a/internal/scheduler/released_test.go
+++ b/internal/scheduler/released_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
 // release lets an owner release its ownership and returns its successor.
@@ -119,3 +122,40 @@
 		}
 	}
 }
+
+// The failure of the first run is read and not recorded, the second run is found.
+func TestFailureBeforeAFoundRunCounts(t *testing.T) {
+	failing := func(workload.TaskID) (time.Duration, platform.RunEnd) {
+		return 300 * time.Millisecond, platform.EndFailed
+	}
+	sim := newSimulation(t)
+	sim.replaceRecord = true
+	w1 := sim.addWorkerFor(nil, "w1", 2)
+	w1.duration = failing
+	owner := sim.newOwner()
+	sim.run(time.Second, owner)
+	job := jobOf(1, 1, 2)
+	sim.submit(owner, job)
+	sim.run(250*time.Millisecond, owner)
+	w2 := sim.addWorkerFor(owner, "w2", 2)
+	w2.duration = failing
+	sim.run(30*time.Millisecond, owner)
+	sim.storeDown = true
+	for i := 0; i < 400 && len(w2.running) == 0; i++ {
+		sim.run(testTick, owner)
+	}
+	w1.reachable = false
+	owner.paused, owner.expired, sim.storeDown = true, true, false
+	sim.run(20 * time.Millisecond)
+	owner = sim.newOwnerAfter(0)
+	sim.run(time.Second, owner)
+	w1.reachable = true
+	sim.run(3*time.Second, owner)
+	starts := 0
+	for _, s := range sim.records[job.ID].starts {
+		starts += len(s)
+	}
+	if starts != 2 {
+		t.Errorf("%d starts, want 2: the queue permits 2 attempts", starts)
+	}
+}
