--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -79,6 +79,8 @@
 	requesting    bool
 	nextRequest   time.Duration
 	requestOffset int
+	// held is set once recovery has kept a task from starting.
+	held bool
 	// hasSuspects is set once a worker has ended under a task of the step, and
 	// apartSince while tasks have only been kept from workers with free capacity to
 	// keep suspects apart.
--- a/internal/scheduler/outage.go
+++ b/internal/scheduler/outage.go
@@ -123,9 +123,14 @@
 // one has started before, with what it waited for.
 func (e *Engine) logRestart(r *run, now time.Duration) {
 	t, p := r.task, r.worker.pool
-	event.TaskRestarted.Log(e.opts.Log, zap.Stringer("task", t.id()), zap.Int("run", r.number), zap.String("worker", r.worker.ID),
-		zap.Duration("without_run", now-t.listedAt), zap.String("lost_on", t.lostOn), zap.String("reason", t.lostReason),
-		zap.Duration("recovery", max(0, p.recoveredAt-e.recoverAt)), zap.String("unread", p.lastUnread))
+	fields := []zap.Field{
+		zap.Stringer("task", t.id()), zap.Int("run", r.number), zap.String("worker", r.worker.ID), zap.Duration("without_run", now-t.listedAt),
+		zap.String("lost_on", t.lostOn), zap.String("reason", t.lostReason),
+	}
+	if t.step.held {
+		fields = append(fields, zap.Duration("recovery", max(0, p.recoveredAt-e.recoverAt)), zap.String("unread", p.lastUnread))
+	}
+	event.TaskRestarted.Log(e.opts.Log, fields...)
 	t.lostOn, t.lostReason = "", ""
 }
 
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -61,7 +61,11 @@
 	}
 	list := make([]candidate, 0, len(p.ready))
 	for s := range p.ready {
-		if mayFit(s) && !e.allBlockedByRecovery(s) {
+		switch {
+		case !mayFit(s):
+		case e.allBlockedByRecovery(s):
+			s.held = true
+		default:
 			list = append(list, candidate{s, e.rank(s, now)})
 		}
 	}
@@ -156,7 +160,11 @@
 		if s.hasSuspects && ((refused && !t.suspect()) || (suspectRefused && t.suspect())) {
 			continue
 		}
-		if !t.startable() || now < t.notBefore || e.waitsForRecord(t) || e.blockedByRecovery(t) {
+		if !t.startable() || now < t.notBefore || e.waitsForRecord(t) {
+			continue
+		}
+		if e.blockedByRecovery(t) {
+			s.held = true
 			continue
 		}
 		w, ticket, apart := e.chooseWorker(t, open, now)
--- a/internal/scheduler/released_test.go
+++ b/internal/scheduler/released_test.go
@@ -89,6 +89,57 @@
 	sim.check()
 }
 
+func TestTaskDoesNotWaitForAWorkerThatIsRecordedWithoutIt(t *testing.T) {
+	sim := newSimulation(t)
+	sim.replaceRecord = true
+	owner, w1, job := sim.runningTask()
+	other := sim.addWorkerFor(owner, "w9", 2)
+	sim.submit(owner, longRunningJob(2, 1, 2))
+	sim.run(time.Second, owner)
+	other.fallSilent()
+	for owner.workers["w9"].failedPolls == 0 {
+		sim.run(testTick, owner)
+	}
+	sim.run(frozenAfter+usedWorkersInterval+50*time.Millisecond, owner)
+	w1.fallSilent()
+	owner.HostRemoved("w1", sim.now)
+	owner = sim.release(owner)
+	sim.addWorkerFor(owner, "w2", 2)
+	released := sim.now
+	for !sim.hasRun(job) && sim.now < released+10*time.Second {
+		sim.run(testTick, owner)
+	}
+	sim.check()
+	if waited := sim.now - released; waited > 500*time.Millisecond {
+		t.Errorf("the task waits %v for a worker that cannot run it", waited)
+	}
+}
+
+// The owner was killed before it noticed that w9 is silent.
+func TestTaskThatRunsLeavesItsWorkerBesideASilentOneThatMayRunAnyTask(t *testing.T) {
+	sim := newSimulation(t)
+	sim.replaceRecord = true
+	owner, w1, _ := sim.runningTask("w2")
+	other := sim.addWorkerFor(owner, "w9", 2)
+	filler := longRunningJob(2, 1, 2)
+	filler.Steps[0].Requires = "gpu"
+	other.Labels = append(other.Labels, "gpu")
+	owner.discover()
+	sim.submit(owner, filler)
+	sim.run(time.Second, owner)
+	other.fallSilent()
+	sim.run(50*time.Millisecond, owner)
+	owner.expired = true
+	sim.run(50 * time.Millisecond)
+	owner = sim.newOwnerAfter(0)
+	left := 0
+	sim.leave(w1, 3*time.Second, owner, func(time.Duration) { left = len(w1.running) })
+	if left != 0 {
+		t.Error("the task ends with its worker")
+	}
+	sim.check()
+}
+
 // The start gets no answer, and is carried out by the next incarnation, which the owner or its successor discovers.
 func TestLateStartOfANextIncarnationRunsNoTaskTwiceAfterARelease(t *testing.T) {
 	for _, byOwner := range []bool{true, false} {
