--- a/internal/scheduler/estate_simulation_test.go
+++ b/internal/scheduler/estate_simulation_test.go
@@ -276,11 +276,12 @@
 	maintained := map[int64][]string{}
 	var surges []fleetplan.Surge
 	var seen map[int64]time.Duration
+	var evacuating map[string]time.Duration
 	if previous != nil {
 		for _, w := range s.waves {
 			maintained[w.Number] = previous.MaintenanceStarted(w.Number)
 		}
-		surges, seen = previous.Surges(), previous.WavesFirstSeen()
+		surges, seen, evacuating = previous.Surges(), previous.WavesFirstSeen(), previous.EvacuatingSince()
 	}
 	s.hostOf = WorkerHosts{}
 	for id, w := range s.inUse {
@@ -298,7 +299,7 @@
 		s.inUse[w.ID] = w
 	}
 	s.listed, s.listedAt = nil, 0
-	s.planner = fleetplan.New(simMigration, maintained, surges, seen, s.planner.EvacuatingSince())
+	s.planner = fleetplan.New(simMigration, maintained, surges, seen, evacuating)
 	s.owner = s.newOwner()
 	s.handingOver = false
 	s.recordHosts()
