test/soak: a request that a node has read is answered or refused

The logs of each seed go to a directory of their own; the first new seed and the number of processes can be set.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 )
@@ -30,7 +32,14 @@
 }
 
 func newCallers(w *world) *callers {
-	return &callers{world: w, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
+	dial := func(_ context.Context, network, address string) (net.Conn, error) {
+		conn, err := net.Dial(network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &watchedConn{TCPConn: conn.(*net.TCPConn), world: w, node: w.nodeAt(address)}, nil
+	}
+	return &callers{world: w, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, DialContext: dial}}}
 }
 
 // call sends a request about the job id to a node and returns the HTTP status
@@ -43,13 +52,17 @@
 		return 0, ""
 	}
 	req.Host = queueHost
+	begun := time.Now()
+	var data []byte
 	resp, err := c.client.Do(req)
-	if err != nil {
-		return 0, ""
+	if err == nil {
+		defer resp.Body.Close()
+		data, err = io.ReadAll(resp.Body)
 	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
 	if err != nil {
+		if n := c.world.nodeAt(address); errors.Is(err, io.ErrUnexpectedEOF) && !n.disturbedSince(begun) {
+			c.world.checker.countClosed("read", n.name, time.Since(begun))
+		}
 		return 0, ""
 	}
 	var out struct {
@@ -85,6 +98,11 @@
 		time.Sleep(time.Duration(rng.IntN(500)) * time.Millisecond)
 		c.cancel(id, rng)
 	}
+	c.watch(ctx, id, rng)
+}
+
+// watch reads the state of an accepted job until it ends or ctx is done.
+func (c *callers) watch(ctx context.Context, id string, rng *rand.Rand) {
 	for ctx.Err() == nil {
 		status, state := c.call(http.MethodGet, c.world.anyNode(rng), id, nil)
 		switch {
--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -20,6 +20,8 @@
 	mu         sync.Mutex
 	jobs       map[string]*jobRecord
 	violations []string
+	// closed counts the connections that ended with a request, by how.
+	closed map[string]int
 }
 
 // jobRecord holds a submitted job and what callers and workers observed of it.
@@ -59,7 +61,7 @@
 	crashes int
 }
 
-func newChecker() *checker { return &checker{jobs: map[string]*jobRecord{}} }
+func newChecker() *checker { return &checker{jobs: map[string]*jobRecord{}, closed: map[string]int{}} }
 
 // addViolation records a violation of a rule. The caller holds c.mu.
 func (c *checker) addViolation(format string, args ...any) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -4,14 +4,17 @@
 // observe against the platform's rules.
 //
 //	go test ./test/soak                                        runs the seeds of testdata/seeds.txt
-//	EGRETPITCH_SOAK_SEEDS=50 go test -timeout 1h ./test/soak   runs 50 new seeds as well
+//	EGRETPITCH_SOAK_SEEDS=50 go test -timeout 1h ./test/soak   runs 50 new seeds as well,
+//	                                                           from EGRETPITCH_SOAK_FIRST on if it is set
 //
-// The settings and logs of the processes go to the directory EGRETPITCH_SOAK_LOGS
-// if it is set, and to a temporary one otherwise. Every test uses the same file
-// names, so run only one with it set: -run 'TestSoak/^1$'.
+// EGRETPITCH_SOAK_NODES sets the number of processes of a run.
+//
+// The settings and logs of the processes go to a directory of each test below
+// EGRETPITCH_SOAK_LOGS if it is set, and to a temporary one otherwise.
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -60,24 +63,37 @@
 	return m.Run()
 }
 
-// TestSoak runs the regression seeds, and as many new seeds as the variable
-// EGRETPITCH_SOAK_SEEDS says.
-func TestSoak(t *testing.T) {
+// TestSoak injects faults of all kinds. It runs the regression seeds, and as many
+// new seeds as the variable EGRETPITCH_SOAK_SEEDS says.
+func TestSoak(t *testing.T) { playSeeds(t, faultPeriod, (*world).injectFaults) }
+
+// TestSoakPlannedWork runs the same seeds with planned work only.
+func TestSoakPlannedWork(t *testing.T) { playSeeds(t, plannedPeriod, (*world).injectPlannedWork) }
+
+// injector injects faults one after the other until the context is done.
+type injector func(*world, context.Context, *rand.Rand)
+
+func playSeeds(t *testing.T, period time.Duration, inject injector) {
 	seeds := regressionSeeds(t)
-	if n, err := strconv.Atoi(os.Getenv("EGRETPITCH_SOAK_SEEDS")); err == nil {
-		first := uint64(time.Now().UnixNano()) % 1e9
-		for i := range n {
-			seeds = append(seeds, first+uint64(i))
-		}
+	first := cmp.Or(numberFrom("EGRETPITCH_SOAK_FIRST"), int(time.Now().UnixNano()%1e9))
+	for i := range numberFrom("EGRETPITCH_SOAK_SEEDS") {
+		seeds = append(seeds, uint64(first+i))
 	}
+	t.Parallel()
 	for _, seed := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
-			play(t, seed)
+			play(t, seed, period, inject)
 		})
 	}
 }
 
+// numberFrom returns the number in an environment variable, 0 for none.
+func numberFrom(variable string) int {
+	n, _ := strconv.Atoi(os.Getenv(variable))
+	return n
+}
+
 // regressionSeeds reads the seeds that every run of the test includes. Each line
 // of the file starts with a seed; the rest is the reason why it is kept.
 func regressionSeeds(t *testing.T) []uint64 {
@@ -103,17 +119,17 @@
 // play runs one seed: it injects faults while jobs are submitted, waits until the
 // jobs end, and reports violations. The seed fixes the random draws but not the
 // timing of the processes, so a run is not fully reproducible.
-func play(t *testing.T, seed uint64) {
+func play(t *testing.T, seed uint64, period time.Duration, inject injector) {
 	w := newWorld(t, seed)
 	c := newCallers(w)
-	ctx, cancel := context.WithTimeout(context.Background(), faultPeriod+recoveryTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), period+recoveryTimeout)
 	defer cancel()
 	time.Sleep(time.Second) // the nodes start and one acquires the control work
 	var jobs, injectors sync.WaitGroup
-	faultCtx, stopFaults := context.WithTimeout(ctx, faultPeriod)
+	faultCtx, stopFaults := context.WithTimeout(ctx, period)
 	defer stopFaults()
-	for i := range 3 {
-		injectors.Go(func() { w.injectFaults(faultCtx, rand.New(rand.NewPCG(seed, uint64(100+i)))) })
+	for i := range max(3, len(w.nodes)/4) {
+		injectors.Go(func() { inject(w, faultCtx, rand.New(rand.NewPCG(seed, uint64(100+i)))) })
 	}
 	rng := rand.New(rand.NewPCG(seed, 1))
 	for n := 0; faultCtx.Err() == nil; n++ {
@@ -122,8 +138,13 @@
 		time.Sleep(time.Duration(rng.ExpFloat64() * float64(meanJobInterval)))
 	}
 	injectors.Wait()
+	for _, n := range w.nodes {
+		n.start(t) // a signal ends a process that has not begun to handle it
+	}
 	jobs.Wait()
-	if violations := w.checker.finish(); len(violations) > 0 {
+	violations := w.checker.finish()
+	t.Logf("seed %d: connections that ended with a request: %v", seed, w.checker.closed)
+	if len(violations) > 0 {
 		t.Errorf("seed %d: %d violations, the first: %s", seed, len(violations), strings.Join(violations[:min(5, len(violations))], "\n"))
 	}
 	if count := w.checker.completed(); count == 0 {
@@ -151,7 +172,7 @@
 		delay := time.Duration(100+rng.IntN(600)) * time.Millisecond
 		duration := time.Duration(100+rng.IntN(2500)) * time.Millisecond
 		kind := rng.IntN(10)
-		n := w.nodes[rng.IntN(nodes)]
+		n := w.nodes[rng.IntN(len(w.nodes))]
 		time.Sleep(delay)
 		switch kind {
 		case 0:
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
@@ -8,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,7 +24,7 @@
 )
 
 const (
-	nodes          = 4
+	defaultNodes   = 4
 	workersPerPool = 4
 )
 
@@ -52,6 +54,10 @@
 	ended                             chan struct{}
 	// processes are all that were started.
 	processes []*os.Process
+	// disturbedAt is when it was last killed, paused or continued, and paused is set
+	// from its pause on.
+	disturbedAt time.Time
+	paused      bool
 }
 
 // newWorld starts a platform and its nodes, which end with the test.
@@ -81,11 +87,14 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(p.Stop)
-	dir := os.Getenv("EGRETPITCH_SOAK_LOGS")
-	if dir == "" {
-		dir = t.TempDir()
+	dir := t.TempDir()
+	if logs := os.Getenv("EGRETPITCH_SOAK_LOGS"); logs != "" {
+		dir = filepath.Join(logs, t.Name())
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			t.Fatal(err)
+		}
 	}
-	for i := range nodes {
+	for i := range cmp.Or(numberFrom("EGRETPITCH_SOAK_NODES"), defaultNodes) {
 		n := &node{name: fmt.Sprintf("front-%d", i), storeProxy: newProxy(t, addresses.Store), fleetProxy: newProxy(t, addresses.Fleet)}
 		n.configure(t, dir)
 		w.nodes = append(w.nodes, n)
@@ -188,10 +197,26 @@
 	select {
 	case <-n.ended:
 	default:
+		if s == syscall.SIGKILL || s == syscall.SIGSTOP || s == syscall.SIGCONT {
+			n.disturbedAt, n.paused = time.Now(), s == syscall.SIGSTOP
+		}
 		_ = n.cmd.Process.Signal(s) // the process may have ended since the check
 	}
 }
 
+// disturbedSince reports whether the process was killed or paused at a time or
+// later.
+func (n *node) disturbedSince(at time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.paused || n.disturbedAt.After(at)
+}
+
+// nodeAt returns the node that listens for callers on an address.
+func (w *world) nodeAt(address string) *node {
+	return w.nodes[slices.IndexFunc(w.nodes, func(n *node) bool { return n.callerAddress == address })]
+}
+
 // kill kills the process and waits until it has ended.
 func (n *node) kill() {
 	n.signal(syscall.SIGKILL)
@@ -202,7 +227,7 @@
 }
 
 // anyNode returns the address for callers of a random node.
-func (w *world) anyNode(rng *rand.Rand) string { return w.nodes[rng.IntN(nodes)].callerAddress }
+func (w *world) anyNode(rng *rand.Rand) string { return w.nodes[rng.IntN(len(w.nodes))].callerAddress }
 
 // anyProxy returns a random one of the proxies to workers, store and fleet service.
 func (w *world) anyProxy(rng *rand.Rand) *proxy {
