test/soak: a long-running task is without a run for a bounded time

Change: each run has three long-running jobs. A task of theirs is lost if it has no run from 6 s after its last one for 3 s, with capacity for it twice over in these 3 s and no unplanned fault in them and the 4 s before: the platform's rule. Not checked are jobs that the rule allows to give up, with two workers crashed under a task. TestSoakPlannedWork lasts longer, crashes workers under such tasks for good in its first 4 s, kills owners for every second seed, and submits fewer jobs, so that there is capacity. The longest time without a run is printed.

--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -22,6 +22,10 @@
 	violations []string
 	// closed counts the connections that ended with a request, by how.
 	closed map[string]int
+	// roomSince is since when the long-running tasks without a run have capacity
+	// twice over, and longestIdle the longest time of any without a run.
+	roomSince   time.Time
+	longestIdle time.Duration
 }
 
 // jobRecord holds a submitted job and what callers and workers observed of it.
@@ -59,6 +63,9 @@
 	acknowledgedFailures int
 	// crashes counts the workers that crashed under it.
 	crashes int
+	// lastWorker is where it ran last, and idleSince when that run ended.
+	lastWorker string
+	idleSince  time.Time
 }
 
 func newChecker() *checker { return &checker{jobs: map[string]*jobRecord{}, closed: map[string]int{}} }
@@ -109,15 +116,17 @@
 		c.addViolation("LIMIT: %v run %d starts on %s beyond the capacity of the worker", o.Task, o.Run, o.Worker)
 	case standin.RunStarted:
 		c.checkStart(j, t, o)
-		t.running[key] = true
+		t.running[key], t.lastWorker = true, o.Worker
 	case standin.RunLost:
 		delete(t.running, key)
+		t.idleSince = o.At
 		if o.Crashed {
 			t.crashes++
 			j.givenUp = j.givenUp || t.crashes >= 2
 		}
 	case standin.RunEnded:
 		delete(t.running, key)
+		t.idleSince = o.At
 		t.done = t.done || o.End == platform.EndDone
 	case standin.EndAcknowledged:
 		switch {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -37,8 +37,10 @@
 	// to end.
 	faultPeriod     = 10 * time.Second
 	recoveryTimeout = 25 * time.Second
-	// meanJobInterval is the mean time between two submitted jobs.
-	meanJobInterval = 60 * time.Millisecond
+	// longJobs is the number of long-running jobs, and firstLongJob the number of
+	// the first.
+	longJobs     = 3
+	firstLongJob = 1 << 20
 )
 
 // binary is the path of the egretpitch-node that TestMain builds.
@@ -65,15 +67,18 @@
 
 // TestSoak injects faults of all kinds. It runs the regression seeds, and as many
 // new seeds as the variable EGRETPITCH_SOAK_SEEDS says.
-func TestSoak(t *testing.T) { playSeeds(t, faultPeriod, (*world).injectFaults) }
+func TestSoak(t *testing.T) { playSeeds(t, faultPeriod, 60*time.Millisecond, (*world).injectFaults) }
 
-// TestSoakPlannedWork runs the same seeds with planned work only.
-func TestSoakPlannedWork(t *testing.T) { playSeeds(t, plannedPeriod, (*world).injectPlannedWork) }
+// TestSoakPlannedWork runs the same seeds with planned work beside lost workers
+// and killed owners. Fewer jobs leave capacity for lost tasks.
+func TestSoakPlannedWork(t *testing.T) {
+	playSeeds(t, plannedPeriod, 150*time.Millisecond, (*world).injectPlannedWork)
+}
 
 // injector injects faults one after the other until the context is done.
 type injector func(*world, context.Context, *rand.Rand)
 
-func playSeeds(t *testing.T, period time.Duration, inject injector) {
+func playSeeds(t *testing.T, period, meanJobInterval time.Duration, inject injector) {
 	seeds := regressionSeeds(t)
 	first := cmp.Or(numberFrom("EGRETPITCH_SOAK_FIRST"), int(time.Now().UnixNano()%1e9))
 	for i := range numberFrom("EGRETPITCH_SOAK_SEEDS") {
@@ -83,7 +88,7 @@
 	for _, seed := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
-			play(t, seed, period, inject)
+			play(t, seed, period, meanJobInterval, inject)
 		})
 	}
 }
@@ -119,7 +124,7 @@
 // play runs one seed: it injects faults while jobs are submitted, waits until the
 // jobs end, and reports violations. The seed fixes the random draws but not the
 // timing of the processes, so a run is not fully reproducible.
-func play(t *testing.T, seed uint64, period time.Duration, inject injector) {
+func play(t *testing.T, seed uint64, period, meanJobInterval time.Duration, inject injector) {
 	w := newWorld(t, seed)
 	c := newCallers(w)
 	ctx, cancel := context.WithTimeout(context.Background(), period+recoveryTimeout)
@@ -128,6 +133,16 @@
 	var jobs, injectors sync.WaitGroup
 	faultCtx, stopFaults := context.WithTimeout(ctx, period)
 	defer stopFaults()
+	endLongJobs := make(chan struct{})
+	for i := range longJobs {
+		jobRNG := rand.New(rand.NewPCG(seed, uint64(500+i)))
+		jobs.Go(func() { c.runLongJob(ctx, endLongJobs, jobID(seed, firstLongJob+i), 1+i, jobRNG) })
+	}
+	go func() {
+		w.watchLongRunning(faultCtx)
+		injectors.Wait()
+		close(endLongJobs)
+	}()
 	for i := range max(3, len(w.nodes)/4) {
 		injectors.Go(func() { inject(w, faultCtx, rand.New(rand.NewPCG(seed, uint64(100+i)))) })
 	}
@@ -143,7 +158,7 @@
 	}
 	jobs.Wait()
 	violations := w.checker.finish()
-	t.Logf("seed %d: connections that ended with a request: %v", seed, w.checker.closed)
+	t.Logf("seed %d: connections that ended with a request: %v; longest time of a long-running task without a run: %v", seed, w.checker.closed, w.checker.longestIdle)
 	if len(violations) > 0 {
 		t.Errorf("seed %d: %d violations, the first: %s", seed, len(violations), strings.Join(violations[:min(5, len(violations))], "\n"))
 	}
@@ -174,6 +189,10 @@
 		kind := rng.IntN(10)
 		n := w.nodes[rng.IntN(len(w.nodes))]
 		time.Sleep(delay)
+		end := func() {}
+		if kind != 1 && kind != 4 {
+			end = w.beginFault()
+		}
 		switch kind {
 		case 0:
 			n.kill()
@@ -198,6 +217,7 @@
 			time.Sleep(duration)
 			p.set(pass)
 		}
+		end()
 	}
 }
 
@@ -211,6 +231,7 @@
 	select {
 	case <-ended:
 	case <-time.After(3 * time.Second):
+		defer w.beginFault()()
 		n.kill()
 	}
 	n.start(w.t)
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -26,6 +27,7 @@
 const (
 	defaultNodes   = 4
 	workersPerPool = 4
+	workerCores    = 8
 )
 
 // world is the environment of one test: the stand-in of the platform in this
@@ -37,7 +39,13 @@
 	platform *standin.Platform
 	checker  *checker
 	nodes    []*node
-	mu       sync.Mutex
+	// fleetAddress is that of the fleet service, without proxy.
+	fleetAddress string
+	mu           sync.Mutex
+	// faults counts the unplanned faults in progress, and lastFault is when the
+	// last one ended, in nanoseconds.
+	faults, lastFault atomic.Int64
+	crashing          sync.Mutex // workers crash for good one at a time
 	// workerProxies has a proxy for every worker that was started, also for
 	// those that have ended. It is guarded by mu.
 	workerProxies []*proxy
@@ -66,7 +74,7 @@
 	size := placement.Resources{Processors: 1, MemoryMB: 64}
 	p := standin.New(standin.Estate{
 		Pools: []standin.Pool{
-			{Name: "pool", Workers: workersPerPool, Capacity: placement.Resources{Processors: 8, MemoryMB: 4096}},
+			{Name: "pool", Workers: workersPerPool, Capacity: placement.Resources{Processors: workerCores, MemoryMB: 4096}},
 			{Name: "spare", Workers: 2, Standby: true, Capacity: placement.Resources{Processors: 8, MemoryMB: 4096}},
 		},
 		Queues: []standin.Queue{{Name: "q", Host: queueHost, PathPrefix: queuePrefix, Pool: "pool", MaxAttempts: maxAttempts}},
@@ -94,6 +102,7 @@
 			t.Fatal(err)
 		}
 	}
+	w.fleetAddress = addresses.Fleet
 	for i := range cmp.Or(numberFrom("EGRETPITCH_SOAK_NODES"), defaultNodes) {
 		n := &node{name: fmt.Sprintf("front-%d", i), storeProxy: newProxy(t, addresses.Store), fleetProxy: newProxy(t, addresses.Fleet)}
 		n.configure(t, dir)
@@ -123,7 +132,7 @@
 	j := w.checker.jobs[task.Job]
 	switch {
 	case j != nil && j.longRunning:
-		return time.Hour, platform.EndDone
+		return 90 * time.Second, platform.EndDone // longer than a test, and its percentage rises each second
 	case j != nil && j.poison && task.Step == 0 && task.Index == 0:
 		return duration, platform.EndFailed
 	}
