test/soak: the entry of a crashed worker stays until its silence is noticed

Cause: the stand-in removes the entry of a crashed worker at once and its list of hosts shows the host as down, so an owner knows of each loss within half a second. The platform removes an entry after three heartbeats of silence; leases, and what the next owner waits for, were not tried.

Change: mostly, the entry of a worker that crashes for good stays for 3.9 s, and the list of hosts shows it until then. The entry stays because its removal meets a slow store; calls of nodes that begin in the same 2 ms are as slow.

--- a/test/soak/planned_test.go
+++ b/test/soak/planned_test.go
@@ -6,9 +6,12 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httputil"
+	"net/url"
 	"syscall"
 	"time"
 
+	"github.com/egretpitch/egretpitch/internal/standin"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
@@ -17,6 +20,9 @@
 	// first unplannedPeriod.
 	plannedPeriod   = 17 * time.Second
 	unplannedPeriod = 4 * time.Second
+	// entryTimeout is how long the platform keeps the entry of a silent worker: three
+	// heartbeats of 1.3 s.
+	entryTimeout = 3900 * time.Millisecond
 )
 
 // injectPlannedWork restarts nodes, most often the owner of the control work, with
@@ -37,7 +43,7 @@
 		switch {
 		case kind == 3:
 			n.signal(syscall.SIGHUP)
-			_ = w.platform.Configure() // cannot fail: the store is up
+			_ = w.platform.Configure() // may fail as a worker crashes
 		case kind == 4 && w.seed%2 == 1:
 			end := w.beginFault()
 			n.kill()
@@ -59,7 +65,8 @@
 }
 
 // loseWorker crashes for good the worker of a long-running task that has not lost
-// one before, unless half of the workers have crashed.
+// one before, unless half of the workers have crashed. Mostly its entry stays for
+// entryTimeout.
 func (w *world) loseWorker(rng *rand.Rand) {
 	defer w.beginFault()()
 	w.crashing.Lock()
@@ -81,7 +88,15 @@
 	if number < 0 || crashed >= workersPerPool/2 {
 		return
 	}
+	if rng.IntN(4) > 0 {
+		w.silent.Store(hosts[number]["machine"], id)
+		time.AfterFunc(entryTimeout, func() { w.silent.Delete(hosts[number]["machine"]) })
+		// The stand-in removes the entry by a call that takes this long.
+		w.platform.Rows.SetFaults(standin.Faults{Latency: entryTimeout})
+		defer w.platform.Rows.SetFaults(standin.Faults{})
+	}
 	w.platform.Crash(number, time.Hour)
+	time.Sleep(2 * time.Millisecond) // the removal begins
 }
 
 // owner returns the node that the owner record names, nil for none.
@@ -104,3 +119,21 @@
 	}
 	return list.Machines
 }
+
+// handleFleet serves the fleet service to the nodes. Its list shows a host as up
+// with its crashed worker while the entry of the worker stays.
+func (w *world) handleFleet() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: w.fleetAddress}))
+	mux.HandleFunc("GET /api/machines", func(rw http.ResponseWriter, _ *http.Request) {
+		hosts := w.hosts()
+		for _, h := range hosts {
+			if id, ok := w.silent.Load(h["machine"]); ok {
+				h["state"], h["id"] = "up", id
+			}
+		}
+		rw.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(rw).Encode(map[string]any{"machines": hosts, "next_page_token": nil}) // fails if the caller is gone
+	})
+	return mux
+}
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"net"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -45,7 +46,10 @@
 	// faults counts the unplanned faults in progress, and lastFault is when the
 	// last one ended, in nanoseconds.
 	faults, lastFault atomic.Int64
-	crashing          sync.Mutex // workers crash for good one at a time
+	// silent holds the crashed workers whose entry stays, by host. Workers crash
+	// for good one at a time.
+	silent   sync.Map
+	crashing sync.Mutex
 	// workerProxies has a proxy for every worker that was started, also for
 	// those that have ended. It is guarded by mu.
 	workerProxies []*proxy
@@ -103,8 +107,10 @@
 		}
 	}
 	w.fleetAddress = addresses.Fleet
+	fleet := httptest.NewServer(w.handleFleet())
+	t.Cleanup(fleet.Close)
 	for i := range cmp.Or(numberFrom("EGRETPITCH_SOAK_NODES"), defaultNodes) {
-		n := &node{name: fmt.Sprintf("front-%d", i), storeProxy: newProxy(t, addresses.Store), fleetProxy: newProxy(t, addresses.Fleet)}
+		n := &node{name: fmt.Sprintf("front-%d", i), storeProxy: newProxy(t, addresses.Store), fleetProxy: newProxy(t, fleet.Listener.Addr().String())}
 		n.configure(t, dir)
 		w.nodes = append(w.nodes, n)
 		n.start(t)
