--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -1,15 +1,19 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
 	"net"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -22,8 +26,9 @@
 )
 
 const (
-	nodes          = 4
+	defaultNodes   = 4
 	workersPerPool = 4
+	workerCores    = 8
 )
 
 // world is the environment of one test: the stand-in of the platform in this
@@ -35,7 +40,16 @@
 	platform *standin.Platform
 	checker  *checker
 	nodes    []*node
-	mu       sync.Mutex
+	// fleetAddress is that of the fleet service, without proxy.
+	fleetAddress string
+	mu           sync.Mutex
+	// faults counts the unplanned faults in progress, and lastFault is when the
+	// last one ended, in nanoseconds.
+	faults, lastFault atomic.Int64
+	// silent holds the crashed workers whose entry stays, by host. Workers crash
+	// for good one at a time.
+	silent   sync.Map
+	crashing sync.Mutex
 	// workerProxies has a proxy for every worker that was started, also for
 	// those that have ended. It is guarded by mu.
 	workerProxies []*proxy
@@ -52,6 +66,10 @@
 	ended                             chan struct{}
 	// processes are all that were started.
 	processes []*os.Process
+	// disturbedAt is when it was last killed, paused or continued, and paused is set
+	// from its pause on.
+	disturbedAt time.Time
+	paused      bool
 }
 
 // newWorld starts a platform and its nodes, which end with the test.
@@ -60,7 +78,7 @@
 	size := placement.Resources{Processors: 1, MemoryMB: 64}
 	p := standin.New(standin.Estate{
 		Pools: []standin.Pool{
-			{Name: "pool", Workers: workersPerPool, Capacity: placement.Resources{Processors: 8, MemoryMB: 4096}},
+			{Name: "pool", Workers: workersPerPool, Capacity: placement.Resources{Processors: workerCores, MemoryMB: 4096}},
 			{Name: "spare", Workers: 2, Standby: true, Capacity: placement.Resources{Processors: 8, MemoryMB: 4096}},
 		},
 		Queues: []standin.Queue{{Name: "q", Host: queueHost, PathPrefix: queuePrefix, Pool: "pool", MaxAttempts: maxAttempts}},
@@ -81,12 +99,18 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(p.Stop)
-	dir := os.Getenv("EGRETPITCH_SOAK_LOGS")
-	if dir == "" {
-		dir = t.TempDir()
+	dir := t.TempDir()
+	if logs := os.Getenv("EGRETPITCH_SOAK_LOGS"); logs != "" {
+		dir = filepath.Join(logs, t.Name())
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			t.Fatal(err)
+		}
 	}
-	for i := range nodes {
-		n := &node{name: fmt.Sprintf("front-%d", i), storeProxy: newProxy(t, addresses.Store), fleetProxy: newProxy(t, addresses.Fleet)}
+	w.fleetAddress = addresses.Fleet
+	fleet := httptest.NewServer(w.handleFleet())
+	t.Cleanup(fleet.Close)
+	for i := range cmp.Or(numberFrom("EGRETPITCH_SOAK_NODES"), defaultNodes) {
+		n := &node{name: fmt.Sprintf("front-%d", i), storeProxy: newProxy(t, addresses.Store), fleetProxy: newProxy(t, fleet.Listener.Addr().String())}
 		n.configure(t, dir)
 		w.nodes = append(w.nodes, n)
 		n.start(t)
@@ -114,7 +138,7 @@
 	j := w.checker.jobs[task.Job]
 	switch {
 	case j != nil && j.longRunning:
-		return time.Hour, platform.EndDone
+		return 90 * time.Second, platform.EndDone // longer than a test, and its percentage rises each second
 	case j != nil && j.poison && task.Step == 0 && task.Index == 0:
 		return duration, platform.EndFailed
 	}
@@ -188,10 +212,26 @@
 	select {
 	case <-n.ended:
 	default:
+		if s == syscall.SIGKILL || s == syscall.SIGSTOP || s == syscall.SIGCONT {
+			n.disturbedAt, n.paused = time.Now(), s == syscall.SIGSTOP
+		}
 		_ = n.cmd.Process.Signal(s) // the process may have ended since the check
 	}
 }
 
+// disturbedSince reports whether the process was killed or paused at a time or
+// later.
+func (n *node) disturbedSince(at time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.paused || n.disturbedAt.After(at)
+}
+
+// nodeAt returns the node that listens for callers on an address.
+func (w *world) nodeAt(address string) *node {
+	return w.nodes[slices.IndexFunc(w.nodes, func(n *node) bool { return n.callerAddress == address })]
+}
+
 // kill kills the process and waits until it has ended.
 func (n *node) kill() {
 	n.signal(syscall.SIGKILL)
@@ -202,7 +242,7 @@
 }
 
 // anyNode returns the address for callers of a random node.
-func (w *world) anyNode(rng *rand.Rand) string { return w.nodes[rng.IntN(nodes)].callerAddress }
+func (w *world) anyNode(rng *rand.Rand) string { return w.nodes[rng.IntN(len(w.nodes))].callerAddress }
 
 // anyProxy returns a random one of the proxies to workers, store and fleet service.
 func (w *world) anyProxy(rng *rand.Rand) *proxy {
