test/soak: a taken port does not fail the tests of shutdowns

The address of a process is chosen while its port is free. Beside the proxies of the tests that run in parallel it may be taken by the time the process listens. 2 of 11 runs of the whole package failed in the new tests so ("listen on 127.0.0.1:37751: ... address already in use" in the second, whose log was kept; the first, "condition not met after 15 s: a job is accepted", is put down to the same without its log). The process is then started on another address; one that ends for another reason fails the test, which shows its log.

--- a/test/soak/shutdown_test.go
+++ b/test/soak/shutdown_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -42,9 +43,23 @@
 	}
 	t.Cleanup(p.Stop)
 	n := &node{name: "front-0", storeProxy: newProxy(t, addresses.Store), fleetProxy: newProxy(t, addresses.Fleet)}
-	n.configure(t, t.TempDir())
-	n.start(t)
-	t.Cleanup(n.kill)
+	for {
+		n.configure(t, t.TempDir())
+		n.start(t)
+		t.Cleanup(n.kill)
+		if n.listens() {
+			break
+		}
+		if log := n.log(t); !strings.Contains(log, "address already in use") {
+			t.Fatalf("the process does not listen:\n%s", log)
+		} // a port that was free when it was chosen
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			log := n.log(t)
+			t.Logf("log of the process:\n%s", log[:min(len(log), 4000)])
+		}
+	})
 	answers := func(method, want string) func() bool {
 		return func() bool {
 			c, err := dialCaller(n.callerAddress)
@@ -62,6 +77,37 @@
 	return p, n
 }
 
+// listens waits until the process accepts callers' connections and reports whether
+// it does. A process that ends does not.
+func (n *node) listens() bool {
+	for {
+		select {
+		case <-n.ended:
+			return false
+		case <-time.After(20 * time.Millisecond):
+		}
+		if c, err := net.Dial("tcp", n.callerAddress); err == nil {
+			_ = c.Close()
+			// Another process may have the port.
+			select {
+			case <-n.ended:
+				return false
+			case <-time.After(100 * time.Millisecond):
+				return true
+			}
+		}
+	}
+}
+
+// log returns what the process has written.
+func (n *node) log(t *testing.T) string {
+	data, err := os.ReadFile(n.logPath)
+	if err != nil {
+		t.Error(err)
+	}
+	return string(data)
+}
+
 // callerConn is a caller's connection to a node. It shows when a request's last
 // byte was sent, and whether the connection ended without an answer.
 type callerConn struct {
@@ -211,6 +257,11 @@
 				_ = c.Close()
 				break
 			}
+			select {
+			case <-n.ended:
+				t.Fatalf("start %d: the process has ended before it accepted a connection", i)
+			default:
+			}
 		}
 		select {
 		case <-n.ended:
