--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -83,8 +83,9 @@
 	// workers counts the workers that have not answered a poll yet, and leased
 	// those whose leases may not have expired.
 	workers, leased int
-	// any is set if any task may be among them, and anyLeased if any may run.
-	any, anyLeased bool
+	// unknown is set if any task may be among them, and unknownLeased if any may
+	// run.
+	unknown, unknownLeased bool
 	// tasks and leasedTasks hold the tasks of the other workers.
 	tasks, leasedTasks map[workload.TaskID]struct{}
 }
@@ -97,7 +98,7 @@
 		u.leased++
 	}
 	if !w.inheritedTasksKnown {
-		u.any, u.anyLeased = true, u.anyLeased || leased
+		u.unknown, u.unknownLeased = true, u.unknownLeased || leased
 		return
 	}
 	if u.tasks == nil {
@@ -114,12 +115,12 @@
 // includes reports whether a task may be among them. Only a run matters for a
 // long-running task: it goes on after every end.
 func (u *undiscovered) includes(t *task) bool {
-	any, tasks := u.any, u.tasks
+	unknown, tasks := u.unknown, u.tasks
 	if t.step.LongRunning {
-		any, tasks = u.anyLeased, u.leasedTasks
+		unknown, tasks = u.unknownLeased, u.leasedTasks
 	}
 	_, ok := tasks[t.id()]
-	return any || ok
+	return unknown || ok
 }
 
 // finishRecovery ends the recovery once there can be no undiscovered runs.
