scheduler, node: the silence of a worker is recorded at once

What callers would see: a long-running task without a run for 9.1 s after its worker crashed and the owner was killed 0.9 to 1.6 s later; the platform's bound is 9 s, and 7 s after the kill.

Cause: the end of a silent worker's lease was recorded with the next regular write, up to 1.6 s after the silence. An owner that is killed before lets its successor wait for 8.08 s from its last heartbeat.

Change: the record is written as soon as a worker has been silent for 0.5 s, or has not answered a new owner.

TestTaskOfASilentWorkerRestartsInTimeThoughItsOwnerIsKilled: 9.09 s before. Whether this is that failure is not shown; its logs are lost.

--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -357,7 +357,7 @@
 		}
 	}
 	sweep := now-o.lastSweep >= sweepInterval
-	if sweep || o.engine.Unrecorded() {
+	if sweep || o.engine.Unrecorded(now) {
 		o.recordUsedWorkers(ctx, now)
 	}
 	if sweep {
--- a/internal/node/usedworkers.go
+++ b/internal/node/usedworkers.go
@@ -224,7 +224,7 @@
 	if o.used.writing {
 		return
 	}
-	if !o.engine.Unrecorded() && (now-o.used.lastWrite < usedWorkersInterval || o.usedWorkersUpToDate(now)) {
+	if !o.engine.Unrecorded(now) && (now-o.used.lastWrite < usedWorkersInterval || o.usedWorkersUpToDate(now)) {
 		return
 	}
 	list := o.engine.InUse(now)
--- a/internal/scheduler/released_test.go
+++ b/internal/scheduler/released_test.go
@@ -207,3 +207,18 @@
 		t.Errorf("%d starts, want 2: the queue permits 2 attempts", starts)
 	}
 }
+
+func TestTaskOfASilentWorkerRestartsInTimeThoughItsOwnerIsKilled(t *testing.T) {
+	for later := time.Duration(0); later < 4*time.Second; later += 100 * time.Millisecond {
+		sim := newSimulation(t)
+		sim.replaceRecord = true
+		owner, w1, job := sim.runningTask("w2")
+		w1.fallSilent()
+		ranAt := sim.now
+		sim.run(later, owner)
+		killedAt := sim.now
+		owner.expired = true
+		sim.run(takeoverTime)
+		sim.checkRestart(t, job, ranAt, killedAt, sim.newOwnerAfter(takeoverTime-ownershipLease))
+	}
+}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -604,7 +604,7 @@
 // recordAtOnce adds the workers in use to the record, unless it is replaced at
 // intervals or a later owner has fenced it.
 func (owner *testOwner) recordAtOnce() {
-	if owner.sim.replaceRecord || owner.token != owner.sim.fence || !owner.Unrecorded() {
+	if owner.sim.replaceRecord || owner.token != owner.sim.fence || !owner.Unrecorded(owner.sim.now) {
 		return
 	}
 	// The record of workers in use is written before they are used.
@@ -622,7 +622,7 @@
 // recordUsedWorkers replaces the record of the workers in use.
 func (owner *testOwner) recordUsedWorkers() {
 	sim := owner.sim
-	if owner.recording || (!owner.Unrecorded() && sim.now-owner.recordedAt < usedWorkersInterval) {
+	if owner.recording || (!owner.Unrecorded(owner.sim.now) && sim.now-owner.recordedAt < usedWorkersInterval) {
 		return
 	}
 	owner.recording = true
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -393,8 +393,7 @@
 func (e *Engine) InUse(now time.Duration) []UsedWorker {
 	var list []UsedWorker
 	for _, w := range e.workers {
-		silent := w.failedPolls > 0 && (w.inherited || now-w.silentSince >= frozenAfter)
-		w.leaseFrozen = silent || (w.leaseFrozen && w.inherited)
+		w.leaseFrozen = w.toFreeze(now) || (w.leaseFrozen && w.inherited)
 		inUse := w.inherited || w.occupied() || len(w.pendingEnds) > 0 || w.toRecord(e)
 		if inUse {
 			u := UsedWorker{Worker: w.Worker}
@@ -410,6 +409,11 @@
 	return list
 }
 
+// toFreeze reports whether the end of the worker's lease is to be recorded.
+func (w *worker) toFreeze(now time.Duration) bool {
+	return w.failedPolls > 0 && (w.inherited || now-w.silentSince >= frozenAfter)
+}
+
 // possibleTasks returns the tasks that the worker may run or list the ends of, and
 // whether all of them are known. They are if this owner has read the worker's runs,
 // and every end that it listed is recorded.
@@ -452,10 +456,15 @@
 	}
 }
 
-// Unrecorded reports whether a worker has to be recorded before it can be used.
-func (e *Engine) Unrecorded() bool {
+// Unrecorded reports whether the record of workers is to be written at once: a
+// worker has to be recorded before it can be used, or a successor would wait longer
+// than necessary for one that does not answer.
+func (e *Engine) Unrecorded(now time.Duration) bool {
 	for _, w := range e.workers {
-		if !w.recorded && w.fenced && w.failedPolls == 0 && (w.occupied() || w.toRecord(e)) {
+		switch {
+		case !w.recorded && w.fenced && w.failedPolls == 0 && (w.occupied() || w.toRecord(e)):
+			return true
+		case !w.leaseFrozen && w.toFreeze(now) && (w.inherited || w.occupied()):
 			return true
 		}
 	}
