scheduler: a second kill of an owner before it reaches a silent worker

The same in the simulation: an owner is killed within 0.4 s of the crash, its successor takes over 2.6 s later and is killed within 1.4 s, before it records the silence; the third owner waits for 8.08 s from the last heartbeat of the second.

--- a/internal/scheduler/released_test.go
+++ b/internal/scheduler/released_test.go
@@ -222,3 +222,25 @@
 		sim.checkRestart(t, job, ranAt, killedAt, sim.newOwnerAfter(takeoverTime-ownershipLease))
 	}
 }
+
+// The second owner has not reached the worker, the first has not recorded its silence.
+func TestTaskOfASilentWorkerRestartsInTimeThoughTwoOwnersAreKilled(t *testing.T) {
+	for later := time.Duration(0); later < 400*time.Millisecond; later += 100 * time.Millisecond {
+		for life := 600 * time.Millisecond; life < 2*time.Second; life += 100 * time.Millisecond {
+			sim := newSimulation(t)
+			sim.replaceRecord = true
+			owner, w1, job := sim.runningTask("w2")
+			w1.fallSilent()
+			ranAt := sim.now
+			sim.run(later, owner)
+			owner.expired = true
+			sim.run(takeoverTime)
+			owner = sim.newOwnerAfter(takeoverTime - ownershipLease)
+			sim.run(life, owner)
+			killedAt := sim.now
+			owner.expired = true
+			sim.run(takeoverTime)
+			sim.checkRestart(t, job, ranAt, killedAt, sim.newOwnerAfter(takeoverTime-ownershipLease))
+		}
+	}
+}
