test/soak: callers repeat the cancellation of a long-running job

No task of it broke the rule on cancelled jobs, which counts from an answered DELETE, so none was answered: callers give up after some tries, and a long-running job ends by nothing else. The check is as it was.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -137,15 +137,17 @@
 	return false
 }
 
-// cancel cancels a job, and records when the cancellation was confirmed.
-func (c *callers) cancel(id string, rng *rand.Rand) {
+// cancel cancels a job, records when the cancellation was confirmed, and reports
+// whether it was.
+func (c *callers) cancel(id string, rng *rand.Rand) bool {
 	c.world.checker.update(id, func(j *jobRecord) { j.cancelSent = true })
 	for range requestAttempts {
 		if status, _ := c.call(http.MethodDelete, c.world.anyNode(rng), id, nil); status == http.StatusOK {
 			c.world.checker.update(id, func(j *jobRecord) { j.cancelConfirmed = time.Now() })
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // jobID returns the ID of the nth job of a seed.
--- a/test/soak/longrunning_test.go
+++ b/test/soak/longrunning_test.go
@@ -25,7 +25,9 @@
 	c.world.checker.addJob(id, &jobRecord{steps: []step{{count: count, after: -1}}, longRunning: true})
 	if c.submit(id, body, rng) {
 		<-end
-		c.cancel(id, rng)
+		for !c.cancel(id, rng) && ctx.Err() == nil {
+			time.Sleep(100 * time.Millisecond) // the job ends by nothing else
+		}
 		c.watch(ctx, id, rng)
 	}
 }
