test/soak: slow calls of the store count as a fault until they end

To keep the entry of a crashed worker, the soak slows calls to the store down for 3.9 s; calls of nodes that begin meanwhile are slow, too, and the fault counted as over as the last one began. In a play at load 55 with logs, a release begins 3 s after the crash and ends without an answer 2.3 s later, feeds of all nodes are overdue, and no fault is noted. The platform's rule asks for a store without disruption, so the check now counts the slow calls as part of the fault.

--- a/test/soak/planned_test.go
+++ b/test/soak/planned_test.go
@@ -91,7 +91,10 @@
 	if rng.IntN(4) > 0 {
 		w.silent.Store(hosts[number]["machine"], id)
 		time.AfterFunc(entryTimeout, func() { w.silent.Delete(hosts[number]["machine"]) })
-		// The stand-in removes the entry by a call that takes this long.
+		// The stand-in removes the entry by a call that takes this long, and so do the
+		// calls of nodes that begin meanwhile: the store is disturbed until they end.
+		endSlowCalls := w.beginFault()
+		defer func() { time.AfterFunc(entryTimeout, endSlowCalls) }()
 		w.platform.Rows.SetFaults(standin.Faults{Latency: entryTimeout})
 		defer w.platform.Rows.SetFaults(standin.Faults{})
 	}
