--- a/internal/scheduler/released_test.go
+++ b/internal/scheduler/released_test.go
@@ -84,18 +84,25 @@
 	return sim, owner, w1
 }
 
-func TestTasksLeaveADrainingWorkerBesideASilentOne(t *testing.T) {
-	sim, owner, w1 := silentBesideATask(t)
-	sim.run(1500*time.Millisecond, owner)
-	owner = sim.release(owner)
+// checkLeaves lets a worker announce its end, and fails the test if a task is still
+// there when it ends.
+func (sim *simulation) checkLeaves(t *testing.T, f *fakeWorker, after time.Duration, owner *testOwner) {
+	t.Helper()
 	left := 0
-	sim.leave(w1, 6*time.Second, owner, func(time.Duration) { left = len(w1.running) })
+	sim.leave(f, after, owner, func(time.Duration) { left = len(f.running) })
 	if left != 0 {
-		t.Error("the task is still on the worker when that ends, though another one had capacity for 6 s")
+		t.Errorf("%d tasks are still on the worker when that ends, though another one had capacity for %v", left, after)
 	}
 	sim.check()
 }
 
+func TestTasksLeaveADrainingWorkerBesideASilentOne(t *testing.T) {
+	sim, owner, w1 := silentBesideATask(t)
+	sim.run(1500*time.Millisecond, owner)
+	owner = sim.release(owner)
+	sim.checkLeaves(t, w1, 6*time.Second, owner)
+}
+
 func TestTaskDoesNotWaitForAWorkerThatIsRecordedWithoutIt(t *testing.T) {
 	sim := newSimulation(t)
 	sim.replaceRecord = true
@@ -129,12 +136,7 @@
 	owner.expired = true
 	sim.run(50 * time.Millisecond)
 	owner = sim.newOwnerAfter(0)
-	left := 0
-	sim.leave(w1, 3*time.Second, owner, func(time.Duration) { left = len(w1.running) })
-	if left != 0 {
-		t.Error("the task ends with its worker")
-	}
-	sim.check()
+	sim.checkLeaves(t, w1, 3*time.Second, owner)
 }
 
 // The start gets no answer, and is carried out by the next incarnation, which the owner or its successor discovers.
