review: case 2, ONE after a machine was cut off for 12 s

Cause: an order about a machine whose call is given up stays on its way, and arrives after orders of the next owner with a higher token. Change: case 2 with its claim; the proxy of the harness models TCP's retransmission; ports are given once.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(w *world) (broken []string, err error){
 	"crashes": playCrashes,
 	"held":    playHeldOrders,
+	"cancel":  playCancelled,
 }
 
 func main() {
--- a/review/harness/proxy.go
+++ b/review/harness/proxy.go
@@ -7,9 +7,14 @@
 	"time"
 )
 
+// firstRetransmission is after how long TCP sends unacknowledged bytes again. The
+// time doubles with each attempt.
+const firstRetransmission = 200 * time.Millisecond
+
 // proxy forwards connections to a target. While it is cut it behaves as a network
-// partition does: bytes on open connections are held until it heals and are lost
-// if their sender resets the connection, and no new connection comes about.
+// partition does: bytes on open connections are held until their first
+// retransmission after its end and are lost if their sender resets the connection,
+// and no new connection comes about.
 type proxy struct {
 	address, target string
 	mu              sync.Mutex
@@ -99,13 +104,27 @@
 	}()
 	for c := range chunks {
 		held := []chunk{c}
+		sent, wasCut := time.Now(), false
 		for cut, healed := p.state(); cut; cut, healed = p.state() {
+			wasCut = true
 			select {
 			case more := <-chunks:
 				held = append(held, more)
 			case <-healed:
 			}
 		}
+		if wasCut {
+			held = append(held, awaitRetransmission(sent, func(wait time.Duration) (more []chunk) {
+				for timer := time.After(wait); ; {
+					select {
+					case c := <-chunks:
+						more = append(more, c)
+					case <-timer:
+						return more
+					}
+				}
+			})...)
+		}
 		if last := held[len(held)-1]; last.err != nil && last.err != io.EOF {
 			_ = to.SetLinger(0) // the sender has reset the connection
 			_ = to.Close()
@@ -126,3 +145,13 @@
 		}
 	}
 }
+
+// awaitRetransmission waits until bytes that were sent at a time and not
+// acknowledged are sent again.
+func awaitRetransmission[T any](sent time.Time, wait func(time.Duration) T) T {
+	at := sent
+	for interval := firstRetransmission; time.Now().After(at); interval *= 2 {
+		at = at.Add(interval)
+	}
+	return wait(time.Until(at))
+}
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -27,6 +27,7 @@
 	store   string
 	cloud   string
 	dir     string
+	lost    lostWrites
 
 	recordMu sync.Mutex
 	record   *os.File
@@ -90,14 +91,22 @@
 	return l.Addr().String(), nil
 }
 
+// givenPorts holds the ports that freeAddress has returned.
+var givenPorts = map[int]bool{}
+
 // freeAddress returns a loopback address whose port is free now, below the ports
-// that outgoing connections take.
+// that outgoing connections take. It is called by one goroutine.
 func freeAddress() (string, error) {
 	var err error
 	for range 100 {
+		port := 11000 + rand.IntN(20000)
+		if givenPorts[port] {
+			continue
+		}
 		var l net.Listener
-		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 11000+rand.IntN(20000))); err == nil {
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
 			defer l.Close()
+			givenPorts[port] = true
 			return l.Addr().String(), nil
 		}
 	}
