--- a/review/harness/held.go
+++ b/review/harness/held.go
@@ -24,7 +24,7 @@
 		return nil, err
 	}
 	begin := time.Now()
-	v := wave{Wave: 1, DurationS: 26, MaxCount: 8}
+	v := wave{Wave: 1, DurationS: 26, MaxCount: 10}
 	for i, m := range w.machines {
 		if i%2 == 0 {
 			v.Machines = append(v.Machines, m.name)
