node: a job is not stored after its cancellation was answered

Cause: the 410 stored nothing. A submission that was still on its way, in a paused process, in a caller's repetition or in a transaction that the store applies late, found no trace of the cancellation, and no owner learned of it. The class: an acknowledgement that no durable state backs, so that the order of two messages decides. Change: the cancellation of a job that does not exist is stored as well, and the transaction that stores a job requires that it has no such row. The two rows share a part, so the store orders them: whichever comes first, the job is either known to be cancelled or never stored. Such a submission is answered 410. A batch holds 25 jobs, as each takes one more entry. Ruled out: a bound on the age of submissions alone; the store applies a transaction 1 to 6 s after its caller has left, and callers repeat.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -13,9 +13,9 @@
 
 const (
 	// maxAcceptBatch is the maximum number of jobs stored in one transaction.
-	// Each job takes three of the 100 entries that the platform allows: one
-	// condition and two writes.
-	maxAcceptBatch = 30
+	// Each job takes four of the 100 entries that the platform allows: two
+	// conditions and two writes.
+	maxAcceptBatch = 25
 	// maxAcceptBytes bounds the rows of one transaction, so that the whole
 	// call, encoded in base64, stays below the platform's limit of 1 MB.
 	maxAcceptBytes = 500 << 10
@@ -47,6 +47,9 @@
 	submitUnknown
 	// submitTooLarge means that no row can hold the job.
 	submitTooLarge
+	// submitCancelled means that the job was cancelled before it was stored. It is
+	// not stored and never will be.
+	submitCancelled
 )
 
 // submission is a job that waits to be stored.
@@ -189,7 +192,9 @@
 			continue // the same job was submitted twice concurrently
 		}
 		included[s.job.ID] = true
-		txn.Conditions = append(txn.Conditions, platform.RowCondition{RowKey: s.rows[0].RowKey, Version: platform.NoVersion})
+		txn.Conditions = append(txn.Conditions,
+			platform.RowCondition{RowKey: s.rows[0].RowKey, Version: platform.NoVersion},
+			platform.RowCondition{RowKey: jobRow(cancelTable, s.job.ID), Version: platform.NoVersion})
 		txn.Writes = append(txn.Writes, s.rows[:]...)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, acceptTimeout)
@@ -236,16 +241,19 @@
 	return batch
 }
 
-// resolveConflict reports the jobs that are already stored and returns the
-// other submissions.
+// resolveConflict reports the jobs that are already stored and those that were
+// cancelled before, and returns the other submissions.
 func resolveConflict(batch []*submission, conflict *platform.RowConflict) []*submission {
 	var rest []*submission
 	for _, s := range batch {
-		if conflict.Row(s.rows[0].RowKey).Version != platform.NoVersion {
+		switch {
+		case conflict.Row(s.rows[0].RowKey).Version != platform.NoVersion:
 			s.outcome <- submitStored
-			continue
+		case conflict.Row(jobRow(cancelTable, s.job.ID)).Version != platform.NoVersion:
+			s.outcome <- submitCancelled
+		default:
+			rest = append(rest, s)
 		}
-		rest = append(rest, s)
 	}
 	return rest
 }
--- a/internal/node/cancelledfirst_test.go
+++ b/internal/node/cancelledfirst_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
 // storedJobs returns the number of stored jobs.
@@ -71,3 +73,27 @@
 		t.Errorf("%d jobs are stored, want none", got)
 	}
 }
+
+func TestCancelledJobDoesNotHoldUpTheOthersOfItsBatch(t *testing.T) {
+	n, _, _ := testNode(t)
+	if err := n.writeCancel(t.Context(), testID); err != nil {
+		t.Fatal(err)
+	}
+	var batch []*submission
+	for _, id := range []string{testID, "00000000000000ab", "00000000000000ac"} {
+		s, err := newSubmission(&workload.Job{ID: id, Queue: "q", Pool: "p"}, time.Now().Add(time.Second))
+		if err != nil {
+			t.Fatal(err)
+		}
+		batch = append(batch, s)
+	}
+	all := batch
+	for len(batch) > 0 {
+		batch = n.acceptor.store(t.Context(), batch)
+	}
+	for i, want := range []submitOutcome{submitCancelled, submitStored, submitStored} {
+		if got := <-all[i].outcome; got != want {
+			t.Errorf("job %s: outcome %d, want %d", all[i].job.ID, got, want)
+		}
+	}
+}
--- a/internal/node/jobsapi.go
+++ b/internal/node/jobsapi.go
@@ -99,6 +99,8 @@
 			return a.problem(c, http.StatusServiceUnavailable, errors.Errorf("job %s is not stored: table service unavailable", j.ID))
 		case submitTooLarge:
 			return a.problem(c, http.StatusUnprocessableEntity, errors.Errorf("job %s is too large", j.ID))
+		case submitCancelled:
+			return a.problem(c, http.StatusConflict, errors.Errorf("job %s was cancelled before", j.ID))
 		case submitUnknown:
 			return a.problem(c, http.StatusGatewayTimeout, errors.Errorf("job %s may or may not be stored; submit it again under the same id", j.ID))
 		}
--- a/internal/node/queueapi.go
+++ b/internal/node/queueapi.go
@@ -190,6 +190,8 @@
 		return response{status: http.StatusServiceUnavailable, reason: "not stored: table service unavailable"}
 	case submitTooLarge:
 		return response{status: http.StatusRequestEntityTooLarge, reason: "job is too large"}
+	case submitCancelled:
+		return response{status: http.StatusGone, reason: "not stored: job was cancelled before"}
 	}
 	return response{status: http.StatusGatewayTimeout, reason: "not known to be stored: table service does not answer"}
 }
@@ -270,7 +272,9 @@
 	}
 }
 
-// cancel records a job's cancellation, unless it has already ended.
+// cancel records a job's cancellation, unless it has already ended. A job that does
+// not exist is cancelled too: its submission may still be on its way, and is refused
+// from then on.
 func (h *QueueAPI) cancel(r *queueRequest) response {
 	if !workload.ValidID(r.id) {
 		return response{status: http.StatusGone, reason: "the path names no job"}
@@ -282,14 +286,15 @@
 	switch {
 	case err != nil:
 		return response{status: http.StatusServiceUnavailable, reason: err.Error()}
-	case p == nil:
-		return response{status: http.StatusGone, reason: "no such job"}
-	case p.State.Over():
+	case p != nil && p.State.Over():
 		return response{status: http.StatusOK, body: h.codec.EncodeState(p.State), reason: "already over"}
 	}
 	if err := n.writeCancel(ctx, r.id); err != nil {
 		return response{status: http.StatusGatewayTimeout, reason: err.Error()}
 	}
+	if p == nil {
+		return response{status: http.StatusGone, reason: "no such job, its submission is refused"}
+	}
 	return response{status: http.StatusOK, body: h.codec.EncodeState(workload.Cancelled), reason: "cancelled"}
 }
 
