node: a cancellation in the administration API holds for a job on its way

Change: its cancellation is stored as well; it is still reported as unchanged, and the submission is answered 409. A name that is no job id is unchanged, as before, and stored nowhere.

--- a/internal/node/jobsapi.go
+++ b/internal/node/jobsapi.go
@@ -171,8 +171,9 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// cancel requests the cancellation of jobs. Jobs that do not exist or have
-// ended are reported as unchanged.
+// cancel requests the cancellation of jobs. Jobs that do not exist or have ended
+// are reported as unchanged; the submission of one that does not exist is refused
+// from then on.
 func (a *JobsAPI) cancel(c echo.Context) error {
 	var req adminapi.CancelRequest
 	// Bind ignores the body of a DELETE.
@@ -183,17 +184,25 @@
 	defer cancel()
 	reply := &adminapi.JobsReply{}
 	for _, id := range req.IDs {
+		if !workload.ValidID(id) {
+			reply.Unchanged = append(reply.Unchanged, id)
+			continue
+		}
 		p, err := a.node.readProgress(ctx, id)
 		if err != nil {
 			return a.problem(c, http.StatusServiceUnavailable, errors.Wrapf(err, "job %s", id))
 		}
-		if p == nil || p.State.Over() {
+		if p != nil && p.State.Over() {
 			reply.Unchanged = append(reply.Unchanged, id)
 			continue
 		}
 		if err := a.node.writeCancel(ctx, id); err != nil {
 			return a.problem(c, http.StatusGatewayTimeout, errors.Wrapf(err, "job %s", id))
 		}
+		if p == nil {
+			reply.Unchanged = append(reply.Unchanged, id)
+			continue
+		}
 		reply.Changed++
 	}
 	return c.JSON(http.StatusOK, reply)
--- a/internal/node/jobsapi_test.go
+++ b/internal/node/jobsapi_test.go
@@ -94,3 +94,19 @@
 		t.Errorf("%d rows are stored, %v", len(rows), err)
 	}
 }
+
+// The submission is still on its way when the operator cancels the job.
+func TestJobOfStepsIsNotStoredAfterItsCancellation(t *testing.T) {
+	n, e := testJobsAPI(t)
+	var reply adminapi.JobsReply
+	if _, err := requestJSON(e, http.MethodDelete, `{"ids":["`+testID+`","no id"]}`, &reply); err != nil || reply.Changed != 0 || len(reply.Unchanged) != 2 {
+		t.Errorf("cancellation: %+v, %v; want both unchanged", reply, err)
+	}
+	var problem adminapi.Problem
+	if status, err := requestJSON(e, http.MethodPost, `{"jobs":[`+stepsJob+`]}`, &problem); status != http.StatusConflict || err != nil {
+		t.Errorf("submission: status %d, %v, %+v; want 409", status, err, problem)
+	}
+	if got := storedJobs(t, n); got != 0 {
+		t.Errorf("%d jobs are stored, want none", got)
+	}
+}
