scheduler: cancellations of unknown jobs are kept only until the jobs are read

Cause: since cancellations of jobs that do not exist are stored, a caller that cancels ids of its own making adds an entry to the owner's memory with each, for good. An owner kept them for jobs that it reads after their cancellation. Change: no job is stored after its cancellation, so an owner that has read all jobs up to a version needs no cancellation up to that version. Entries go as the feed of jobs advances; older ones are not taken up. While entry processes of the build before are still at work beside an owner of this one, a job that these store after its cancellation runs, as before.

--- a/internal/node/cancels.go
+++ b/internal/node/cancels.go
@@ -58,7 +58,7 @@
 func (o *owner) applyCancels(c cancelChanges, now time.Duration) {
 	for _, r := range c.rows {
 		if !r.Deleted {
-			o.engine.Cancel(r.Key, now)
+			o.engine.Cancel(r.Key, r.Version, now)
 		}
 	}
 	o.engine.CancelsRead(o.knownUpTo(&o.cancelMarks, c.stamp.Version, c.sent, c.more), now-c.read)
--- a/internal/node/execute_test.go
+++ b/internal/node/execute_test.go
@@ -74,7 +74,7 @@
 		o.workerCalls.slot("w") <- struct{}{}
 	}
 	go o.execute(t.Context(), start)
-	o.engine.Cancel(testID, now)
+	o.engine.Cancel(testID, 1, now)
 	<-o.workerCalls.slot("w")
 	(<-o.events)(now) // the answer to the start
 	if counter.starts != 0 {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -377,7 +377,7 @@
 	job := &workload.Job{ID: testID, Queue: "q", Pool: "p", Steps: []workload.Step{{Count: 1, Size: placement.Resources{Processors: 1}}}}
 	add := func() { e.AddJob(job, &workload.Progress{Queue: "q", State: workload.Queued}, 1, 0, false, 0) }
 	add()
-	e.Cancel(testID, 0)
+	e.Cancel(testID, 1, 0)
 	for _, o := range e.Decide(time.Second, scheduler.OwnershipValid) {
 		if c, ok := o.(*scheduler.Commit); ok {
 			e.Committed(c, 2, time.Second)
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -307,6 +307,7 @@
 	}
 	o.addJobs(l.jobs, progress, now)
 	o.jobsRead = l.jobStamp
+	e.JobsRead(l.jobStamp.Version)
 	o.applyCancels(l.cancels, now)
 }
 
--- a/internal/node/ownerfeeds.go
+++ b/internal/node/ownerfeeds.go
@@ -19,6 +19,7 @@
 		return func() (int64, error) {
 			o.post(ctx, func(now time.Duration) {
 				o.addJobs(rows, nil, now)
+				o.engine.JobsRead(stamp.Version)
 				o.jobsRead.Version = stamp.Version
 				if !more {
 					o.jobsRead.NowMS = stamp.NowMS
--- a/internal/scheduler/cancellation_test.go
+++ b/internal/scheduler/cancellation_test.go
@@ -42,7 +42,7 @@
 			}
 		}
 		for _, id := range cancelled {
-			owner.Cancel(id, sim.now)
+			owner.Cancel(id, 1, sim.now)
 		}
 		owner.CancelsRead(sent, sim.now-sent)
 	})
--- a/internal/scheduler/liveness_test.go
+++ b/internal/scheduler/liveness_test.go
@@ -591,7 +591,7 @@
 	job := jobs[uniform(t, 0, len(jobs)-1, "job")]
 	s.records[job].cancelled = true
 	if s.owner != nil {
-		s.owner.Cancel(job, s.now)
+		s.owner.Cancel(job, 1, s.now)
 	}
 	s.notef("job %s is cancelled", job)
 	maps.DeleteFunc(s.watched, func(task workload.TaskID, _ *watchedTask) bool { return task.Job == job })
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -442,7 +442,7 @@
 		case "start":
 			sim.submit(owner, longRunningJob(2, 1, 2))
 		case "stop":
-			owner.Cancel(longRunningJob(1, 1, 2).ID, sim.now)
+			owner.Cancel(longRunningJob(1, 1, 2).ID, 1, sim.now)
 		}
 		for late == nil {
 			sim.run(testTick, owner)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -145,10 +145,14 @@
 	// next check for outages of long-running tasks.
 	nextSweep, nextOutageCheck time.Duration
 	// knownJobs holds the ids of all jobs that were ever added: a feed may
-	// repeat a job that has ended and was dropped. cancelledFirst holds those of
-	// jobs whose cancellation was read before the job.
-	knownJobs, cancelledFirst map[string]struct{}
-	workers                   map[string]*worker
+	// repeat a job that has ended and was dropped.
+	knownJobs map[string]struct{}
+	// jobsVersion is the version up to which all jobs were added. cancelledFirst
+	// holds, by job, the versions of later cancellations that were read before the
+	// job.
+	jobsVersion    int64
+	cancelledFirst map[string]int64
+	workers        map[string]*worker
 	// added counts the incarnations of workers that were added.
 	added int64
 	pools map[string]*pool
@@ -277,7 +281,7 @@
 // New returns an engine without jobs and workers.
 func New(opts Options) *Engine {
 	return &Engine{
-		opts: opts, jobs: map[string]*job{}, knownJobs: map[string]struct{}{}, cancelledFirst: map[string]struct{}{}, workers: map[string]*worker{}, pools: map[string]*pool{},
+		opts: opts, jobs: map[string]*job{}, knownJobs: map[string]struct{}{}, cancelledFirst: map[string]int64{}, workers: map[string]*worker{}, pools: map[string]*pool{},
 		dirty: map[*job]struct{}{}, presumed: map[string][]presumedCrash{}, committing: make([]*Commit, opts.Parts), retryAt: make([]time.Duration, opts.Parts),
 	}
 }
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -62,7 +62,7 @@
 	job := jobOf(1, 2, 2)
 	sim.submit(owner, job)
 	sim.run(200*time.Millisecond, owner)
-	owner.Cancel(job.ID, sim.now)
+	owner.Cancel(job.ID, 1, sim.now)
 	sim.run(50*time.Millisecond, owner)
 	if len(f.running) != 0 || sim.state(job.ID) != workload.Cancelled {
 		t.Errorf("%d tasks run, state %q; want none and cancelled", len(f.running), sim.state(job.ID))
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -553,7 +553,7 @@
 		p.Done, p.Failures = slices.Clone(p.Done), slices.Clone(p.Failures)
 		e.AddJob(j.spec, &p, j.version, 0, true, sim.now)
 		if j.cancelled {
-			e.Cancel(j.spec.ID, sim.now)
+			e.Cancel(j.spec.ID, 1, sim.now)
 		}
 	}
 	e.CancelsRead(sim.now, 0)
--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -414,7 +414,7 @@
 	if percent() == 100 {
 		t.Fatal("the filler is not throttled beside a slow serving task")
 	}
-	owner.Cancel(serving.ID, sim.now)
+	owner.Cancel(serving.ID, 1, sim.now)
 	sim.run(20*time.Second, owner)
 	if percent() < 100 {
 		t.Errorf("throttled to %d percent 20 s after the serving task was cancelled", percent())
