scheduler: a start ends in time on an idle worker whose clock is slow

Cause: a start may be carried out until a time on the worker's clock. It was worked out from the worker's last answer as if that clock kept time, but a clock may be 2 % slow, and an idle worker is not polled: after a minute the deadline is 1.2 s late, while the margin for it is 0.2 s. The check before a start is sent does not help a start that is slow to leave or to arrive.

--- a/internal/scheduler/cancellation_test.go
+++ b/internal/scheduler/cancellation_test.go
@@ -141,3 +141,28 @@
 		t.Errorf("%d tasks have moved once starts are not held any more, want 1", len(w2.running))
 	}
 }
+
+// The worker was idle for a minute, its clock is slow, and the start arrives late.
+func TestStartOnAnIdleWorkerWithASlowClockEndsWithTheCancellations(t *testing.T) {
+	sim := newSimulation(t)
+	sim.cancelWithin = testCancelWithin
+	f := sim.addWorker("w1", "p", 8)
+	f.slow = 0.02
+	owner := sim.newOwner()
+	for range 60 {
+		owner.readJobs(0)
+		sim.run(time.Second, owner)
+	}
+	owner.readJobs(0)
+	job := jobOf(1, 1, 1)
+	sim.submit(nil, job)
+	sim.cancel(job.ID)
+	sim.run(testCancelWithin-startMargin-minStartWindow-2*testTick, owner)
+	sim.requestDelay = func() time.Duration { return 700 * time.Millisecond }
+	owner.AddJob(job, &workload.Progress{Queue: job.Queue, State: workload.Queued}, sim.records[job.ID].submitted, sim.now, false, sim.now)
+	sim.run(2*time.Second, owner)
+	sim.check()
+	if owner.Stats().Starts == 0 {
+		t.Error("no start was ordered")
+	}
+}
--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -68,8 +68,7 @@
 	if !limited {
 		return false
 	}
-	sinceRead := time.Duration(float64(now-w.clockAt) * (1 - clockDrift))
-	return w.clockMS+(sinceRead+minStartWindow).Milliseconds() > validTo
+	return w.earliestClock(now)+minStartWindow.Milliseconds() > validTo
 }
 
 // startDeadline returns until when, on its own clock, the worker may carry out a
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -31,21 +31,28 @@
 	// promptAnswer is the time within which this process reads the answer to a
 	// probe while it keeps up.
 	promptAnswer = ProbeTimeout / 2
+	// idlePollInterval is the time between polls of an idle worker, which keep the
+	// error of the estimate of its clock within the time that a start has.
+	idlePollInterval = 30 * time.Second
+	// maxIdlePolls is the maximum number of idle workers that are polled in one
+	// sweep: all were first polled at once.
+	maxIdlePolls = 4
 	// unrecordedPollInterval is the time between polls of a worker whose ends
 	// cannot be recorded or acknowledged yet.
 	unrecordedPollInterval = 500 * time.Millisecond
 )
 
 // pollWorkers emits the polls that are due. A worker without runs and ends
-// needs none. Orders without an answer are checked only during a sweep.
+// needs few. Orders without an answer are checked only during a sweep.
 func (e *Engine) pollWorkers(now time.Duration, sweep bool) {
+	idlePolls := 0
 	for _, w := range e.workers {
 		if w.probing || now < w.nextPoll {
 			continue
 		}
 		switch {
 		case !w.fenced:
-			if w.inherited || w.occupied() || (w.listed && !w.Draining && !e.standby(w.Pool)) {
+			if w.inherited || w.occupied() || w.toProbe(e) {
 				e.poll(w, true, now)
 			}
 		case w.otherEntry != nil:
@@ -75,10 +82,17 @@
 			// Acknowledge the last ends at once: a worker with pending ends is
 			// not idle, and its host may be needed elsewhere.
 			e.poll(w, true, now)
+		case sweep && idlePolls < maxIdlePolls && w.toProbe(e) && now-w.lastContact > idlePollInterval:
+			idlePolls++
+			e.poll(w, true, now)
 		}
 	}
 }
 
+// toProbe reports whether the worker is polled without need for its runs, so that
+// it can be used.
+func (w *worker) toProbe(e *Engine) bool { return w.listed && !w.Draining && !e.standby(w.Pool) }
+
 // probeAnother probes a worker that answers, when another one did not. Its
 // answer shows that this process reads answers, so that it would have read the
 // other's. One such probe is in flight at a time, to each worker in turn: a slow
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -28,7 +28,7 @@
 func (e *Engine) start(t *task, w *worker, number int, ticket string, now time.Duration) {
 	s := t.step
 	r := &run{task: t, number: number, worker: w, sentAt: now, progressAt: now, throttledPercent: 100, confirmedAt: -1}
-	r.deadlineMS = min(w.startDeadline(now), w.clock(e.startsUntil()))
+	r.deadlineMS = min(w.startDeadline(now), w.earliestClock(e.startsUntil()))
 	w.leaseMS = max(w.leaseMS, r.deadlineMS)
 	t.lastRun = number
 	if t.startable() {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -272,6 +272,12 @@
 	return w.clockMS + (now - w.clockAt).Milliseconds()
 }
 
+// earliestClock returns the least that the worker's clock, which may be slow, can
+// show at the given time, in milliseconds.
+func (w *worker) earliestClock(at time.Duration) int64 {
+	return w.clockMS + time.Duration(float64(at-w.clockAt)*(1-clockDrift)).Milliseconds()
+}
+
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(now time.Duration) bool { return w.unusable(now) == "" }
 
