node: a job is not stored for a caller that has left

Change: a submission whose request has ended is dropped before the next transaction, with an unknown outcome, as one past its deadline.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -57,8 +57,10 @@
 	job  *workload.Job
 	rows [2]platform.RowWrite
 	size int
-	// deadline is when the caller stops waiting.
-	deadline time.Time
+	// deadline is when the caller stops waiting. callerGone is closed earlier if
+	// it leaves.
+	deadline   time.Time
+	callerGone <-chan struct{}
 	// submittedAt is when the job was submitted.
 	submittedAt time.Time
 	// outcomeUnknown is set after an attempt that returned no usable answer and
@@ -91,6 +93,7 @@
 	if err != nil {
 		return submitNotStored
 	}
+	s.callerGone = ctx.Done()
 	if len(s.rows[0].Value) > maxRowBytes {
 		return submitTooLarge // its transaction would fail, with the other jobs in it
 	}
@@ -181,7 +184,7 @@
 
 // store attempts one transaction and returns the submissions to retry.
 func (a *acceptor) store(ctx context.Context, batch []*submission) []*submission {
-	batch = dropExpired(batch)
+	batch = dropAbandoned(batch)
 	if len(batch) == 0 {
 		return nil
 	}
@@ -274,20 +277,31 @@
 	return rest
 }
 
-// dropExpired reports an unknown outcome for the submissions past their
-// deadline and returns the others.
-func dropExpired(batch []*submission) []*submission {
+// dropAbandoned reports an unknown outcome for the submissions whose callers have
+// left or are past their deadline, and returns the others. A caller without an
+// answer submits the job again or cancels it.
+func dropAbandoned(batch []*submission) []*submission {
 	var rest []*submission
 	for _, s := range batch {
-		if time.Now().Before(s.deadline) {
-			rest = append(rest, s)
+		if s.abandoned() {
+			s.outcome <- submitUnknown
 			continue
 		}
-		s.outcome <- submitUnknown
+		rest = append(rest, s)
 	}
 	return rest
 }
 
+// abandoned reports whether nobody waits for the outcome any more.
+func (s *submission) abandoned() bool {
+	select {
+	case <-s.callerGone:
+		return true
+	default:
+		return !time.Now().Before(s.deadline)
+	}
+}
+
 // answerAll reports one outcome for all submissions of a batch.
 func answerAll(batch []*submission, outcome submitOutcome) {
 	for _, s := range batch {
--- a/internal/node/cancelledfirst_test.go
+++ b/internal/node/cancelledfirst_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/standin"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
@@ -97,3 +98,24 @@
 		}
 	}
 }
+
+// The store is away when the caller comes, and back after it has left.
+func TestJobOfACallerThatHasLeftIsNotStoredLater(t *testing.T) {
+	n, rows, _ := testNode(t)
+	rows.SetFaults(standin.Faults{Down: true})
+	ctx, leave := context.WithCancel(t.Context())
+	outcome := make(chan submitOutcome)
+	go func() {
+		outcome <- n.acceptor.submit(ctx, &workload.Job{ID: testID, Queue: "q", Pool: "p"}, time.Now().Add(3*time.Second))
+	}()
+	time.Sleep(refuseAfter / 2)
+	leave()
+	if got := <-outcome; got != submitUnknown {
+		t.Errorf("outcome %d, want unknown", got)
+	}
+	rows.SetFaults(standin.Faults{})
+	time.Sleep(refuseAfter)
+	if got := storedJobs(t, n); got != 0 {
+		t.Errorf("%d jobs are stored, want none", got)
+	}
+}
