ownership, node: a takeover fails if the store holds a newer heartbeat

Cause: the transaction that acquires the control work was conditional on the owner record only. A heartbeat of the previous owner that the store applied between its successor's last read and that transaction renewed a lease of 1.7 s which the successor knew nothing of. A takeover that the store applies late had the same gap, and the end of the previous owner's lease, which recovery counts from, was computed from a heartbeat that was not the last one.

Change: the transaction is also conditional on the version of the heartbeat that its process has read, or on its absence. A heartbeat before it makes it fail, and the feed shows that heartbeat; one after it fails by its own condition. So the previous owner's lease counts from a heartbeat that the successor has seen, and has expired when the successor's record is stored. A job that is newer than that record cannot have been known to the previous owner while it might start tasks, so "not inherited" is right. A start that the previous owner checked against its lease and sent later, after a pause, is of an older job: recovery waits for the worker's first answer under the new fencing token, which makes the worker refuse that start, or for the end of the longest lease, which bounds the start's deadline on the worker's clock.

Other branches: after a release no heartbeat can follow, so the condition holds. A process restarted at the owner's address is held up by a late heartbeat for one call of the feed, and there are as many of those as were in flight. With neither row both must be absent. Ownership that this process has lost, and takeovers without an answer, fail as others do.

Tests: TestHeartbeatAfterTheSuccessorsLastReadPreventsTheTakeover fails on the code before ("first heartbeat: the process has taken over from an owner whose lease may be valid"). TestLateHeartbeatsHoldUpARestartedOwnerOnlyBriefly passes there, too, and guards against the price. TestAtMostOneOwnerActs now has a store that carries calls out and answers them late, takeovers as well, processes that restart, and releases; before, a takeover was applied in the moment of the read on which it relied.

--- a/internal/node/acquire_test.go
+++ b/internal/node/acquire_test.go
@@ -17,13 +17,7 @@
 	n, rows, _ := testNode(t)
 	rows.SetFaults(standin.Faults{LoseAnswers: 1})
 	n.acquire(t.Context())
-	stored, _, err := rows.ReadRows(t.Context(), controlTable, controlPart, "", "")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := n.observeControl(stored, n.Clock.Now()); err != nil {
-		t.Fatal(err)
-	}
+	readControl(t, n, rows)
 	rows.SetFaults(standin.Faults{Down: true})
 	return n
 }
--- a/internal/node/takeover_test.go
+++ b/internal/node/takeover_test.go
@@ -49,6 +49,74 @@
 	}
 }
 
+// The previous owner comes back while a successor's record is on its way.
+func TestHeartbeatAfterTheSuccessorsLastReadPreventsTheTakeover(t *testing.T) {
+	n, rows, _ := nodeWithTwoTasks(t)
+	commitControl(t, rows, ownerRow, ownership.Record{Owner: "previous", Incarnation: 7, Epoch: 1})
+	for _, c := range []struct {
+		name string
+		read bool
+	}{{"first heartbeat", false}, {"later heartbeat", true}} {
+		if c.read {
+			commitControl(t, rows, heartbeatRow, ownership.Heartbeat{Incarnation: 7})
+		}
+		readControl(t, n, rows)
+		commitControl(t, rows, heartbeatRow, ownership.Heartbeat{Incarnation: 7})
+		n.acquire(t.Context())
+		if n.owner.Load() != nil {
+			t.Fatalf("%s: the process has taken over from an owner whose lease may be valid", c.name)
+		}
+		readControl(t, n, rows)
+		if view := n.view.Load(); view.Record.Owner != "previous" || view.Vacant(n.self(), n.Clock.Now()) {
+			t.Errorf("%s: the owner is %q, vacant %v; want the previous one for a while", c.name, view.Record.Owner, view.Vacant(n.self(), n.Clock.Now()))
+		}
+	}
+}
+
+// readControl shows a process the rows of the control table.
+func readControl(t *testing.T, n *Node, rows *standin.Rows) {
+	t.Helper()
+	stored, _, err := rows.ReadRows(t.Context(), controlTable, controlPart, "", "")
+	if err == nil {
+		err = n.observeControl(stored, n.Clock.Now())
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// rowsWithLateHeartbeats applies a heartbeat of an ended process before each of
+// the next transactions that write the owner record.
+type rowsWithLateHeartbeats struct {
+	*standin.Rows
+	t    *testing.T
+	left int
+}
+
+func (r *rowsWithLateHeartbeats) CommitRows(ctx context.Context, txn platform.RowTxn) (platform.Stamp, error) {
+	if r.left > 0 && txn.Writes[0].RowKey == ownerRow {
+		r.left--
+		commitControl(r.t, r.Rows, heartbeatRow, ownership.Heartbeat{Incarnation: 7})
+	}
+	return r.Rows.CommitRows(ctx, txn)
+}
+
+// The store applies heartbeats of the incarnation before late.
+func TestLateHeartbeatsHoldUpARestartedOwnerOnlyBriefly(t *testing.T) {
+	n, rows, _ := nodeWithTwoTasks(t)
+	commitControl(t, rows, ownerRow, ownership.Record{Owner: n.Name, Incarnation: 7, Epoch: 1})
+	late := &rowsWithLateHeartbeats{rows, t, 4}
+	n.Rows = late
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	begin := time.Now()
+	go func() { _ = n.watchControl(ctx) }()
+	waitFor(t, "ownership", func() bool { return n.owner.Load() != nil })
+	if took := time.Since(begin); took > ownership.TakeoverTimeout {
+		t.Errorf("the restarted process owns the control work after %v, want less than a takeover timeout", took)
+	}
+}
+
 // The small host is the only one for a while.
 func TestSmallHostHandsTheControlWorkOverToALargeOne(t *testing.T) {
 	small, rows, f := nodeWithTwoTasks(t)
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -179,7 +179,8 @@
 // acquire attempts to become the owner.
 func (n *Node) acquire(ctx context.Context) {
 	view := n.view.Load()
-	record := view.Next(n.self())
+	takeover := view.Takeover(n.self())
+	record := takeover.Record
 	value, err := ownership.Encode(record)
 	if err != nil {
 		event.OwnershipNotAcquired.Log(n.Log, zap.Error(err))
@@ -189,14 +190,17 @@
 	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	stamp, err := n.Rows.CommitRows(callCtx, platform.RowTxn{
-		Conditions: []platform.RowCondition{{RowKey: ownerRow, Version: view.RecordVersion}},
-		Writes:     []platform.RowWrite{{RowKey: ownerRow, Value: value}},
+		Conditions: []platform.RowCondition{
+			{RowKey: ownerRow, Version: takeover.RecordVersion}, {RowKey: heartbeatRow, Version: takeover.HeartbeatVersion},
+		},
+		Writes: []platform.RowWrite{{RowKey: ownerRow, Value: value}},
 	})
 	if err != nil {
 		event.OwnershipNotAcquired.Log(n.Log, zap.Int64("epoch", record.Epoch), zap.Error(err))
 		// A commit without an answer may have succeeded. The feed then shows
 		// this process as the owner, and acquireIfVacant starts the ownership; if
 		// it does not, heartbeats are missing until a process takes over again.
+		// After a conflict the feed shows the newer record or heartbeat.
 		return
 	}
 	n.startOwnership(ctx, record, view.Record, stamp.Version, n.acquireSent)
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -6,10 +6,13 @@
 // released. Its version rises with each owner and is the fencing token: every
 // write of an owner is conditional on it. Between those writes the owner renews
 // its ownership lease with heartbeats, which are conditional on the record too.
-// Two rules keep two processes from acting at the same time: an owner gives
-// orders only within LeaseDuration after it sent its last successful heartbeat,
-// and another process takes over only after it has seen no new heartbeat for
-// longer than that.
+// Three rules keep two processes from acting at the same time: an owner gives
+// orders only within LeaseDuration after it sent its last successful heartbeat;
+// another process takes over only after it has seen no new heartbeat for longer
+// than that; and its Takeover fails if the store has applied a heartbeat that it
+// has not seen. Later heartbeats of the previous owner fail, so its lease has
+// expired when the record of its successor is stored, however slow the store and
+// both processes are.
 package ownership
 
 import (
@@ -199,11 +202,20 @@
 	return sent-v.HeartbeatSeen > TakeoverTimeout
 }
 
-// Next returns the record that self writes to acquire the control work.
-func (v *View) Next(self Record) Record {
+// Takeover is a transaction that acquires the control work. It is applied only if
+// the rows still have the versions that its process has read, 0 for a row that
+// does not exist.
+type Takeover struct {
+	Record           Record
+	RecordVersion    int64
+	HeartbeatVersion int64
+}
+
+// Takeover returns the transaction by which self acquires the control work.
+func (v *View) Takeover(self Record) Takeover {
 	self.Epoch = v.Record.Epoch + 1
 	self.HostOrderHolder = self.Owner
-	return self
+	return Takeover{Record: self, RecordVersion: v.RecordVersion, HeartbeatVersion: v.HeartbeatVersion}
 }
 
 // Lease is an owner's knowledge that it still owns the control work. The zero
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -9,101 +10,245 @@
 	_ "github.com/egretpitch/egretpitch/internal/testkit"
 )
 
+const (
+	simulationStep = 50 * time.Millisecond
+	// takeoverWait is how long a process waits for the answer to a takeover.
+	takeoverWait = 1500 * time.Millisecond
+)
+
+// simulation is a store with the rows of the control work, and the time.
+type simulation struct {
+	t       *rapid.T
+	now     time.Duration
+	rows    controlRows
+	pending []simulatedEvent
+}
+
+type controlRows struct {
+	owner                                   Record
+	heartbeat                               Heartbeat
+	ownerVersion, heartbeatVersion, version int64
+}
+
+// simulatedEvent is what happens from a time on.
+type simulatedEvent struct {
+	at time.Duration
+	do func()
+}
+
+// due removes the events that are due from the list and returns them.
+func due(list *[]simulatedEvent, now time.Duration) []simulatedEvent {
+	var ready, later []simulatedEvent
+	for _, e := range *list {
+		if e.at <= now {
+			ready = append(ready, e)
+		} else {
+			later = append(later, e)
+		}
+	}
+	*list = later
+	return ready
+}
+
+// setOwner stores an owner record if the conditions on both rows hold. A
+// heartbeat version of -1 is no condition. It returns the record's version, 0 if
+// a condition does not hold.
+func (s *simulation) setOwner(r Record, recordVersion, heartbeatVersion int64) int64 {
+	if recordVersion != s.rows.ownerVersion || heartbeatVersion >= 0 && heartbeatVersion != s.rows.heartbeatVersion {
+		return 0
+	}
+	s.rows.version++
+	s.rows.owner, s.rows.ownerVersion = r, s.rows.version
+	return s.rows.version
+}
+
+// setHeartbeat stores a heartbeat of the owner with the given token, and reports
+// whether its condition holds.
+func (s *simulation) setHeartbeat(h Heartbeat, token int64) bool {
+	if token != s.rows.ownerVersion {
+		return false
+	}
+	s.rows.version++
+	s.rows.heartbeat, s.rows.heartbeatVersion = h, s.rows.version
+	return true
+}
+
 // process is a process that may own the control work.
 type process struct {
-	self          Record
-	view          View
-	lease         Lease
-	token         int64
-	pausedUntil   time.Duration
-	lastHeartbeat time.Duration
+	*simulation
+	self        Record
+	view        View
+	lease       Lease
+	token       int64
+	endedToken  int64
+	pausedUntil time.Duration
+	heartbeatAt time.Duration
+	// readAt is when the next read is due.
+	readAt       time.Duration
+	takeoverSent time.Duration
+	answers      []simulatedEvent
+}
+
+// call sends a call to the store, which carries it out and answers it at once or
+// a while later. If lossy is set, it may be carried out seconds later, without an
+// answer.
+func (p *process) call(lossy bool, carryOut, answer func()) {
+	wait := func(label string) time.Duration {
+		return simulationStep * time.Duration(max(0, rapid.IntRange(-15, 15).Draw(p.t, label)))
+	}
+	if late := rapid.IntRange(-240, 120).Draw(p.t, "late"); lossy && late > 0 {
+		p.pending = append(p.pending, simulatedEvent{p.now + simulationStep*time.Duration(late), carryOut})
+		return
+	}
+	incarnation := p.self.Incarnation
+	p.pending = append(p.pending, simulatedEvent{p.now + wait("way there"), func() {
+		carryOut()
+		if p.self.Incarnation == incarnation {
+			p.answers = append(p.answers, simulatedEvent{p.now + wait("way back"), answer})
+		}
+	}})
+}
+
+// read reads the rows.
+func (p *process) read() {
+	sent := p.now
+	p.readAt = math.MaxInt64
+	var seen controlRows
+	p.call(false, func() { seen = p.rows }, func() {
+		p.readAt = p.now
+		p.observe(&seen)
+		if p.token == 0 && p.view.Vacant(p.self, sent) {
+			p.takeOver()
+		}
+	})
+}
+
+// observe updates the view with the rows of an answer. They may show a takeover
+// of this process that had no answer.
+func (p *process) observe(seen *controlRows) {
+	value, err := Encode(seen.owner)
+	if err == nil {
+		err = p.view.ObserveRecord(value, seen.ownerVersion, p.now)
+	}
+	if err == nil && seen.heartbeatVersion > 0 {
+		if value, err = Encode(seen.heartbeat); err == nil {
+			err = p.view.ObserveHeartbeat(value, seen.heartbeatVersion, p.now)
+		}
+	}
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	if seen.ownerVersion > max(p.token, p.endedToken) {
+		p.end()
+		if seen.owner.Incarnation == p.self.Incarnation {
+			p.own(seen.ownerVersion)
+		}
+	}
+}
+
+func (p *process) takeOver() {
+	sent, version, takeover := p.now, int64(0), p.view.Takeover(p.self)
+	p.takeoverSent = sent
+	p.readAt = sent + takeoverWait
+	p.call(true, func() { version = p.setOwner(takeover.Record, takeover.RecordVersion, takeover.HeartbeatVersion) }, func() {
+		if p.takeoverSent != sent || p.now > sent+takeoverWait {
+			return
+		}
+		p.readAt = p.now
+		if version > p.endedToken {
+			p.own(version)
+		}
+	})
+}
+
+// own begins an ownership, whose lease counts from the sending of its record.
+func (p *process) own(token int64) {
+	p.token = token
+	p.lease = Lease{}
+	p.lease.Renew(p.takeoverSent)
 }
 
-// lateHeartbeat is a heartbeat that gets no answer and is applied later.
-type lateHeartbeat struct {
-	at        time.Duration
-	token     int64
-	heartbeat Heartbeat
+// end ends the ownership.
+func (p *process) end() {
+	p.endedToken = max(p.endedToken, p.token)
+	p.token, p.lease = 0, Lease{}
 }
 
-// TestAtMostOneOwnerActs simulates processes that pause or are disconnected,
-// and heartbeats without an answer that are applied seconds later. No two
-// processes may hold a valid ownership lease at the same time.
+func (p *process) sendHeartbeat() {
+	sent, token, stored := p.now, p.token, false
+	p.heartbeatAt = sent + HeartbeatInterval
+	p.call(true, func() { stored = p.setHeartbeat(Heartbeat{Incarnation: p.self.Incarnation}, token) }, func() {
+		switch {
+		case p.token != token:
+		case stored:
+			p.lease.Renew(sent)
+		default:
+			p.end()
+		}
+	})
+}
+
+// release ends the ownership and stores a record without an owner.
+func (p *process) release() {
+	token, record := p.token, p.view.Record
+	record.Owner, record.Incarnation = "", 0
+	p.end()
+	p.call(true, func() { p.setOwner(record, token, -1) }, func() {})
+}
+
+// restart replaces the process by another one at its address.
+func (p *process) restart(incarnation uint64) {
+	*p = process{simulation: p.simulation, self: Record{Owner: p.self.Owner, Incarnation: incarnation}, readAt: p.now}
+}
+
+// TestAtMostOneOwnerActs simulates processes that pause, restart and release the
+// control work, and a store that is slow, or carries out writes seconds later
+// without an answer. No two processes may hold a valid ownership lease at the
+// same time.
 func TestAtMostOneOwnerActs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const step = 50 * time.Millisecond
-		var owner Record
-		var heartbeat Heartbeat
-		var ownerVersion, heartbeatVersion, version int64
-		var delayed []lateHeartbeat
+		s := &simulation{t: t}
 		processes := make([]*process, 3)
 		for i := range processes {
-			processes[i] = &process{self: Record{Owner: string(rune('a' + i)), Incarnation: uint64(i + 1)}}
+			processes[i] = &process{simulation: s, self: Record{Owner: string(rune('a' + i)), Incarnation: uint64(i + 1)}}
 		}
-		for now := time.Duration(0); now < 40*time.Second; now += step {
-			for _, l := range delayed {
-				if l.at == now && l.token == ownerVersion {
-					version++
-					heartbeat, heartbeatVersion = l.heartbeat, version
-				}
+		incarnations := uint64(len(processes))
+		for ; s.now < 40*time.Second; s.now += simulationStep {
+			for _, e := range due(&s.pending, s.now) {
+				e.do()
 			}
 			for _, p := range processes {
-				if now < p.pausedUntil {
-					continue
-				}
-				if rapid.IntRange(0, 99).Draw(t, "luck") == 0 {
-					p.pausedUntil = now + time.Duration(rapid.IntRange(1, 80).Draw(t, "pause"))*step
+				if s.now < p.pausedUntil {
 					continue
 				}
-				disconnected := rapid.IntRange(0, 9).Draw(t, "cut") == 0
-				if disconnected {
+				switch luck := rapid.IntRange(0, 399).Draw(t, "luck"); {
+				case luck < 8:
+					p.pausedUntil = s.now + simulationStep*time.Duration(rapid.IntRange(1, 80).Draw(t, "pause"))
 					continue
+				case luck == 8:
+					incarnations++
+					p.restart(incarnations)
+				case luck == 9 && p.token != 0 && p.view.RecordVersion == p.token:
+					p.release()
 				}
-				value, err := Encode(owner)
-				if err != nil {
-					t.Fatal(err)
-				}
-				if err := p.view.ObserveRecord(value, ownerVersion, now); err != nil {
-					t.Fatal(err)
-				}
-				if value, err = Encode(heartbeat); err != nil {
-					t.Fatal(err)
-				}
-				if heartbeatVersion > 0 {
-					if err := p.view.ObserveHeartbeat(value, heartbeatVersion, now); err != nil {
-						t.Fatal(err)
-					}
+				for _, e := range due(&p.answers, s.now) {
+					e.do()
 				}
-				if p.token != 0 && p.token != ownerVersion {
-					p.token = 0
+				if p.token != 0 && s.now >= p.heartbeatAt {
+					p.sendHeartbeat()
 				}
-				switch {
-				case p.token != 0 && now-p.lastHeartbeat >= HeartbeatInterval:
-					p.lastHeartbeat = now
-					next := Heartbeat{Incarnation: p.self.Incarnation}
-					if late := rapid.IntRange(-80, 120).Draw(t, "late"); late > 0 {
-						delayed = append(delayed, lateHeartbeat{now + time.Duration(late)*step, p.token, next})
-						continue
-					}
-					version++
-					heartbeat, heartbeatVersion = next, version
-					p.lease.Renew(now)
-				case p.token == 0 && p.view.Vacant(p.self, now):
-					version++
-					owner, ownerVersion = p.view.Next(p.self), version
-					p.token = version
-					p.lease = Lease{}
-					p.lease.Renew(now)
+				if s.now >= p.readAt {
+					p.read()
 				}
 			}
 			acting := 0
 			for _, p := range processes {
-				if p.lease.Valid(now) {
+				if p.lease.Valid(s.now) {
 					acting++
 				}
 			}
 			if acting > 1 {
-				t.Fatalf("%d processes hold a valid lease at %v", acting, now)
+				t.Fatalf("%d processes hold a valid lease at %v", acting, s.now)
 			}
 		}
 	})
@@ -120,7 +265,7 @@
 	if !v.Vacant(self, time.Second) {
 		t.Fatal("released control work is not vacant")
 	}
-	if got := v.Next(self); got.Epoch != 5 || got.HostOrderHolder != "b" {
+	if got := v.Takeover(self).Record; got.Epoch != 5 || got.HostOrderHolder != "b" {
 		t.Errorf("next record %+v, want epoch 5 and host order holder b", got)
 	}
 }
