node: an ownership that is found in the feed starts without a lease

Two processes may act at once: a takeover gets no answer and is applied late; its process tries again, is refused, and finds its first record in the feed. The ownership lease counted from the second attempt, while other processes count from the record, which they may have seen long before.

Such an ownership now has no lease before its first heartbeat, which is sent at once; it reads the stored state meanwhile in any case.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,12 +73,9 @@
 	releasing chan struct{}
 	// endedToken is the token of the last ownership that ended in this process.
 	endedToken atomic.Int64
-	// acquireSent is when the last attempt to acquire the control work was
-	// sent. It belongs to the goroutine that watches the control table.
-	acquireSent time.Duration
 	// vacantSince is when the view was requested that first showed the control work
 	// as vacant, as all since have, 0 if the latest one does not. It belongs to the
-	// same goroutine.
+	// goroutine that watches the control table.
 	vacantSince time.Duration
 	// stopping is set once the process shuts down. It then no longer acquires
 	// the control work.
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -104,18 +104,17 @@
 }
 
 // startOwnership starts an ownership whose record is stored in the table
-// service; token is the version of that record. The ownership lease counts from
-// sent, when the write of the record was sent.
-func (n *Node) startOwnership(ctx context.Context, record, previous ownership.Record, token int64, sent time.Duration) {
+// service; token is the version of that record, lease the ownership lease until
+// the first heartbeat.
+func (n *Node) startOwnership(ctx context.Context, record, previous ownership.Record, token int64, lease ownership.Lease) {
 	ownerCtx, cancel := context.WithCancel(ctx)
 	o := &owner{
 		node: n, token: token, record: record, previous: previous, events: make(chan func(time.Duration), eventQueueLength),
-		cancel: cancel, done: make(chan struct{}), acquiredAt: n.Clock.Now(), ownershipWasValid: true,
+		lease: lease, cancel: cancel, done: make(chan struct{}), acquiredAt: n.Clock.Now(), ownershipWasValid: true,
 	}
 	view := n.view.Load()
 	o.previousHeartbeat, o.inherited = view.HeartbeatSeen, view.Heartbeat
 	o.waves, o.evacuations = o.inherited.Waves, o.inherited.Evacuations
-	o.lease.Renew(sent)
 	o.workerCalls, o.calls = newWorkerCallLimiter(o), newGoroutinePool()
 	n.owner.Store(o)
 	n.OwnershipChanged(true)
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -106,8 +106,10 @@
 	if view.Record.Incarnation == n.incarnation {
 		// An earlier attempt to acquire the work got no answer but was applied.
 		// The record that it replaced is no longer known; with an unknown
-		// holder, firstHostOrder waits for HolderLease in any case.
-		n.startOwnership(ctx, view.Record, ownership.Record{HostOrderHolder: "unknown"}, view.RecordVersion, n.acquireSent)
+		// holder, firstHostOrder waits for HolderLease in any case. Other processes
+		// may have seen the record long before, so there is no lease before the
+		// first heartbeat.
+		n.startOwnership(ctx, view.Record, ownership.Record{HostOrderHolder: "unknown"}, view.RecordVersion, ownership.Lease{})
 		return
 	}
 	if !view.Vacant(n.self(), sent) {
@@ -186,7 +188,8 @@
 		event.OwnershipNotAcquired.Log(n.Log, zap.Error(err))
 		return
 	}
-	n.acquireSent = n.Clock.Now()
+	var lease ownership.Lease
+	lease.Renew(n.Clock.Now())
 	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	stamp, err := n.Rows.CommitRows(callCtx, platform.RowTxn{
@@ -203,5 +206,5 @@
 		// After a conflict the feed shows the newer record or heartbeat.
 		return
 	}
-	n.startOwnership(ctx, record, view.Record, stamp.Version, n.acquireSent)
+	n.startOwnership(ctx, record, view.Record, stamp.Version, lease)
 }
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -141,7 +141,7 @@
 	if seen.ownerVersion > max(p.token, p.endedToken) {
 		p.end()
 		if seen.owner.Incarnation == p.self.Incarnation {
-			p.own(seen.ownerVersion)
+			p.token = seen.ownerVersion // without a lease before the first heartbeat
 		}
 	}
 }
@@ -156,18 +156,12 @@
 		}
 		p.readAt = p.now
 		if version > p.endedToken {
-			p.own(version)
+			p.token = version
+			p.lease.Renew(sent)
 		}
 	})
 }
 
-// own begins an ownership, whose lease counts from the sending of its record.
-func (p *process) own(token int64) {
-	p.token = token
-	p.lease = Lease{}
-	p.lease.Renew(p.takeoverSent)
-}
-
 // end ends the ownership.
 func (p *process) end() {
 	p.endedToken = max(p.endedToken, p.token)
