tcpopt: the user timeout of a connection, shared

Package link sets TCP_USER_TIMEOUT on its connections. Orders about hosts need it too; the option gets a package of its own.

--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -8,6 +8,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/egretpitch/egretpitch/internal/tcpopt"
 )
 
 // keepAliveProbes is the number of unanswered keep-alive probes that fit into
@@ -29,14 +31,7 @@
 			Count:    keepAliveProbes,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			var err error
-			controlErr := raw.Control(func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(o.UserTimeout.Milliseconds()))
-			})
-			if controlErr != nil {
-				return controlErr
-			}
-			return err
+			return tcpopt.SetUserTimeout(raw, o.UserTimeout)
 		},
 	}
 }
