platform, node: the ownership lease is checked right before a host order is written

What operators see: an order of an owner whose lease has expired. It was checked before the waits for the rate limiter and the connection, and the timeout of 1.2 s does not count a suspension of the machine, so a suspended owner sent the order whenever it went on.

An order that is not sent for it counts as refused, no longer as one with an unknown outcome.

A pause between the check and the write is not bounded: nothing in an order limits its life.

TestHostOrderIsNotSentAfterTheLeaseOfItsOwner (node) with no check in the holder: "lease ends in 100ms, sent after 150ms: 1 orders sent, <nil>; want 0", for moves and maintenance.

--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -214,14 +214,13 @@
 }
 
 // sendOrder sends an order to the fleet service if the ownership lease is still
-// valid.
+// valid when it is written.
 func (f *fleetController) sendOrder(ctx context.Context, dec fleetplan.Decision) (platform.HostOrderOutcome, error) {
 	n := f.owner.node
 	ctx, cancel := context.WithTimeout(ctx, hostCallTimeout)
 	defer cancel()
-	holder := platform.HostOrderHolder{Name: n.Name, Token: f.owner.token}
-	if !f.owner.ownershipValid(n.Clock.Now()) {
-		return 0, errors.New("ownership lease expired")
+	holder := platform.HostOrderHolder{
+		Name: n.Name, Token: f.owner.token, Valid: func() bool { return f.owner.ownershipValid(n.Clock.Now()) },
 	}
 	if dec.Kind == fleetplan.Move {
 		return n.Fleet.MoveHost(ctx, holder, dec.Host, dec.To)
--- /dev/null
+++ b/internal/node/hostorder_test.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretpitch/egretpitch/internal/fleetplan"
+	"github.com/egretpitch/egretpitch/internal/ownership"
+	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/standin"
+)
+
+// busyFleet sends each order after a wait, as behind a rate limiter.
+type busyFleet struct {
+	platform.Fleet
+	wait time.Duration
+	sent int
+}
+
+func (f *busyFleet) send(h platform.HostOrderHolder) (platform.HostOrderOutcome, error) {
+	time.Sleep(f.wait)
+	if h.Valid != nil && !h.Valid() {
+		return 0, platform.ErrUnavailable
+	}
+	f.sent++
+	return platform.HostOrderDone, nil
+}
+
+func (f *busyFleet) MoveHost(_ context.Context, h platform.HostOrderHolder, _, _ string) (platform.HostOrderOutcome, error) {
+	return f.send(h)
+}
+
+func (f *busyFleet) MaintainHost(_ context.Context, h platform.HostOrderHolder, _ string, _ int64) (platform.HostOrderOutcome, error) {
+	return f.send(h)
+}
+
+// TestHostOrderIsNotSentAfterTheLeaseOfItsOwner guards against an order that waits
+// to be sent while the ownership lease expires.
+func TestHostOrderIsNotSentAfterTheLeaseOfItsOwner(t *testing.T) {
+	o := testOwner(t, standin.NewRows(), 1)
+	for _, kind := range []fleetplan.Kind{fleetplan.Move, fleetplan.Maintain} {
+		for _, c := range []struct {
+			left, wait time.Duration
+			want       int
+		}{{ownership.LeaseDuration, 0, 1}, {100 * time.Millisecond, 150 * time.Millisecond, 0}} {
+			fleet := &busyFleet{wait: c.wait}
+			o.node.Fleet = fleet
+			o.lease = ownership.Lease{}
+			o.lease.Renew(o.node.Clock.Now() - ownership.LeaseDuration + c.left)
+			_, err := (&fleetController{owner: o}).sendOrder(t.Context(), fleetplan.Decision{Kind: kind, Host: "h1", To: "p", Wave: 1})
+			if fleet.sent != c.want || (c.want == 0) != errors.Is(err, platform.ErrUnavailable) {
+				t.Errorf("kind %v, lease ends in %v, sent after %v: %d orders sent, %v; want %d", kind, c.left, c.wait, fleet.sent, err, c.want)
+			}
+		}
+	}
+}
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -314,10 +314,14 @@
 type HostOrderHolder struct {
 	Name  string
 	Token int64
+	// Valid reports whether the process still may. It is called right before an
+	// order is written, which is not sent if it may not. Nil stands for true.
+	Valid func() bool
 }
 
-// Fleet lists hosts, and moves and maintains them. A call that returns an
-// error may have been carried out.
+// Fleet lists hosts, and moves and maintains them. An order that returns an error
+// may have been carried out unless the error matches ErrUnavailable. It does not
+// reach the service after its call has ended.
 type Fleet interface {
 	ListHosts(ctx context.Context) ([]estate.Host, error)
 	MoveHost(ctx context.Context, holder HostOrderHolder, host, pool string) (HostOrderOutcome, error)
