node: a successor's first host order comes after the last of its predecessor

What operators see: nothing with bounds.lease_ms = 3000, the only value that the sites have. An order arrives at most 1.2 s after its owner's lease now; a successor gives its first 3.35 s after that lease. Nothing tied the two figures together, and a lease_ms below 850 would let a late order come last.

Change: the wait is the longer of both, plus the slack.

TestFirstHostOrderComesAfterTheLastOfThePreviousOwner before: "holders 0s apart: first order at 19.05s, want it after 19.9s, when the last of the previous owner arrives", "holders 500ms apart: first order at 19.55s".

--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -28,8 +28,12 @@
 	hostCallTimeout = 1200 * time.Millisecond
 	// planInterval is the minimum time between two fleet plans.
 	planInterval = 100 * time.Millisecond
-	// holderSlack is added to Options.HolderLease for orders of the previous
-	// owner that are still in flight.
+	// hostOrderLife is how long after its owner's lease an order about a host may
+	// reach the fleet service: it is written within the lease, and what is not
+	// delivered at the end of its call is dropped.
+	hostOrderLife = hostCallTimeout
+	// holderSlack is added to the time between the orders of two owners for those
+	// of the previous one that are still in flight.
 	holderSlack = 350 * time.Millisecond
 )
 
@@ -108,10 +112,11 @@
 }
 
 // firstHostOrder returns when this owner may give its first order about a host:
-// orders by two holders must be at least Options.HolderLease apart. A previous
-// owner that released the control work gave its last order before the release;
-// any other gave it before its lease expired. The result is 0 if no other host
-// has held the work.
+// orders by two holders must be at least Options.HolderLease apart, and those of
+// the previous one must not arrive later. A previous owner that released the
+// control work gave its last order before the release; any other gave it before
+// its lease expired. The result is 0 if no other host has held the work: the
+// orders of a process are dropped when it ends.
 func (o *owner) firstHostOrder() time.Duration {
 	switch o.previous.HostOrderHolder {
 	case "", o.node.Name:
@@ -121,7 +126,7 @@
 	if o.previous.Owner != "" {
 		last = min(last, o.previousLeaseEnd())
 	}
-	return last + o.node.HolderLease + holderSlack
+	return last + max(o.node.HolderLease, hostOrderLife) + holderSlack
 }
 
 // surges returns the surges of the pools' demand, for a successor.
--- a/internal/node/hostorder_test.go
+++ b/internal/node/hostorder_test.go
@@ -37,6 +37,20 @@
 	return f.send(h)
 }
 
+// TestFirstHostOrderComesAfterTheLastOfThePreviousOwner guards against an order that
+// is delivered as late as its call allows.
+func TestFirstHostOrderComesAfterTheLastOfThePreviousOwner(t *testing.T) {
+	for _, lease := range []time.Duration{0, 500 * time.Millisecond, 3 * time.Second} {
+		o := &owner{
+			node: &Node{Options: Options{Name: "me", HolderLease: lease}}, acquiredAt: 20 * time.Second, previousHeartbeat: 17 * time.Second,
+			previous: ownership.Record{Owner: "other", HostOrderHolder: "other"},
+		}
+		if first, last := o.firstHostOrder(), o.previousLeaseEnd()+hostCallTimeout; first <= last {
+			t.Errorf("holders %v apart: first order at %v, want it after %v, when the last of the previous owner arrives", lease, first, last)
+		}
+	}
+}
+
 // TestHostOrderIsNotSentAfterTheLeaseOfItsOwner guards against an order that waits
 // to be sent while the ownership lease expires.
 func TestHostOrderIsNotSentAfterTheLeaseOfItsOwner(t *testing.T) {
