node: a late write of a wave's record does not replace a newer one

What operators see: a successor empties hosts of a wave whose upkeep was over, and orders it once more.

Cause: writes of the record were conditional on the owner only, and several could be on their way. One without an answer, or one that is overtaken, may be applied after a newer one, and the owner believed the newer one stored.

Change: one write at a time, conditional on the row that it replaces. After a conflict or a lost answer it is written again.

--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -80,16 +80,23 @@
 	// firstOrderAt is when this owner may give its first order about a host;
 	// see firstHostOrder.
 	firstOrderAt time.Duration
-	// recorded counts, by wave, the hosts listed in the wave's row. It is -1
-	// after a failed write.
-	recorded map[int64]int
+	// recorded holds the state of each wave's row, by wave.
+	recorded map[int64]waveRecord
+}
+
+// waveRecord is the state of the row that lists the hosts of a wave.
+type waveRecord struct {
+	// hosts is how many hosts the row lists, -1 if unknown.
+	hosts   int
+	version int64
+	writing bool
 }
 
 // newFleetController returns the controller of a new owner. rows list the hosts
 // of each wave whose maintenance a previous owner started.
 func newFleetController(o *owner, rows []platform.PartRow, hosts scheduler.WorkerHosts, now time.Duration) *fleetController {
 	maintained := map[int64][]string{}
-	recorded := map[int64]int{}
+	recorded := map[int64]waveRecord{}
 	for _, r := range rows {
 		number, err := strconv.ParseInt(r.Key, 10, 64)
 		var hosts []string
@@ -100,7 +107,7 @@
 			event.RowUnreadable.Log(o.node.Log, zap.String("key", r.Key), zap.Error(err))
 			continue
 		}
-		maintained[number], recorded[number] = hosts, len(hosts)
+		maintained[number], recorded[number] = hosts, waveRecord{hosts: len(hosts), version: r.Version}
 	}
 	f := &fleetController{
 		owner: o, recorded: recorded, workerHosts: hosts,
@@ -273,33 +280,54 @@
 }
 
 // recordWaves stores the hosts of each wave whose maintenance was started, so
-// that a successor does not evacuate them again.
+// that a successor does not evacuate them again. Each write is conditional on the
+// record that it replaces: one without an answer may be applied seconds later and
+// must not replace a newer record.
 func (f *fleetController) recordWaves(ctx context.Context) {
 	for _, w := range f.owner.node.waves.list() {
 		maintained := f.planner.MaintenanceStarted(w.Number)
-		if len(maintained) == f.recorded[w.Number] {
+		record := f.recorded[w.Number]
+		if record.writing || len(maintained) == record.hosts {
 			continue
 		}
-		f.recorded[w.Number] = len(maintained)
 		value, err := json.Marshal(maintained)
 		if err != nil {
 			event.RowUnreadable.Log(f.owner.node.Log, zap.Int64("wave", w.Number), zap.Error(err))
 			continue
 		}
+		key := controlRow(waveTable, strconv.FormatInt(w.Number, 10))
+		txn := platform.RowTxn{
+			Conditions: []platform.RowCondition{f.owner.fence(), {RowKey: key, Version: record.version}},
+			Writes:     []platform.RowWrite{{RowKey: key, Value: value}},
+		}
+		record.writing = true
+		f.recorded[w.Number] = record
 		go func() {
 			callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 			defer cancel()
-			_, err := f.owner.node.Rows.CommitRows(callCtx, platform.RowTxn{
-				Conditions: []platform.RowCondition{f.owner.fence()},
-				Writes:     []platform.RowWrite{{RowKey: controlRow(waveTable, strconv.FormatInt(w.Number, 10)), Value: value}},
-			})
-			if err != nil {
-				f.owner.post(ctx, func(time.Duration) { f.recorded[w.Number] = -1 })
-			}
+			stamp, err := f.owner.node.Rows.CommitRows(callCtx, txn)
+			f.owner.post(ctx, func(time.Duration) { f.waveRecorded(w.Number, key, len(maintained), stamp.Version, err) })
 		}()
 	}
 }
 
+// waveRecorded handles the outcome of a write of a wave's record.
+func (f *fleetController) waveRecorded(wave int64, key platform.RowKey, hosts int, version int64, err error) {
+	record := f.recorded[wave]
+	record.writing = false
+	var conflict *platform.RowConflict
+	switch {
+	case errors.As(err, &conflict):
+		// An earlier write whose outcome was unknown was applied.
+		record.hosts, record.version = -1, conflict.Row(key).Version
+	case err != nil:
+		record.hosts = -1
+	default:
+		record.hosts, record.version = hosts, version
+	}
+	f.recorded[wave] = record
+}
+
 // watchHosts reads the host list every hostsInterval until ctx ends.
 func (o *owner) watchHosts(ctx context.Context) {
 	n := o.node
--- a/internal/node/hostorder_test.go
+++ b/internal/node/hostorder_test.go
@@ -7,9 +7,11 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/fleetplan"
 	"github.com/egretpitch/egretpitch/internal/ownership"
 	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/scheduler"
 	"github.com/egretpitch/egretpitch/internal/standin"
 )
 
@@ -71,3 +73,69 @@
 		}
 	}
 }
+
+// lateRows keeps the first commit back, which then has no answer.
+type lateRows struct {
+	platform.Rows
+	late *platform.RowTxn
+}
+
+func (r *lateRows) CommitRows(ctx context.Context, txn platform.RowTxn) (platform.Stamp, error) {
+	if r.late == nil {
+		r.late = &txn
+		return platform.Stamp{}, platform.ErrUnknown
+	}
+	return r.Rows.CommitRows(ctx, txn)
+}
+
+// TestLateRecordOfAWaveDoesNotReplaceANewerOne guards against a successor that
+// empties and maintains hosts of a wave once more.
+func TestLateRecordOfAWaveDoesNotReplaceANewerOne(t *testing.T) {
+	for name, lateFirst := range map[string]bool{"before the newer one": true, "after the newer one": false} {
+		rows := standin.NewRows()
+		o := testOwner(t, rows, 1)
+		late := &lateRows{Rows: rows}
+		o.node.Rows = late
+		o.node.waves.add([]estate.Wave{{Number: 1, Hosts: []string{"h1", "h2"}}})
+		f := newFleetController(o, nil, scheduler.WorkerHosts{}, 0)
+		f.planner.Done(fleetplan.Decision{Kind: fleetplan.Maintain, Host: "h1", Wave: 1}, 0)
+		f.recordWaves(t.Context())
+		(<-o.events)(0) // the write has no answer
+		apply := func() {
+			if _, err := rows.CommitRows(t.Context(), *late.late); err != nil && !errors.Is(err, platform.ErrConflict) {
+				t.Fatal(err)
+			}
+		}
+		if lateFirst {
+			apply()
+		}
+		f.planner.Done(fleetplan.Decision{Kind: fleetplan.Maintain, Host: "h2", Wave: 1}, 0)
+		stored := func() string {
+			f.recordWaves(t.Context())
+			select {
+			case fn := <-o.events:
+				fn(0)
+			case <-time.After(20 * time.Millisecond):
+			}
+			list, _, err := rows.ReadRows(t.Context(), waveTable, controlPart, "", "")
+			if err != nil || len(list) > 1 {
+				t.Fatalf("%d records, %v", len(list), err)
+			}
+			if len(list) == 0 {
+				return ""
+			}
+			return string(list[0].Value)
+		}
+		const want = `["h1","h2"]`
+		waitFor(t, "record of both hosts", func() bool { return stored() == want })
+		if !lateFirst {
+			apply()
+		}
+		for range 3 {
+			stored()
+		}
+		if got := stored(); got != want {
+			t.Errorf("a late write is applied %s: the record is %s, want %s", name, got, want)
+		}
+	}
+}
