scheduler, node: how long the runs of cancelled jobs go on is logged and measured

The last end of a cancelled job's runs is logged (948) with the worker that was waited for, the time since the owner learned of the cancellation, and how long it can have been stored by then: a cancellation that an earlier read did not tell of was stored after the time up to which that read reached. Both times go into histograms with the slowest end, egretpitch_node_cancelled_runs_us. A run of a cancelled job, or an orphan, that is still there after the bound on cancellations and a stop is logged (949), one line a worker and second, with what it waits for.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -105,6 +105,8 @@
 	SuspectIsolated      = New(945, zapcore.InfoLevel, "suspect task started apart from others")
 	TaskGivenUp          = New(946, zapcore.WarnLevel, "task given up")
 	TaskRestarted        = New(947, zapcore.InfoLevel, "long-running task starts again")
+	CancelledRunsEnded   = New(948, zapcore.InfoLevel, "last run of a cancelled job ended")
+	StopOverdue          = New(949, zapcore.WarnLevel, "run is still there long after its job was cancelled")
 	RecoveryEnded        = New(933, zapcore.InfoLevel, "recovery ended")
 )
 
--- a/internal/node/cancelled_test.go
+++ b/internal/node/cancelled_test.go
@@ -6,11 +6,13 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
 
 	"github.com/egretpitch/egretpitch/internal/ctxtime"
 	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/scheduler"
 	"github.com/egretpitch/egretpitch/internal/standin"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
@@ -93,3 +95,18 @@
 		t.Error("the owner has lost its lease, so it starts nothing in any case")
 	}
 }
+
+func TestSlowestCancelledJobIsPublished(t *testing.T) {
+	c := newCancelledRuns()
+	c.record(scheduler.CancelledRunsEnd{Job: "a", Worker: "w1", Took: time.Second, Age: -1})
+	c.record(scheduler.CancelledRunsEnd{Job: "b", Worker: "w2", Took: 2 * time.Second, Age: time.Second})
+	c.record(scheduler.CancelledRunsEnd{Job: "c", Worker: "w3", Took: time.Millisecond, Age: 0})
+	s := c.summary()
+	if diff := cmp.Diff(map[string]any{"job": "b", "worker": "w2", "us": int64(2_000_000)}, s["slowest"]); diff != "" {
+		t.Errorf("slowest (-want +got):\n%s", diff)
+	}
+	known, stored := s["known"].(map[string]int64), s["stored"].(map[string]int64)
+	if known["count"] != 3 || stored["count"] != 2 || known["max"] < 1_980_000 || stored["max"] < 2_970_000 {
+		t.Errorf("known %v, stored %v; want 3 ends up to 2 s, and 2 up to 3 s", known, stored)
+	}
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -17,6 +17,7 @@
 	requests   *expvar.Map
 	latency    map[string]*histogram
 	ownerships *expvar.Int
+	cancelled  *cancelledRuns
 	mu         sync.Mutex
 	stats      scheduler.Stats
 }
@@ -63,7 +64,7 @@
 // newMetrics returns new metrics. Only those of the first call are published.
 func newMetrics() *metrics {
 	m := &metrics{
-		requests: new(expvar.Map).Init(), ownerships: new(expvar.Int),
+		requests: new(expvar.Map).Init(), ownerships: new(expvar.Int), cancelled: newCancelledRuns(),
 		latency: map[string]*histogram{"POST": newHistogram(), "GET": newHistogram(), "DELETE": newHistogram()},
 	}
 	publishOnce.Do(func() {
@@ -76,6 +77,7 @@
 			}
 			return out
 		}))
+		expvar.Publish("egretpitch_node_cancelled_runs_us", expvar.Func(func() any { return m.cancelled.summary() }))
 		expvar.Publish("egretpitch_node_control", expvar.Func(func() any {
 			m.mu.Lock()
 			defer m.mu.Unlock()
@@ -85,6 +87,44 @@
 	return m
 }
 
+// cancelledRuns measures how long the runs of cancelled jobs go on. It is safe for
+// concurrent use.
+type cancelledRuns struct {
+	// known counts from when the owner learned of the cancellation, and stored from
+	// the earliest time at which it can have been stored.
+	known, stored *histogram
+	mu            sync.Mutex
+	// slowest is the end that took longest.
+	slowest scheduler.CancelledRunsEnd
+}
+
+func newCancelledRuns() *cancelledRuns {
+	return &cancelledRuns{known: newHistogram(), stored: newHistogram()}
+}
+
+// record adds the end of the last run of a cancelled job.
+func (c *cancelledRuns) record(end scheduler.CancelledRunsEnd) {
+	c.known.record(end.Took)
+	if end.Age >= 0 {
+		c.stored.record(end.Age + end.Took)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.slowest.Job == "" || end.Took > c.slowest.Took {
+		c.slowest = end
+	}
+}
+
+// summary returns the histograms and what the slowest end waited for.
+func (c *cancelledRuns) summary() map[string]any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return map[string]any{
+		"known": c.known.summary(), "stored": c.stored.summary(),
+		"slowest": map[string]any{"job": c.slowest.Job, "worker": c.slowest.Worker, "us": c.slowest.Took.Microseconds()},
+	}
+}
+
 // countRequest counts an answered request and records its latency.
 func (m *metrics) countRequest(method string, status int, took time.Duration) {
 	m.requests.Add(method+" "+strconv.Itoa(status), 1)
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -282,6 +282,7 @@
 	opts.CancelWithin = cmp.Or(opts.CancelWithin, defaultCancelWithin)
 	opts.DrainWithin = cmp.Or(opts.DrainWithin, defaultDrainWithin)
 	opts.Log = n.Log
+	opts.CancelledRunsEnded = n.metrics.cancelled.record
 	opts.Parts, opts.PartOf = jobParts, partOf
 	opts.UnixMS = func(now time.Duration) int64 {
 		return time.Now().UnixMilli() - (n.Clock.Now() - now).Milliseconds()
--- a/internal/scheduler/cancellation_test.go
+++ b/internal/scheduler/cancellation_test.go
@@ -6,8 +6,12 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 	"pgregory.net/rapid"
 
+	"github.com/egretpitch/egretpitch/internal/event"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
@@ -142,6 +146,68 @@
 	}
 }
 
+// cancelledRun returns an owner whose job has a run, which takes 50 ms to stop, and
+// the ends of cancelled jobs that the owner reports.
+func (sim *simulation) cancelledRun() (*testOwner, *fakeWorker, *workload.Job, *[]CancelledRunsEnd) {
+	f := sim.addWorker("w1", "p", 8)
+	f.stopTakes = 50 * time.Millisecond
+	f.duration = func(workload.TaskID) (time.Duration, platform.RunEnd) { return time.Hour, platform.EndDone }
+	owner := sim.newOwner()
+	ends := new([]CancelledRunsEnd)
+	owner.opts.CancelledRunsEnded = func(end CancelledRunsEnd) { *ends = append(*ends, end) }
+	job := jobOf(1, 2, 2)
+	sim.submit(owner, job)
+	sim.run(500*time.Millisecond, owner)
+	owner.CancelsRead(sim.now-200*time.Millisecond, 0)
+	owner.Cancel(job.ID, 1, sim.now)
+	return owner, f, job, ends
+}
+
+func TestEndOfTheLastRunOfACancelledJobIsReported(t *testing.T) {
+	sim := newSimulation(t)
+	owner, _, job, ends := sim.cancelledRun()
+	sim.run(time.Second, owner)
+	if len(*ends) != 1 {
+		t.Fatalf("%d ends are reported, want 1", len(*ends))
+	}
+	end := (*ends)[0]
+	if end.Took < 50*time.Millisecond || end.Took > 100*time.Millisecond {
+		t.Errorf("the last run ended after %v, want 50 to 100 ms", end.Took)
+	}
+	end.Took = 0
+	if want := (CancelledRunsEnd{Job: job.ID, Runs: 2, Worker: "w1", Age: 200 * time.Millisecond}); end != want {
+		t.Errorf("reported %+v, want %+v", end, want)
+	}
+}
+
+func TestRunThatIsNotStoppedInTimeIsReported(t *testing.T) {
+	sim := newSimulation(t)
+	sim.cancelWithin = testCancelWithin
+	core, logs := observer.New(zapcore.WarnLevel)
+	sim.log = zap.New(core)
+	owner, _, _, _ := sim.cancelledRun()
+	sim.injectFault = func(o Order) orderFault {
+		_, isStop := o.(*StopOrder)
+		return orderFault{lost: isStop}
+	}
+	sim.run(testCancelWithin, owner)
+	if n := logs.FilterMessage(event.StopOverdue.Message).Len(); n != 0 {
+		t.Errorf("%d lines within the bound, want none", n)
+	}
+	sim.run(3*time.Second, owner)
+	lines := logs.FilterMessage(event.StopOverdue.Message).All()
+	if len(lines) < 2 || len(lines) > 4 {
+		t.Fatalf("%d lines in 3 s, want one a second", len(lines))
+	}
+	fields := lines[0].ContextMap()
+	if fields["waits_for"] != "stop not answered" || fields["runs"] != int64(2) || fields["stops"].(int64) < 2 {
+		t.Errorf("the line has %v, want two runs whose stops are not answered", fields)
+	}
+	if owner.Stats().OverdueStops != 2 {
+		t.Errorf("%d stops are overdue, want 2", owner.Stats().OverdueStops)
+	}
+}
+
 // The worker was idle for a minute, its clock is slow, and the start arrives late.
 func TestStartOnAnIdleWorkerWithASlowClockEndsWithTheCancellations(t *testing.T) {
 	sim := newSimulation(t)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -24,6 +24,8 @@
 	// inherited is set if a previous owner may have started runs of the job.
 	inherited bool
 	cancelled bool
+	// cancellation is set if the job is cancelled.
+	cancellation cancellation
 	// queue holds the latest known settings of the job's queue, nil if none are
 	// known.
 	queue *estate.Queue
@@ -153,9 +155,9 @@
 	// -1 if it never did.
 	sentAt, confirmedAt time.Duration
 	deadlineMS          int64
-	stopAt              time.Duration
-	stopAcked           bool
-	stopReason          string
+	// stop is the state of its stop orders, and stopReason why it is stopped.
+	stop       stopState
+	stopReason string
 	// startedHere is set once the start was answered by this incarnation of the
 	// worker: the clock of a later one starts anew.
 	startedHere bool
@@ -446,6 +448,7 @@
 		e.stats.JobsFailed++
 	case workload.Cancelled:
 		e.stats.JobsCancelled++
+		j.cancellation = e.newCancellation(j, now)
 	}
 	event.JobChanged.Log(e.opts.Log, zap.String("job", j.ID), zap.String("queue", j.Queue), zap.String("state", string(state)),
 		zap.Duration("age", now-j.accepted), zap.Int("runs", j.liveRuns))
--- a/internal/scheduler/orphan.go
+++ b/internal/scheduler/orphan.go
@@ -19,6 +19,10 @@
 	unknown bool
 	// seenAt is when a poll last listed the run.
 	seenAt time.Duration
+	// foundAt is when a poll first listed it.
+	foundAt time.Duration
+	// stop is the state of its stop orders.
+	stop stopState
 }
 
 // stopOrphan stops a run that no job needs. Its resources stay in use
@@ -34,11 +38,12 @@
 		if !ok {
 			resources = w.Capacity
 		}
-		known = &orphan{resources: resources, unknown: !ok}
+		known = &orphan{resources: resources, unknown: !ok, foundAt: now}
 		w.orphans[key] = known
 		w.used = w.used.Add(known.resources)
 	}
 	known.seenAt = now
+	known.stop.begin(now)
 	e.emitStop(w, key)
 }
 
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -124,7 +124,7 @@
 // before the long poll in flight returns.
 func (w *worker) needsProbe(now time.Duration) bool {
 	for _, r := range w.runs {
-		if (r.phase == runUncertain || (r.phase == runStopping && r.stopAcked)) && r.confirmedAt < r.sentAt {
+		if (r.phase == runUncertain || (r.phase == runStopping && r.stop.acked)) && r.confirmedAt < r.sentAt {
 			return true
 		}
 	}
@@ -358,9 +358,9 @@
 		e.endRun(r, now) // a start that arrives from now on is refused as late
 	case r.phase == runUncertain:
 		e.stop(r, "start not answered", now)
-	case r.phase == runStopping && r.stopAcked && o.sentAt > r.stopAt:
+	case r.phase == runStopping && r.stop.acked && o.sentAt > r.stop.at:
 		e.endRun(r, now) // it never started there, and cannot any more
-	case r.phase == runStopping && !r.stopAcked:
+	case r.phase == runStopping && !r.stop.acked:
 	case r.phase == runConfirmed:
 		e.loseRun(r, "not listed", now)
 	}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -150,6 +150,7 @@
 	r.worker.removeRun(r)
 	r.worker.pool.needsPass = true
 	s.job.liveRuns--
+	e.reportCancelledRunsEnd(r, now)
 	if t.startable() {
 		s.idle++
 		e.enqueue(s)
@@ -169,8 +170,7 @@
 }
 
 func (e *Engine) sendStop(r *run, now time.Duration) {
-	r.stopAt = now
-	r.stopAcked = false
+	r.stop.begin(now)
 	e.stats.Stops++
 	event.TaskStopped.Log(e.opts.Log, zap.Stringer("task", r.task.id()), zap.Int("run", r.number), zap.String("worker", r.worker.ID), zap.String("reason", r.stopReason))
 	e.emitStop(r.worker, runKey{r.task.id(), r.number})
@@ -196,8 +196,7 @@
 	case err != nil:
 		w.pauseAfterUnanswered(now)
 	case a.Outcome == platform.OrderDone:
-		r.stopAcked = true
-		r.stopAt = now
+		r.stop.acked, r.stop.at = true, now
 	case a.Outcome == platform.OrderFenced:
 		e.superseded = true
 	case a.Outcome == platform.OrderWrongIncarnation:
@@ -209,7 +208,7 @@
 func (e *Engine) checkRuns(now time.Duration) {
 	for _, w := range e.workers {
 		for _, r := range w.runs {
-			if r.phase == runStopping && now-r.stopAt > stopRetry+e.opts.StopGrace && w.failedPolls == 0 {
+			if r.phase == runStopping && now-r.stop.at > stopRetry+e.opts.StopGrace && w.failedPolls == 0 {
 				e.sendStop(r, now)
 			}
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -47,6 +47,9 @@
 	// and PartOf returns the part of a job.
 	Parts  int
 	PartOf func(job string) int
+	// CancelledRunsEnded, if set, is called when the last run of a cancelled job has
+	// ended.
+	CancelledRunsEnded func(CancelledRunsEnd)
 	// UnixMS converts the engine's time to a Unix time in milliseconds.
 	UnixMS func(now time.Duration) int64
 	Log    *zap.Logger
@@ -144,6 +147,9 @@
 	// nextSweep is the time of the next sweep, and nextOutageCheck that of the
 	// next check for outages of long-running tasks.
 	nextSweep, nextOutageCheck time.Duration
+	// nextOverdueCheck is the time of the next check for runs that should have been
+	// stopped long ago.
+	nextOverdueCheck time.Duration
 	// knownJobs holds the ids of all jobs that were ever added: a feed may
 	// repeat a job that has ended and was dropped.
 	knownJobs map[string]struct{}
@@ -224,6 +230,9 @@
 	TasksWithoutRun, LongestWithoutRunMS int64
 	// OrphansStopped counts the stop orders for listed runs that no job needs.
 	OrphansStopped int64
+	// OverdueStops is how many runs of cancelled jobs and orphans were, at the last
+	// check, still there after the bound on cancellations and a stop.
+	OverdueStops int64
 	// CancelsAgeMS is the age of the known cancellations at the last sweep, and
 	// OldestCancelsAtStartMS the greatest such age at any start so far, in
 	// milliseconds. StartsHeldMS is how long starts were held because of it.
@@ -422,6 +431,7 @@
 		e.checkRuns(now)
 		e.stopStalledRuns(now)
 		e.reportOutages(now)
+		e.reportOverdueStops(now)
 		e.stats.CancelsAgeMS, e.stats.EntriesAgeMS = e.cancelsAge(now).Milliseconds(), e.EntriesAge(now).Milliseconds()
 		if e.catalog != nil && ownership != OwnershipExpired && e.mayStart(now) {
 			e.evacuate(now)
