scheduler: a stop without an answer is repeated soon

A stop that got lost was repeated only after the time that a worker may take to stop a run, and 0.3 s more, though it had not acknowledged one: where that time is 0.9 s, each lost stop let the run go on for 1.2 s.

Only an acknowledged stop needs that time. An order whose answer is awaited is not repeated: stops that wait for a connection to their worker were ordered again and again. A lost answer costs two stops, as before. A run that the next incarnation of its worker may start is stopped anew there, once that has answered a poll.

Before: TestLostStopIsRepeatedBeforeAStopCouldTake: "1 lost stops: the runs go on for 1.26s, want at most 740ms", 2.48 s and 3.7 s for two and three; TestStopFollowsItsRunToTheNextIncarnation: "the run goes on for 795ms after the worker's first answer, want at most 100ms".

--- a/internal/scheduler/cancelled.go
+++ b/internal/scheduler/cancelled.go
@@ -64,29 +64,6 @@
 	}
 }
 
-// stopState is the state of the stop orders for a run.
-type stopState struct {
-	// sent counts the orders.
-	sent int
-	// at is when the last one was sent or answered.
-	at    time.Duration
-	acked bool
-}
-
-// begin notes that an order is sent.
-func (s *stopState) begin(now time.Duration) { s.sent, s.at, s.acked = s.sent+1, now, false }
-
-// waitsFor returns what the end of a run that is being stopped waits for.
-func (s *stopState) waitsFor(w *worker) string {
-	switch {
-	case w.failedPolls > 0:
-		return "worker does not answer"
-	case s.acked:
-		return "stop acknowledged, run still there"
-	}
-	return "stop not answered"
-}
-
 // overdueStop is a run that should have been stopped long ago.
 type overdueStop struct {
 	key    runKey
--- a/internal/scheduler/orphan.go
+++ b/internal/scheduler/orphan.go
@@ -43,8 +43,7 @@
 		w.used = w.used.Add(known.resources)
 	}
 	known.seenAt = now
-	known.stop.begin(now)
-	e.emitStop(w, key)
+	e.emitStop(w, key, &known.stop, now)
 }
 
 // orphanResources returns what a run requests of its worker. It reports false if
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// pollRetry is the first wait after a failed poll. It doubles up to
+	// pollRetry is the first wait after a failed poll or stop. It doubles up to
 	// pollRetryMax.
 	pollRetry    = 100 * time.Millisecond
 	pollRetryMax = 800 * time.Millisecond
@@ -312,12 +312,17 @@
 		w.silentAt = now
 	}
 	w.failedPolls++
-	w.nextPoll = now + min(pollRetry<<min(w.failedPolls-1, 4), pollRetryMax)
+	w.nextPoll = now + retryDelay(w.failedPolls)
 	if end := w.leaseEnd(); end >= now && end < w.nextPoll+ProbeTimeout {
 		w.nextPoll = end + time.Millisecond // this probe decides whether its runs are given up
 	}
 }
 
+// retryDelay returns the wait after a number of failed polls or stops.
+func retryDelay(failed int) time.Duration {
+	return min(pollRetry<<min(failed-1, 4), pollRetryMax)
+}
+
 // reconcileRuns compares the runs that a worker lists with the expected ones.
 // The end of a missing one may be beyond the ends that one answer holds.
 func (e *Engine) reconcileRuns(w *worker, o *PollOrder, status platform.WorkerStatus, now time.Duration) {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -19,9 +19,6 @@
 	// start or did not answer it. It is also the time before a task whose start
 	// was invalid, or a gang that did not start in time, is started again.
 	refusalPause = 300 * time.Millisecond
-	// stopRetry is the time, in addition to StopGrace, after which a stop is
-	// repeated.
-	stopRetry = 300 * time.Millisecond
 )
 
 // start orders a new run of a task.
@@ -169,52 +166,6 @@
 	e.sendStop(r, now)
 }
 
-func (e *Engine) sendStop(r *run, now time.Duration) {
-	r.stop.begin(now)
-	e.stats.Stops++
-	event.TaskStopped.Log(e.opts.Log, zap.Stringer("task", r.task.id()), zap.Int("run", r.number), zap.String("worker", r.worker.ID), zap.String("reason", r.stopReason))
-	e.emitStop(r.worker, runKey{r.task.id(), r.number})
-}
-
-// emitStop orders a worker to end a run, or to refuse its start if that arrives
-// later.
-func (e *Engine) emitStop(w *worker, key runKey) {
-	e.emit(&StopOrder{Worker: w.Worker, Task: key.task, Run: key.run, Token: w.token, worker: w})
-}
-
-// Stopped handles the answer to a stop.
-func (e *Engine) Stopped(o *StopOrder, a platform.OrderAnswer, err error, now time.Duration) {
-	w := o.worker
-	r := w.runs[runKey{o.Task, o.Run}]
-	if e.workers[w.ID] != w {
-		return
-	}
-	if r == nil {
-		return
-	}
-	switch {
-	case err != nil:
-		w.pauseAfterUnanswered(now)
-	case a.Outcome == platform.OrderDone:
-		r.stop.acked, r.stop.at = true, now
-	case a.Outcome == platform.OrderFenced:
-		e.superseded = true
-	case a.Outcome == platform.OrderWrongIncarnation:
-		e.incarnationEnded(w, "another worker answers at its address", now)
-	}
-}
-
-// checkRuns repeats stops without an answer.
-func (e *Engine) checkRuns(now time.Duration) {
-	for _, w := range e.workers {
-		for _, r := range w.runs {
-			if r.phase == runStopping && now-r.stop.at > stopRetry+e.opts.StopGrace && w.failedPolls == 0 {
-				e.sendStop(r, now)
-			}
-		}
-	}
-}
-
 // adopt takes over a run of a previous owner. It returns nil if no job needs
 // the run.
 func (e *Engine) adopt(w *worker, s platform.RunStatus, now time.Duration) *run {
--- /dev/null
+++ b/internal/scheduler/stop_test.go
@@ -0,0 +1,99 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/workload"
+)
+
+// runsFor returns for how long the workers go on with any run, at most limit.
+func (sim *simulation) runsFor(limit time.Duration, owner *testOwner) time.Duration {
+	start := sim.now
+	for sim.now < start+limit && sim.anyRun() {
+		sim.run(testTick, owner)
+	}
+	return sim.now - start
+}
+
+func (sim *simulation) anyRun() bool {
+	for _, f := range sim.workers {
+		if len(f.running) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// endless lets the runs of a worker go on until they are stopped.
+func endless(workload.TaskID) (time.Duration, platform.RunEnd) { return time.Hour, platform.EndDone }
+
+// loseStops loses the next stops, which are not carried out, and returns the number
+// of all stops.
+func (sim *simulation) loseStops(lost int) *int {
+	stops := new(int)
+	sim.injectFault = func(o Order) orderFault {
+		if _, ok := o.(*StopOrder); !ok {
+			return orderFault{}
+		}
+		*stops++
+		return orderFault{lost: *stops <= lost}
+	}
+	return stops
+}
+
+// stopGrace is the time that a worker may take to stop a run, on the site where it
+// is longest.
+const stopGrace = 900 * time.Millisecond
+
+func TestLostStopIsRepeatedBeforeAStopCouldTake(t *testing.T) {
+	for _, lost := range []int{1, 2, 3} {
+		sim := newSimulation(t)
+		owner, _, _, _ := sim.cancelledRun()
+		owner.opts.StopGrace = stopGrace
+		stops := sim.loseStops(2 * lost) // of both runs
+		got := sim.runsFor(10*time.Second, owner)
+		// Each is without an answer for 500 ms.
+		if longest := time.Duration(lost)*(500*time.Millisecond+2*sweepInterval) + 200*time.Millisecond; got > longest {
+			t.Errorf("%d lost stops: the runs go on for %v, want at most %v", lost, got, longest)
+		}
+		if *stops != 2*(lost+1) {
+			t.Errorf("%d lost stops: %d orders, want %d", lost, *stops, 2*(lost+1))
+		}
+	}
+}
+
+// The next incarnation of the worker carries out the start after the stop, before
+// its first answer to a poll.
+func TestStopFollowsItsRunToTheNextIncarnation(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorker("w1", "p", 8)
+	f.duration = endless
+	owner := sim.newOwner()
+	owner.opts.StopGrace = stopGrace
+	sim.run(400*time.Millisecond, owner)
+	sim.injectFault = func(o Order) orderFault {
+		_, isStart := o.(*StartOrder)
+		return orderFault{lost: true, applied: isStart, delay: 500 * time.Millisecond}
+	}
+	job := jobOf(1, 1, 2)
+	sim.submit(owner, job)
+	sim.run(100*time.Millisecond, owner)
+	f.crash()
+	f.restart(sim.now)
+	owner.discover()
+	sim.run(200*time.Millisecond, owner)
+	owner.Cancel(job.ID, 1, sim.now)
+	sim.run(300*time.Millisecond, owner)
+	if !sim.anyRun() {
+		t.Fatal("the start is not carried out")
+	}
+	sim.injectFault = nil
+	for owner.workers[f.ID].answeredSentAt == 0 {
+		sim.run(testTick, owner)
+	}
+	if got := sim.runsFor(10*time.Second, owner); got > 100*time.Millisecond {
+		t.Errorf("the run goes on for %v after the worker's first answer, want at most 100ms", got)
+	}
+}
