scheduler, node: stops go out at once when their worker answers again

Stops are not repeated while a worker does not answer polls.

The answer of the worker makes all its stops due that it has not acknowledged. The orders before are withdrawn, as starts are: one that waits for a connection to its worker is not sent any more, nor is the stop of a run that has ended. So a worker that goes and comes adds at most one order a run each time it comes back.

--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -80,6 +80,9 @@
 		o.post(ctx, func(now time.Duration) { o.engine.Started(x, a, err, now) })
 	case *scheduler.StopOrder:
 		a, err := o.workerCalls.order(ctx, x.Worker.ID, func(ctx context.Context) (platform.OrderAnswer, error) {
+			if x.Withdrawn() {
+				return platform.OrderAnswer{Outcome: platform.OrderNotSent}, nil
+			}
 			return n.Runner.StopRun(ctx, &x.Worker, x.Task, x.Run, x.Token)
 		})
 		o.post(ctx, func(now time.Duration) { o.engine.Stopped(x, a, err, now) })
--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -72,6 +72,7 @@
 		r.worker = next
 		r.deadlineMS = math.MaxInt64 // the deadline was on the previous incarnation's clock
 		r.sentAt = now
+		r.stop.withdraw()
 		r.stop = stopState{sent: r.stop.sent} // the next incarnation knows nothing of it
 		if r.phase != runStopping {
 			r.phase = runUncertain
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -270,6 +270,7 @@
 	if w.failedPolls > 0 {
 		event.WorkerReached.Log(e.opts.Log, zap.String("worker", w.ID), zap.Duration("silent", now-w.lastContact))
 		w.pool.needsPass = true
+		w.restartStops()
 	}
 	w.failedPolls = 0
 	w.silentAt = 0
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -143,6 +143,7 @@
 		return
 	}
 	r.withdraw()
+	r.stop.withdraw()
 	t.runs = slices.Delete(t.runs, i, i+1)
 	r.worker.removeRun(r)
 	r.worker.pool.needsPass = true
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -342,17 +342,20 @@
 	// cancellation of its job may have been acknowledged too long ago.
 	NotAfter time.Duration
 	run      *run
-	// withdrawn is set once the engine no longer wants the run.
-	withdrawn atomic.Bool
+	withdrawal
 }
 
-// Withdrawn reports whether the start must not be sent any more. An order may
-// wait for its worker; the caller checks right before it sends one. It may be
-// called from any goroutine.
-func (o *StartOrder) Withdrawn() bool { return o.withdrawn.Load() }
+// withdrawal lets an order be withdrawn before it is sent.
+type withdrawal struct{ withdrawn atomic.Bool }
+
+// Withdrawn reports whether the engine no longer wants the order, which must not be
+// sent any more. An order may wait for its worker; the caller checks right before it
+// sends one. It may be called from any goroutine.
+func (w *withdrawal) Withdrawn() bool { return w.withdrawn.Load() }
 
 // StopOrder ends a run on a worker. Its answer goes to Stopped.
 type StopOrder struct {
+	withdrawal
 	Worker estate.Worker
 	Task   workload.TaskID
 	Run    int
--- a/internal/scheduler/stop.go
+++ b/internal/scheduler/stop.go
@@ -39,6 +39,21 @@
 	return now-s.at >= retryDelay(s.failed)
 }
 
+// withdraw keeps the order whose answer is awaited from being sent, if it was not
+// yet.
+func (s *stopState) withdraw() {
+	if s.order != nil {
+		s.order.withdrawn.Store(true)
+		s.order = nil
+	}
+}
+
+// restart makes another order due if the worker has not acknowledged the last one.
+func (s *stopState) restart() {
+	s.withdraw()
+	s.failed = 0
+}
+
 // waitsFor returns what the end of a run that is being stopped waits for.
 func (s *stopState) waitsFor(w *worker) string {
 	switch {
@@ -73,10 +88,12 @@
 		return
 	}
 	s := &r.stop
-	if s.order == o {
+	current := s.order == o
+	if current {
 		s.order = nil
 	}
 	switch {
+	case err != nil && !current: // another one was sent since
 	case err != nil:
 		s.failed++
 		w.pauseAfterUnanswered(now)
@@ -86,11 +103,18 @@
 		e.superseded = true
 	case a.Outcome == platform.OrderWrongIncarnation:
 		e.incarnationEnded(w, "another worker answers at its address", now)
-	default:
+	case current:
 		s.failed++
 	}
 }
 
+// restartStops makes the stops due that the worker has not acknowledged.
+func (w *worker) restartStops() {
+	for _, r := range w.runs {
+		r.stop.restart()
+	}
+}
+
 // checkRuns repeats stops that are due.
 func (e *Engine) checkRuns(now time.Duration) {
 	for _, w := range e.workers {
--- a/internal/scheduler/stop_test.go
+++ b/internal/scheduler/stop_test.go
@@ -97,3 +97,55 @@
 		t.Errorf("the run goes on for %v after the worker's first answer, want at most 100ms", got)
 	}
 }
+
+func TestStopIsRepeatedAtOnceWhenItsWorkerAnswersAgain(t *testing.T) {
+	for silence := 600 * time.Millisecond; silence < 3*time.Second; silence += 100 * time.Millisecond {
+		sim := newSimulation(t)
+		f := sim.addWorker("w1", "p", 8)
+		f.duration = endless
+		owner := sim.newOwner()
+		owner.opts.StopGrace = stopGrace
+		job := jobOf(1, 2, 2)
+		sim.submit(owner, job)
+		sim.run(500*time.Millisecond, owner)
+		f.reachable = false
+		sim.after(silence-100*time.Millisecond, func() { owner.Cancel(job.ID, 1, sim.now) })
+		sim.run(silence, owner)
+		if f.reachable = true; owner.workers[f.ID].failedPolls == 0 {
+			continue // nothing shows the silence
+		}
+		for owner.workers[f.ID].lastContact < 500*time.Millisecond+silence {
+			sim.run(testTick, owner)
+		}
+		if got := sim.runsFor(10*time.Second, owner); got > 100*time.Millisecond {
+			t.Errorf("%v of silence: the runs go on for %v after the worker's answer, want at most 100ms", silence, got)
+		}
+	}
+}
+
+// The orders wait for a connection to their worker meanwhile.
+func TestStopsOfRunsThatHaveEndedAreWithdrawn(t *testing.T) {
+	sim := newSimulation(t)
+	owner, f, _, _ := sim.cancelledRun()
+	var waiting []*StopOrder
+	sim.injectFault = func(o Order) orderFault {
+		stop, ok := o.(*StopOrder)
+		if ok {
+			waiting = append(waiting, stop)
+		}
+		return orderFault{handled: ok}
+	}
+	sim.run(100*time.Millisecond, owner)
+	for _, r := range f.runs() {
+		f.end(r, platform.EndDone, sim.now)
+	}
+	sim.run(3*time.Second, owner)
+	if len(waiting) != 2 {
+		t.Errorf("%d stops of two runs, want 2", len(waiting))
+	}
+	for _, o := range waiting {
+		if !o.Withdrawn() {
+			t.Errorf("the stop of %v is not withdrawn after the end of its run", o.Task)
+		}
+	}
+}
