scheduler: the stop of an orphan is repeated like any other

A run that no job needs, such as one of a cancelled job that a successor finds on a worker, was ordered to stop each time that a poll listed it, and the answer was not looked at. A lost stop was repeated when the next long poll returned, up to 1.1 s later; where other runs end all the time, an orphan that had acknowledged its stop got one with every poll.

Orphans have the state of a stop that runs have: one order, repeated with the same delays, and handled answers.

Before: TestLostStopOfAnOrphanIsRepeated: "the orphan goes on for 1.18s, want at most 700ms"; TestOrphanIsStoppedOnce: "17 stops of an orphan that acknowledged the first, want 1". Now 2 stops for a lost answer and 1 without.

--- a/internal/scheduler/orphan.go
+++ b/internal/scheduler/orphan.go
@@ -29,8 +29,6 @@
 // meanwhile: a worker that accepts every start would exceed its capacity if
 // they were given to others.
 func (e *Engine) stopOrphan(w *worker, s platform.RunStatus, now time.Duration) {
-	e.stats.OrphansStopped++
-	event.OrphanedRunFound.Log(e.opts.Log, zap.Stringer("task", s.Task), zap.Int("run", s.Run), zap.String("worker", w.ID))
 	key := runKey{s.Task, s.Run}
 	known := w.orphans[key]
 	if known == nil {
@@ -41,9 +39,16 @@
 		known = &orphan{resources: resources, unknown: !ok, foundAt: now}
 		w.orphans[key] = known
 		w.used = w.used.Add(known.resources)
+		e.sendOrphanStop(w, key, known, now)
 	}
 	known.seenAt = now
-	e.emitStop(w, key, &known.stop, now)
+}
+
+// sendOrphanStop logs and emits an order to end an orphan.
+func (e *Engine) sendOrphanStop(w *worker, key runKey, o *orphan, now time.Duration) {
+	e.stats.OrphansStopped++
+	event.OrphanedRunFound.Log(e.opts.Log, zap.Stringer("task", key.task), zap.Int("run", key.run), zap.String("worker", w.ID), zap.Int("stops", o.stop.sent+1))
+	e.emitStop(w, key, &o.stop, now)
 }
 
 // orphanResources returns what a run requests of its worker. It reports false if
@@ -73,6 +78,7 @@
 	if s == nil {
 		return
 	}
+	s.stop.withdraw()
 	delete(w.orphans, key)
 	w.releaseResources(s.resources)
 	w.pool.needsPass = true
--- a/internal/scheduler/stop.go
+++ b/internal/scheduler/stop.go
@@ -83,11 +83,10 @@
 // Stopped handles the answer to a stop.
 func (e *Engine) Stopped(o *StopOrder, a platform.OrderAnswer, err error, now time.Duration) {
 	w := o.worker
-	r := w.runs[runKey{o.Task, o.Run}]
-	if e.workers[w.ID] != w || r == nil {
+	s := w.stopState(runKey{o.Task, o.Run})
+	if e.workers[w.ID] != w || s == nil {
 		return
 	}
-	s := &r.stop
 	current := s.order == o
 	if current {
 		s.order = nil
@@ -108,20 +107,43 @@
 	}
 }
 
+// stopState returns the state of the stops for a run or orphan, nil if the worker has
+// neither.
+func (w *worker) stopState(key runKey) *stopState {
+	if r := w.runs[key]; r != nil {
+		return &r.stop
+	}
+	if o := w.orphans[key]; o != nil {
+		return &o.stop
+	}
+	return nil
+}
+
 // restartStops makes the stops due that the worker has not acknowledged.
 func (w *worker) restartStops() {
 	for _, r := range w.runs {
 		r.stop.restart()
 	}
+	for _, o := range w.orphans {
+		o.stop.restart()
+	}
 }
 
 // checkRuns repeats stops that are due.
 func (e *Engine) checkRuns(now time.Duration) {
 	for _, w := range e.workers {
+		if w.failedPolls > 0 {
+			continue
+		}
 		for _, r := range w.runs {
-			if r.phase == runStopping && w.failedPolls == 0 && r.stop.due(e.opts.StopGrace, now) {
+			if r.phase == runStopping && r.stop.due(e.opts.StopGrace, now) {
 				e.sendStop(r, now)
 			}
 		}
+		for key, o := range w.orphans {
+			if o.stop.due(e.opts.StopGrace, now) {
+				e.sendOrphanStop(w, key, o, now)
+			}
+		}
 	}
 }
--- a/internal/scheduler/stop_test.go
+++ b/internal/scheduler/stop_test.go
@@ -149,3 +149,52 @@
 		}
 	}
 }
+
+func TestLostStopOfAnOrphanIsRepeated(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorker("w1", "p", 8)
+	f.duration = endless
+	f.leaseMS = 5000
+	f.stopTakes = 50 * time.Millisecond
+	unknown := workload.TaskID{Job: "00000000000000ff"}
+	f.running[runKey{unknown, 1}] = &fakeRun{task: unknown, run: 1}
+	sim.inUse[f.ID] = UsedWorker{Worker: f.Worker}
+	owner := sim.newOwner()
+	stops := sim.loseStops(1)
+	if got := sim.runsFor(10*time.Second, owner); got > 700*time.Millisecond {
+		t.Errorf("the orphan goes on for %v, want at most 700ms: the first stop is without an answer for 500ms", got)
+	}
+	if *stops != 2 {
+		t.Errorf("%d stops, want 2", *stops)
+	}
+}
+
+// Ends of other runs let the worker's polls return all the time.
+func TestOrphanIsStoppedOnce(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorker("w1", "p", 8)
+	f.leaseMS = 5000
+	f.stopTakes = 800 * time.Millisecond
+	unknown := workload.TaskID{Job: "00000000000000ff"}
+	f.duration = func(id workload.TaskID) (time.Duration, platform.RunEnd) {
+		if id == unknown {
+			return time.Hour, platform.EndDone
+		}
+		return 20 * time.Millisecond, platform.EndDone
+	}
+	other := jobOf(1, 8, 1)
+	sim.submit(nil, other)
+	f.running[runKey{unknown, 1}] = &fakeRun{task: unknown, run: 1}
+	sim.inUse[f.ID] = UsedWorker{Worker: f.Worker}
+	owner := sim.newOwner()
+	owner.opts.StopGrace = stopGrace
+	stops := sim.loseStops(0)
+	for i := 0; i < 40 && sim.anyRun(); i++ {
+		f.running[runKey{workload.TaskID{Job: other.ID, Index: i % 8}, 5 + i}] = &fakeRun{task: workload.TaskID{Job: other.ID, Index: i % 8}, run: 5 + i, startedAt: sim.now}
+		sim.run(50*time.Millisecond, owner)
+	}
+	sim.run(time.Second, owner)
+	if *stops > 2 {
+		t.Errorf("%d stops of an orphan that acknowledged the first, want 1", *stops)
+	}
+}
