scheduler: a worker without an entry is kept until its orphans have ended

The engine forgets a worker that is not listed and has no run, though it may have orphans. A successor finds the runs of cancelled jobs as orphans; if the worker's entry is missing then, it sent one stop and forgot the worker within 20 ms. A lost stop was not repeated, and the run went on until the end of its lease.

The worker is forgotten once no orphan is left. One that is silent loses them at the end of its lease, as it loses its runs.

--- a/internal/scheduler/stop_test.go
+++ b/internal/scheduler/stop_test.go
@@ -198,3 +198,27 @@
 		t.Errorf("%d stops of an orphan that acknowledged the first, want 1", *stops)
 	}
 }
+
+// A successor finds the run on a worker whose entry is missing, as those of sound
+// workers are at times.
+func TestOrphanOfAnUnlistedWorkerIsStopped(t *testing.T) {
+	sim := newSimulation(t)
+	f := sim.addWorker("w1", "p", 8)
+	f.duration, f.stopTakes = endless, 50*time.Millisecond
+	job := jobOf(1, 1, 2)
+	previous := sim.newOwner()
+	sim.submit(previous, job)
+	sim.run(500*time.Millisecond, previous)
+	previous.paused = true
+	f.unlisted = true
+	sim.cancel(job.ID)
+	owner := sim.newOwner()
+	sim.loseStops(1)
+	if got := sim.runsFor(10*time.Second, owner); got > 700*time.Millisecond {
+		t.Errorf("the run goes on for %v, want at most 700ms: the first stop is without an answer for 500ms", got)
+	}
+	sim.run(time.Second, owner)
+	if len(owner.workers) != 0 {
+		t.Error("the worker is kept after its last run has ended")
+	}
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -243,7 +243,7 @@
 			}
 			w.removeUnlistedOrphans(nil, now)
 		}
-		if !w.listed && len(w.runs) == 0 && len(w.pendingEnds) == 0 && !w.inherited {
+		if !w.listed && !w.occupied() && len(w.pendingEnds) == 0 && !w.inherited {
 			w.pool.remove(w)
 			delete(e.workers, w.ID)
 		}
