node: a stop does not wait behind starts to its worker

All orders to a worker share three connections at a time, and each may take half a second. Where starts or throttles got no answers, a stop waited for all that were ordered before it.

One more order at a time may be a stop. So a stop waits behind other stops only, of which those whose runs have ended or that were ordered anew are not sent any more.

Before: TestStopDoesNotWaitBehindStarts: "no stop within 10 s".

--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -24,7 +24,7 @@
 	// commitTimeout bounds a transaction that records progress.
 	commitTimeout = 1200 * time.Millisecond
 	// ordersPerWorker is the maximum number of concurrent orders to one worker,
-	// each on its own connection.
+	// each on its own connection. One more may be a stop.
 	ordersPerWorker = 3
 )
 
@@ -32,34 +32,54 @@
 type workerCallLimiter struct {
 	owner *owner
 	mu    sync.Mutex
-	slots map[string]chan struct{}
+	slots map[string]workerSlots
 }
 
+// workerSlots are the semaphores of a worker. Stops may take either: they would wait
+// behind starts without an answer for half a second each.
+type workerSlots struct{ any, stop chan struct{} }
+
 func newWorkerCallLimiter(o *owner) *workerCallLimiter {
-	return &workerCallLimiter{owner: o, slots: map[string]chan struct{}{}}
+	return &workerCallLimiter{owner: o, slots: map[string]workerSlots{}}
 }
 
-// slot returns the semaphore of a worker.
-func (c *workerCallLimiter) slot(id string) chan struct{} {
+// ofWorker returns the semaphores of a worker.
+func (c *workerCallLimiter) ofWorker(id string) workerSlots {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := c.slots[id]
-	if s == nil {
-		s = make(chan struct{}, ordersPerWorker)
+	s, ok := c.slots[id]
+	if !ok {
+		s = workerSlots{any: make(chan struct{}, ordersPerWorker), stop: make(chan struct{}, 1)}
 		c.slots[id] = s
 	}
 	return s
 }
 
+// workerCall is a call of a worker.
+type workerCall func(context.Context) (platform.OrderAnswer, error)
+
 // order calls a worker once one of its slots is free.
-func (c *workerCallLimiter) order(ctx context.Context, id string, call func(context.Context) (platform.OrderAnswer, error)) (platform.OrderAnswer, error) {
-	s := c.slot(id)
+func (c *workerCallLimiter) order(ctx context.Context, id string, call workerCall) (platform.OrderAnswer, error) {
+	return callInSlot(ctx, c.ofWorker(id).any, nil, call)
+}
+
+// stop is order for a stop.
+func (c *workerCallLimiter) stop(ctx context.Context, id string, call workerCall) (platform.OrderAnswer, error) {
+	s := c.ofWorker(id)
+	return callInSlot(ctx, s.any, s.stop, call)
+}
+
+// callInSlot makes a call once one of two semaphores admits it; either may be nil.
+func callInSlot(ctx context.Context, first, second chan struct{}, call workerCall) (platform.OrderAnswer, error) {
+	taken := first
 	select {
-	case s <- struct{}{}:
+	case first <- struct{}{}:
+	case second <- struct{}{}:
+		taken = second
 	case <-ctx.Done():
 		return platform.OrderAnswer{}, ctx.Err()
 	}
-	defer func() { <-s }()
+	defer func() { <-taken }()
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	return call(callCtx)
@@ -79,7 +99,7 @@
 		})
 		o.post(ctx, func(now time.Duration) { o.engine.Started(x, a, err, now) })
 	case *scheduler.StopOrder:
-		a, err := o.workerCalls.order(ctx, x.Worker.ID, func(ctx context.Context) (platform.OrderAnswer, error) {
+		a, err := o.workerCalls.stop(ctx, x.Worker.ID, func(ctx context.Context) (platform.OrderAnswer, error) {
 			if x.Withdrawn() {
 				return platform.OrderAnswer{Outcome: platform.OrderNotSent}, nil
 			}
--- a/internal/node/execute_test.go
+++ b/internal/node/execute_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,11 +53,23 @@
 	return platform.OrderAnswer{}, nil
 }
 
-// The start waits for other orders to its worker.
-func TestStartOfACancelledJobIsNotSentAfterItsWait(t *testing.T) {
+// stopCounter is a worker that counts the stops it gets.
+type stopCounter struct {
+	platform.Runner
+	stops atomic.Int64
+}
+
+func (c *stopCounter) StopRun(context.Context, *estate.Worker, workload.TaskID, int, int64) (platform.OrderAnswer, error) {
+	c.stops.Add(1)
+	return platform.OrderAnswer{}, nil
+}
+
+// ownerOfABusyWorker returns an owner and its start of a test job on a worker that
+// has other orders on all connections.
+func ownerOfABusyWorker(t *testing.T, runner platform.Runner) (*owner, *scheduler.StartOrder) {
+	t.Helper()
 	o := testOwner(t, standin.NewRows(), 1)
-	counter := &startCounter{}
-	o.node.Runner = counter
+	o.node.Runner = runner
 	o.workerCalls = newWorkerCallLimiter(o)
 	o.lease.Renew(o.node.Clock.Now())
 	o.engine = testEngine()
@@ -71,17 +84,62 @@
 		t.Fatal("the task is not started")
 	}
 	for range ordersPerWorker {
-		o.workerCalls.slot("w") <- struct{}{}
+		o.workerCalls.ofWorker("w").any <- struct{}{}
 	}
+	return o, start
+}
+
+// The start waits for other orders to its worker.
+func TestStartOfACancelledJobIsNotSentAfterItsWait(t *testing.T) {
+	counter := &startCounter{}
+	o, start := ownerOfABusyWorker(t, counter)
+	now := o.node.Clock.Now()
 	go o.execute(t.Context(), start)
 	o.engine.Cancel(testID, 1, now)
-	<-o.workerCalls.slot("w")
+	<-o.workerCalls.ofWorker("w").any
 	(<-o.events)(now) // the answer to the start
 	if counter.starts != 0 {
 		t.Errorf("%d starts were sent, want none", counter.starts)
 	}
 }
 
+// executeStops carries out the stops that the engine orders.
+func executeStops(t *testing.T, o *owner) {
+	t.Helper()
+	for _, order := range o.engine.Decide(o.node.Clock.Now(), scheduler.OwnershipValid) {
+		if stop, ok := order.(*scheduler.StopOrder); ok {
+			go o.execute(t.Context(), stop)
+		}
+	}
+}
+
+// The other orders are starts without an answer.
+func TestStopDoesNotWaitBehindStarts(t *testing.T) {
+	counter := &stopCounter{}
+	o, start := ownerOfABusyWorker(t, counter)
+	o.engine.Started(start, platform.OrderAnswer{ClockMS: 1000}, nil, o.node.Clock.Now())
+	o.engine.Cancel(testID, 1, o.node.Clock.Now())
+	executeStops(t, o)
+	waitFor(t, "stop", func() bool { return counter.stops.Load() == 1 })
+}
+
+// The run ends while its stop waits behind others.
+func TestStopOfAnEndedRunIsNotSent(t *testing.T) {
+	counter := &stopCounter{}
+	o, start := ownerOfABusyWorker(t, counter)
+	now := o.node.Clock.Now()
+	o.engine.Started(start, platform.OrderAnswer{ClockMS: 1000}, nil, now)
+	o.engine.Cancel(testID, 1, now)
+	o.workerCalls.ofWorker("w").stop <- struct{}{}
+	executeStops(t, o)
+	o.engine.Started(start, platform.OrderAnswer{Outcome: platform.OrderLate}, nil, now) // no run is left
+	<-o.workerCalls.ofWorker("w").stop
+	handleNext(t, o)
+	if n := counter.stops.Load(); n != 0 {
+		t.Errorf("%d stops were sent, want none", n)
+	}
+}
+
 // handleNext handles the next event of the control goroutine.
 func handleNext(t *testing.T, o *owner) {
 	t.Helper()
