scheduler: random histories of the stops of cancelled jobs

No test bounded the time from when an owner learns of a cancellation to the end of the job's runs. The histories have workers that go away, come back and restart, missing entries, lost and late starts and stops, of each run's stops up to three, lost polls and changes of owner. A run may go on for the bound on cancellations and the time of a stop (3 s and 0.9 s) from the latest of these: its owner knows, the last fault of the worker other than lost stops has ended, the run has started.

--- a/internal/scheduler/cancellation_test.go
+++ b/internal/scheduler/cancellation_test.go
@@ -208,6 +208,138 @@
 	}
 }
 
+// TestRunsOfCancelledJobsEndInTimeInAnyHistory simulates workers that go away, come
+// back and restart, entries that are missing for a while, starts and stops that are
+// lost or late, of each run's stops up to three, polls without an answer and owners
+// that replace each other. A run of a cancelled job may go on for the bound on
+// cancellations and the time of a stop, from when its owner knows of the
+// cancellation, the worker is back and the run has started.
+func TestRunsOfCancelledJobsEndInTimeInAnyHistory(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed") // draws of rapid favour small values
+		random := rand.New(rand.NewPCG(seed, 0))
+		upTo := func(n int) int { return random.IntN(n + 1) }
+		sim := newSimulation(t)
+		sim.cancelWithin = testCancelWithin
+		const latest = time.Second // by which an owner learns of a cancellation
+		stopTakes := time.Duration(upTo(9)) * 100 * time.Millisecond
+		// sound is when the last fault of each worker ended, and lost counts the lost
+		// stops of each run.
+		sound, lost := map[string]time.Duration{}, map[runKey]int{}
+		for i := range 1 + upTo(3) {
+			f := sim.addWorker(string(rune('a'+i)), "p", 6)
+			f.stopTakes, f.duration = stopTakes, endless
+		}
+		sim.injectFault = func(o Order) orderFault {
+			switch x := o.(type) {
+			case *StopOrder:
+				key := runKey{x.Task, x.Run}
+				if lost[key] < 3 && upTo(2) > 0 {
+					lost[key]++
+					return orderFault{lost: true, applied: upTo(3) == 0, delay: time.Duration(upTo(40)) * 100 * time.Millisecond}
+				}
+			case *StartOrder:
+				if upTo(7) == 0 {
+					return orderFault{lost: true, applied: true, delay: time.Duration(upTo(14)) * 100 * time.Millisecond}
+				}
+			case *PollOrder:
+				if upTo(49) == 0 {
+					sound[x.Worker.ID] = sim.now
+					return orderFault{lost: true}
+				}
+			}
+			return orderFault{}
+		}
+		newOwner := func() *testOwner {
+			owner := sim.newOwner()
+			owner.opts.StopGrace = stopGrace
+			return owner
+		}
+		owner := newOwner()
+		known := map[string]time.Duration{} // when the owner learned of each cancellation
+		cancel := func(id string, late time.Duration) {
+			sim.cancel(id)
+			reader := owner
+			sim.after(late, func() {
+				reader.Cancel(id, 1, sim.now)
+				if _, ok := known[id]; !ok && reader == owner {
+					known[id] = sim.now
+				}
+			})
+		}
+		var ids []string
+		step := func(d time.Duration) {
+			for end := sim.now + d; sim.now < end; {
+				owner.CancelsRead(sim.now-latest, 0)
+				sim.run(50*time.Millisecond, owner)
+				for _, f := range sorted(sim.workers) {
+					if !f.reachable {
+						sound[f.ID] = sim.now
+					}
+					for _, r := range f.runs() {
+						at, ok := known[r.task.Job]
+						if since := max(at, sound[f.ID], r.startedAt); ok && sim.now > since+testCancelWithin+stopGrace {
+							sim.violate("task %v run %d goes on on %s at %v, though its job was known to be cancelled at %v, the run started at %v and the last fault ended at %v",
+								r.task, r.run, f.ID, sim.now, at, r.startedAt, sound[f.ID])
+						}
+					}
+				}
+			}
+		}
+		for range 60 {
+			if upTo(1) == 0 {
+				job := jobOf(len(ids)+1, 1+upTo(3), 1)
+				sim.submit(owner, job)
+				ids = append(ids, job.ID)
+			}
+			if len(ids) > 0 && upTo(1) == 0 {
+				if id := ids[upTo(len(ids)-1)]; !sim.records[id].cancelled {
+					cancel(id, latest*time.Duration(upTo(20))/20)
+				}
+			}
+			if upTo(9) == 0 {
+				f := sim.workers[string(rune('a'+upTo(len(sim.workers)-1)))]
+				f.reachable = false
+				sim.after(time.Duration(upTo(40))*100*time.Millisecond, func() { f.reachable = true })
+			}
+			if upTo(9) == 0 {
+				f := sim.workers[string(rune('a'+upTo(len(sim.workers)-1)))]
+				f.unlisted = true
+				sim.after(time.Duration(upTo(40))*100*time.Millisecond, func() { f.unlisted = false })
+			}
+			if upTo(19) == 0 {
+				f := sim.workers[string(rune('a'+upTo(len(sim.workers)-1)))]
+				f.crash()
+				f.restart(sim.now)
+				sound[f.ID] = sim.now
+			}
+			owner.discover()
+			if upTo(19) == 0 {
+				owner.paused = true
+				owner = newOwner()
+				clear(known)
+				for _, id := range ids {
+					if sim.records[id].cancelled {
+						known[id] = sim.now
+					}
+				}
+			}
+			step(250 * time.Millisecond)
+		}
+		for _, id := range ids {
+			if !sim.records[id].cancelled {
+				cancel(id, 0)
+			}
+		}
+		step(4*time.Second + testCancelWithin + stopGrace)
+		sim.check()
+		if sim.anyRun() {
+			t.Errorf("runs are left after all jobs were cancelled and all faults ended")
+		}
+	})
+}
+
 // The worker was idle for a minute, its clock is slow, and the start arrives late.
 func TestStartOnAnIdleWorkerWithASlowClockEndsWithTheCancellations(t *testing.T) {
 	sim := newSimulation(t)
