scheduler: an occurrence that was due by a previous owner's clock is known

An owner whose time of day is behind that of its predecessor, as after a clock step, has not created the newest occurrence of a scheduled job when it reads the workers. A run of such an occurrence was stopped as an orphan, and the task started elsewhere as soon as the occurrence came due by the owner's own clock, while the first run was still being stopped. An end of such a run was acknowledged without a record ("unknown task"), so a finished task ran again. Callers see a task that runs twice, or work that is thrown away.

A run or an end that a worker lists shows that a previous owner had seen the occurrence due: it and those before it are created then. The rest of the occurrence starts with it, as it did under the previous owner.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -286,6 +286,16 @@
 	}
 }
 
+// startedTask returns a task of the job that a worker has started, nil if there is
+// none. Its occurrence was due by the clock of a previous owner, which may be ahead,
+// and is created if it is not due yet.
+func (e *Engine) startedTask(j *job, id workload.TaskID, now time.Duration) *task {
+	for j.nextOccurrence <= id.Occurrence && id.Occurrence < j.Occurrences() {
+		e.createOccurrence(j, now, now)
+	}
+	return j.find(id.Occurrence, id.Step, id.Index)
+}
+
 // createOccurrence creates the steps of the next occurrence and applies the
 // recorded progress.
 func (e *Engine) createOccurrence(j *job, due, now time.Duration) {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -174,7 +174,7 @@
 	if j == nil || j.ended() || j.Pool != w.Pool {
 		return nil
 	}
-	t := j.find(s.Task.Occurrence, s.Task.Step, s.Task.Index)
+	t := e.startedTask(j, s.Task, now)
 	if t == nil || t.done || len(t.runs) > 0 || slices.Contains(t.settledRuns, s.Run) || s.Run < t.lastRun {
 		return nil
 	}
@@ -243,7 +243,7 @@
 		e.ignoreEnd(w, end, "unknown job")
 		return nil
 	}
-	t := j.find(end.Task.Occurrence, end.Task.Step, end.Task.Index)
+	t := e.startedTask(j, end.Task, now)
 	if t == nil {
 		e.ignoreEnd(w, end, "unknown task")
 		return nil
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -60,6 +60,8 @@
 	// sent, if set, and cancelWithin the owners' bound on cancellations.
 	sendDelay    func() time.Duration
 	cancelWithin time.Duration
+	// clockStep is how far the owners' time of day is ahead.
+	clockStep time.Duration
 	// violation describes the first violated invariant.
 	violation string
 	// crashed counts the workers that crashed under each task.
@@ -537,7 +539,7 @@
 		Token: sim.fence, Epoch: epoch, MaxLease: testMaxLease, StopGrace: 100 * time.Millisecond, CancelWithin: sim.cancelWithin,
 		CapacityValidity: shrinkGrace,
 		Parts:            2, PartOf: func(job string) int { return int(job[15]) % 2 },
-		UnixMS: func(now time.Duration) int64 { return now.Milliseconds() }, Log: sim.log,
+		UnixMS: func(now time.Duration) int64 { return (now + sim.clockStep).Milliseconds() }, Log: sim.log,
 	})
 	owner := &testOwner{Engine: e, sim: sim, token: sim.fence, recordVersion: sim.recordVersion}
 	e.SetCatalog(sim.catalog())
--- a/internal/scheduler/terms_test.go
+++ b/internal/scheduler/terms_test.go
@@ -138,6 +138,50 @@
 	}
 }
 
+// newOwnerWithClockBack starts the second occurrence of a job and creates an owner
+// whose time of day is a second behind.
+func newOwnerWithClockBack(t *testing.T) (*simulation, *testOwner, *workload.Job) {
+	t.Helper()
+	sim := newSimulation(t)
+	sim.addWorker("w1", "p", 8)
+	sim.addWorker("w2", "p", 8)
+	owner := sim.newOwner()
+	job := jobOf(1, 2, 2)
+	job.Schedule = &workload.Schedule{StartMS: 1000, Interval: time.Second, Occurrences: 2}
+	sim.submit(owner, job)
+	sim.run(2100*time.Millisecond, owner)
+	owner.paused = true
+	sim.clockStep = -time.Second
+	return sim, sim.newOwner(), job
+}
+
+// An owner whose time of day is behind that of its predecessor finds a run of an occurrence that is not due by its own clock.
+func TestRunOfAnOccurrenceThatIsDueByAnotherClockGoesOn(t *testing.T) {
+	sim, owner, job := newOwnerWithClockBack(t)
+	sim.run(100*time.Millisecond, owner)
+	if s := owner.Stats(); s.Stops > 0 || s.OrphansStopped > 0 {
+		t.Errorf("%d stops, %d of orphaned runs; want none", s.Stops, s.OrphansStopped)
+	}
+	sim.run(3*time.Second, owner)
+	sim.check()
+	if s := sim.state(job.ID); s != workload.Completed {
+		t.Errorf("state %s, want completed", s)
+	}
+}
+
+// The run has ended before the owner whose time of day is behind reads it, and its end is not recorded.
+func TestEndedOccurrenceThatIsDueByAnotherClockDoesNotRunAgain(t *testing.T) {
+	sim, owner, job := newOwnerWithClockBack(t)
+	owner.paused = true // until the runs have ended
+	sim.run(400*time.Millisecond, owner)
+	owner.paused = false
+	sim.run(3*time.Second, owner)
+	sim.check()
+	if s := sim.state(job.ID); s != workload.Completed {
+		t.Errorf("state %s, want completed", s)
+	}
+}
+
 // TestTermsOfPlacement checks required labels, MaxPerWorker and the
 // dependencies of steps.
 func TestTermsOfPlacement(t *testing.T) {
