scheduler: random histories in which runs of cancelled jobs must end

Nothing played what happens to the runs of a cancelled job over changes of owner, lost and late orders, and workers that are cut off, unlisted, moved or restarted. The histories of cancellations check starts only.

The new histories cancel jobs (until cancelled, with several occurrences, and long ones) around these faults, in the time between two owners, and after a start without an answer. Owners read cancellations before or after their jobs, and their time of day jumps. A run has to end within testCancelWithin and the time of a stop, counted from the cancellation and the end of the last disruption, and from testContact after a late start. In a second kind the leases of late polls count from their arrival.

A successor that polls no unlisted worker is not noticed: the leases end these runs.

--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -173,6 +173,8 @@
 	former []formerCapacity
 	// started, if set, is called after each start that the worker carries out.
 	started func(workload.TaskID)
+	// lateStarts holds the runs whose starts arrived late.
+	lateStarts map[runKey]bool
 }
 
 type fakeRun struct {
@@ -184,7 +186,11 @@
 	stopAt time.Duration
 }
 
-const testMaxLease = 6 * time.Second
+const (
+	testMaxLease = 6 * time.Second
+	// testStopGrace is the longest time that a worker takes to stop a run.
+	testStopGrace = 100 * time.Millisecond
+)
 
 func newSimulation(t testingT) *simulation {
 	return &simulation{t: t, workers: map[string]*fakeWorker{}, records: map[string]*storedJob{}, inUse: map[string]UsedWorker{},
@@ -210,7 +216,7 @@
 			ID: id, Pool: pool, Address: id + ":1", StartedMS: sim.now.Milliseconds() + 1,
 			Labels: []string{"a", "rack"}, Capacity: placement.Resources{Processors: cores, MemoryMB: 1 << 20, Accelerators: 8},
 		},
-		up: true, reachable: true, startedAt: sim.now, sim: sim, running: map[runKey]*fakeRun{}, endedAt: map[int64]moment{}, highestRun: map[workload.TaskID]int{},
+		up: true, reachable: true, startedAt: sim.now, sim: sim, running: map[runKey]*fakeRun{}, endedAt: map[int64]moment{}, highestRun: map[workload.TaskID]int{}, lateStarts: map[runKey]bool{},
 		duration: func(workload.TaskID) (time.Duration, platform.RunEnd) {
 			return 300 * time.Millisecond, platform.EndDone
 		},
@@ -231,7 +237,7 @@
 	f.startedAt = now
 	f.token, f.leaseMS, f.lastEnd = 0, 0, 0
 	f.running, f.ended, f.highestRun = map[runKey]*fakeRun{}, nil, map[workload.TaskID]int{}
-	f.endedAt, f.former = map[int64]moment{}, nil
+	f.endedAt, f.former, f.lateStarts = map[int64]moment{}, nil, map[runKey]bool{}
 	f.up = true
 }
 
@@ -536,7 +542,7 @@
 	sim.fence = sim.version
 	epoch := sim.fence
 	e := New(Options{
-		Token: sim.fence, Epoch: epoch, MaxLease: testMaxLease, StopGrace: 100 * time.Millisecond, CancelWithin: sim.cancelWithin,
+		Token: sim.fence, Epoch: epoch, MaxLease: testMaxLease, StopGrace: testStopGrace, CancelWithin: sim.cancelWithin,
 		CapacityValidity: shrinkGrace,
 		Parts:            2, PartOf: func(job string) int { return int(job[15]) % 2 },
 		UnixMS: func(now time.Duration) int64 { return (now + sim.clockStep).Milliseconds() }, Log: sim.log,
@@ -843,6 +849,9 @@
 			sim.answerPoll(f, late)
 			return
 		}
+		if start, ok := o.(*StartOrder); ok {
+			f.lateStarts[runKey{start.Task, start.Run}] = true
+		}
 		sim.apply(f, o)
 	})
 }
