scheduler: the tests of starts on idle workers guard each part of their fix

Cause, found by the review: with the deadline by the slowest clock withdrawn the test passed, as the poll of the idle worker at 60 s hid the error; with the polls alone withdrawn it passed too. Change: the worker is idle for 25 s, before its next poll, and a second test holds that a worker which was idle for minutes takes its first start. Measured: with the deadline part withdrawn the first fails ("starts on w1 at 28.195s, though the cancellation of its job was acknowledged at 25s"), with the polls withdrawn the second ("1 runs after 2 starts").

--- a/internal/scheduler/cancellation_test.go
+++ b/internal/scheduler/cancellation_test.go
@@ -340,14 +340,14 @@
 	})
 }
 
-// The worker was idle for a minute, its clock is slow, and the start arrives late.
+// The worker was idle for nearly as long as it may be, its clock is slow, and the start arrives late.
 func TestStartOnAnIdleWorkerWithASlowClockEndsWithTheCancellations(t *testing.T) {
 	sim := newSimulation(t)
 	sim.cancelWithin = testCancelWithin
 	f := sim.addWorker("w1", "p", 8)
 	f.slow = 0.02
 	owner := sim.newOwner()
-	for range 60 {
+	for range int((idlePollInterval - testCancelWithin - 2*time.Second) / time.Second) {
 		owner.readJobs(0)
 		sim.run(time.Second, owner)
 	}
@@ -364,3 +364,19 @@
 		t.Error("no start was ordered")
 	}
 }
+
+func TestStartOnAWorkerThatWasIdleForLongIsNotRefused(t *testing.T) {
+	sim := newSimulation(t)
+	sim.cancelWithin = testCancelWithin
+	f := sim.addWorker("w1", "p", 8)
+	owner := sim.newOwner()
+	for range 200 {
+		owner.readJobs(0)
+		sim.run(time.Second, owner)
+	}
+	sim.submit(owner, jobOf(1, 1, 1))
+	sim.run(20*testTick, owner)
+	if len(f.running) != 1 || owner.Stats().Starts != 1 {
+		t.Errorf("%d runs after %d starts, want one of each", len(f.running), owner.Stats().Starts)
+	}
+}
