node: a start is not sent after its time on a slow connection

What callers could see: a task started later after its job's cancellation than the bound permits (UNASKED), by an owner in good order. Cause: the time until which a start may be sent was checked when the call began. A call may take half a second, so one that waited for a connection was written up to 0.3 s beyond the bound. Change: the call ends at that time as well.

--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -92,9 +92,12 @@
 	switch x := order.(type) {
 	case *scheduler.StartOrder:
 		a, err := o.workerCalls.order(ctx, x.Worker.ID, func(ctx context.Context) (platform.OrderAnswer, error) {
-			if now := n.Clock.Now(); x.Withdrawn() || now > x.NotAfter || !o.ownershipValid(now) {
+			now := n.Clock.Now()
+			if x.Withdrawn() || now > x.NotAfter || !o.ownershipValid(now) {
 				return platform.OrderAnswer{Outcome: platform.OrderNotSent}, nil
 			}
+			ctx, cancel := context.WithTimeout(ctx, x.NotAfter-now)
+			defer cancel()
 			return n.Runner.StartRun(ctx, &x.Worker, x.Start)
 		})
 		o.post(ctx, func(now time.Duration) { o.engine.Started(x, a, err, now) })
--- a/internal/node/execute_test.go
+++ b/internal/node/execute_test.go
@@ -188,3 +188,29 @@
 		t.Error("the worker whose answer was read late gets no task")
 	}
 }
+
+// callRecorder is a worker that records until when a start may be sent.
+type callRecorder struct {
+	platform.Runner
+	deadline time.Time
+}
+
+func (c *callRecorder) StartRun(ctx context.Context, _ *estate.Worker, _ platform.Start) (platform.OrderAnswer, error) {
+	c.deadline, _ = ctx.Deadline()
+	return platform.OrderAnswer{}, nil
+}
+
+// The connection to the worker takes as long to set up as a call may last.
+func TestStartIsNotSentAfterItsTimeOnASlowConnection(t *testing.T) {
+	const left = 100 * time.Millisecond
+	recorder := &callRecorder{}
+	o, start := ownerOfABusyWorker(t, recorder)
+	<-o.workerCalls.ofWorker("w").any
+	begin := time.Now()
+	start.NotAfter = o.node.Clock.Now() + left
+	go o.execute(t.Context(), start)
+	(<-o.events)(o.node.Clock.Now()) // the answer to the start
+	if most := begin.Add(left + orderTimeout/10); recorder.deadline.IsZero() || recorder.deadline.After(most) {
+		t.Errorf("the start may be sent until %v after it was ordered, want %v", recorder.deadline.Sub(begin), left)
+	}
+}
