scheduler: nothing starts on a worker that may have restarted

Cause, found by the review: an entry of another incarnation is set aside until a poll tells which one lives, and meanwhile an occupied worker got starts with deadlines on the clock of the known incarnation. On one that has restarted they lie far ahead, so nothing bounded such a start. Change: the worker takes no tasks until it has answered, which a poll asks at once.

--- a/internal/scheduler/terms_test.go
+++ b/internal/scheduler/terms_test.go
@@ -257,3 +257,28 @@
 		}
 	}
 }
+
+// The entry is of another incarnation, and the next poll tells which one lives.
+func TestNothingStartsOnAWorkerThatMayHaveRestarted(t *testing.T) {
+	sim := newSimulation(t)
+	sim.run(time.Second)
+	f := sim.addWorker("w1", "p", 8)
+	f.duration = endless
+	owner := sim.newOwner()
+	sim.submit(owner, jobOf(1, 1, 1))
+	sim.run(500*time.Millisecond, owner)
+	other := f.Worker
+	other.StartedMS--
+	owner.WorkerListed(other, sim.now)
+	sim.submit(owner, jobOf(2, 1, 1))
+	for _, o := range owner.Decide(sim.now, OwnershipValid) {
+		if start, ok := o.(*StartOrder); ok {
+			t.Errorf("%v is started on it", start.Task)
+		}
+		sim.deliver(owner, o)
+	}
+	sim.run(500*time.Millisecond, owner)
+	if len(f.running) != 2 {
+		t.Errorf("%d tasks run after the worker has answered, want 2", len(f.running))
+	}
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -311,6 +311,8 @@
 		return "does not answer"
 	case !w.fenced:
 		return "not fenced"
+	case w.otherEntry != nil:
+		return "may have restarted"
 	case !w.recorded:
 		return "not recorded"
 	case w.reservation == fleetplan.Ordered:
