test/soak: callers withdraw jobs that have no answer

Cause: the soak's callers cancelled accepted jobs only, so it could not see that a job is stored after its cancellation was answered 410. Change: one caller in ten waits for at most 0.3 s and cancels its job, whether it was accepted, refused or not answered; 410 confirms that, but for a job that was accepted. The job's task runs until it is cancelled. Nothing may start 3 s after the confirmation, nor run the longest lease after that.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -20,6 +20,8 @@
 	queuePrefix = "/jobs/"
 	// requestTimeout bounds one request of a caller.
 	requestTimeout = 2 * time.Second
+	// impatience is how long a caller that withdraws its job has waited at most.
+	impatience = 300 * time.Millisecond
 	// requestAttempts is how many times a caller sends a submission or a
 	// cancellation before it gives up.
 	requestAttempts = 5
@@ -45,7 +47,12 @@
 // call sends a request about the job id to a node and returns the HTTP status
 // and the state of the job. The status is 0 if there is no complete response.
 func (c *callers) call(method, address, id string, body []byte) (int, string) {
-	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	return c.callWithin(requestTimeout, method, address, id, body)
+}
+
+// callWithin is call with another bound on the request.
+func (c *callers) callWithin(timeout time.Duration, method, address, id string, body []byte) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+queuePrefix+id, bytes.NewReader(body))
 	if err != nil {
@@ -73,8 +80,12 @@
 }
 
 // runJob submits one job, cancels one in ten of the accepted ones, and reads the
-// state until the job ends or ctx is done.
+// state until the job ends or ctx is done. One in ten is withdrawn instead.
 func (c *callers) runJob(ctx context.Context, id string, rng *rand.Rand) {
+	if rng.IntN(10) == 0 {
+		c.withdrawJob(ctx, id, rng)
+		return
+	}
 	j := &jobRecord{poison: rng.IntN(12) == 0}
 	var steps []map[string]any
 	for i := range 1 + rng.IntN(3) {
@@ -137,13 +148,39 @@
 	return false
 }
 
+// withdrawJob submits a job whose task runs until it is cancelled, and cancels it
+// soon, whether it was accepted, refused or not answered.
+func (c *callers) withdrawJob(ctx context.Context, id string, rng *rand.Rand) {
+	c.world.checker.addJob(id, &jobRecord{steps: []step{{count: 1, after: -1}}, longRunning: true})
+	wait := time.Duration(rng.Int64N(int64(impatience)))
+	status, _ := c.callWithin(wait, http.MethodPost, c.world.anyNode(rng), id, longBody(1))
+	accepted := status == http.StatusOK
+	c.world.checker.update(id, func(j *jobRecord) {
+		j.accepted = accepted
+		j.allRefused = status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+	})
+	c.cancelUntilConfirmed(ctx, id, rng)
+	if accepted {
+		c.watch(ctx, id, rng)
+	}
+}
+
+// cancelUntilConfirmed cancels a job that ends by nothing else, until that is
+// confirmed or ctx is done.
+func (c *callers) cancelUntilConfirmed(ctx context.Context, id string, rng *rand.Rand) {
+	for !c.cancel(id, rng) && ctx.Err() == nil {
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // cancel cancels a job, records when the cancellation was confirmed, and reports
-// whether it was.
+// whether it was. That there is no such job confirms it, too.
 func (c *callers) cancel(id string, rng *rand.Rand) bool {
 	c.world.checker.update(id, func(j *jobRecord) { j.cancelSent = true })
 	for range requestAttempts {
-		if status, _ := c.call(http.MethodDelete, c.world.anyNode(rng), id, nil); status == http.StatusOK {
-			c.world.checker.update(id, func(j *jobRecord) { j.cancelConfirmed = time.Now() })
+		status, _ := c.call(http.MethodDelete, c.world.anyNode(rng), id, nil)
+		if status == http.StatusOK || status == http.StatusGone {
+			c.world.checker.confirmCancellation(id, status)
 			return true
 		}
 	}
--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -14,6 +15,10 @@
 // platform's specification still allows its tasks to be started.
 const cancelGrace = 3 * time.Second
 
+// runGrace is how long after that a task may run on a worker that cannot be reached:
+// the longest lease.
+const runGrace = 6 * time.Second
+
 // checker checks what callers and workers observe against the platform's rules,
 // and collects the violations.
 type checker struct {
@@ -192,13 +197,30 @@
 	}
 }
 
-// finish checks that every accepted job ended and that no refused job ran, and
-// returns all violations of the test.
+// confirmCancellation records that a cancellation was answered with the given status.
+func (c *checker) confirmCancellation(id string, status int) {
+	c.update(id, func(j *jobRecord) {
+		j.cancelConfirmed = time.Now()
+		if j.accepted && status == http.StatusGone {
+			c.addViolation("LOST: accepted job %s is unknown to its cancellation", id)
+		}
+	})
+}
+
+// finish checks that every accepted job ended, that no refused job ran and that no
+// cancelled one runs on, and returns all violations of the test.
 func (c *checker) finish() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, j := range c.jobs {
 		ended := j.state == "completed" || j.state == "failed" || j.state == "cancelled"
+		if cancelled := time.Since(j.cancelConfirmed); !j.cancelConfirmed.IsZero() && cancelled > cancelGrace+runGrace {
+			for task, t := range j.tasks {
+				if len(t.running) > 0 {
+					c.addViolation("UNASKED: %v runs on, %v after the cancellation of its job was confirmed", task, cancelled)
+				}
+			}
+		}
 		if j.accepted && !ended {
 			c.addViolation("LOST: job %s was accepted and is %q at the end", id, j.state)
 		}
--- a/test/soak/longrunning_test.go
+++ b/test/soak/longrunning_test.go
@@ -19,15 +19,17 @@
 	calmTime  = 4 * time.Second
 )
 
+// longBody returns the body of a submission with long-running tasks.
+func longBody(count int) []byte {
+	return fmt.Appendf(nil, `{"task_spec":%q,"steps":[{"count":%d,"cpu":1000,"mem_mb":64,"estimated_ms":500,"long_running":true,"max_unavailable":1}]}`, spec, count)
+}
+
 // runLongJob submits a long-running job, and cancels it once end is closed.
 func (c *callers) runLongJob(ctx context.Context, end <-chan struct{}, id string, count int, rng *rand.Rand) {
-	body := fmt.Appendf(nil, `{"task_spec":%q,"steps":[{"count":%d,"cpu":1000,"mem_mb":64,"estimated_ms":500,"long_running":true,"max_unavailable":1}]}`, spec, count)
 	c.world.checker.addJob(id, &jobRecord{steps: []step{{count: count, after: -1}}, longRunning: true})
-	if c.submit(id, body, rng) {
+	if c.submit(id, longBody(count), rng) {
 		<-end
-		for !c.cancel(id, rng) && ctx.Err() == nil {
-			time.Sleep(100 * time.Millisecond) // the job ends by nothing else
-		}
+		c.cancelUntilConfirmed(ctx, id, rng)
 		c.watch(ctx, id, rng)
 	}
 }
