--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -52,7 +52,7 @@
 		}
 		switch {
 		case !w.fenced:
-			if w.inherited || w.occupied() || w.toProbe(e) {
+			if w.inherited || w.occupied() || w.mayGetTasks(e) {
 				e.poll(w, true, now)
 			}
 		case w.otherEntry != nil:
@@ -82,16 +82,16 @@
 			// Acknowledge the last ends at once: a worker with pending ends is
 			// not idle, and its host may be needed elsewhere.
 			e.poll(w, true, now)
-		case sweep && idlePolls < maxIdlePolls && w.toProbe(e) && now-w.lastContact > idlePollInterval:
+		case sweep && idlePolls < maxIdlePolls && w.mayGetTasks(e) && now-w.lastContact > idlePollInterval:
 			idlePolls++
 			e.poll(w, true, now)
 		}
 	}
 }
 
-// toProbe reports whether the worker is polled without need for its runs, so that
-// it can be used.
-func (w *worker) toProbe(e *Engine) bool { return w.listed && !w.Draining && !e.standby(w.Pool) }
+// mayGetTasks reports whether the worker is worth a poll though nothing runs there:
+// tasks can be started on it.
+func (w *worker) mayGetTasks(e *Engine) bool { return w.listed && !w.Draining && !e.standby(w.Pool) }
 
 // probeAnother probes a worker that answers, when another one did not. Its
 // answer shows that this process reads answers, so that it would have read the
