scheduler, node, platform: tests share what they wrote again, with one line of comment

Cause: endless was forever again, a read of the control table stood twice, two histories and a third seeded their draws each for themselves, and comments of regression tests had up to six lines. Change: forever, readControl and seededRandom serve all; the comments have one line. No assertion, bound or seed is changed: the draws are the same.

--- a/internal/node/hostorder_test.go
+++ b/internal/node/hostorder_test.go
@@ -39,8 +39,7 @@
 	return f.send(h)
 }
 
-// TestFirstHostOrderComesAfterTheLastOfThePreviousOwner guards against an order that
-// is delivered as late as its call allows.
+// The last order is delivered as late as its call allows.
 func TestFirstHostOrderComesAfterTheLastOfThePreviousOwner(t *testing.T) {
 	for _, lease := range []time.Duration{0, 500 * time.Millisecond, 3 * time.Second} {
 		o := &owner{
@@ -53,8 +52,7 @@
 	}
 }
 
-// TestHostOrderIsNotSentAfterTheLeaseOfItsOwner guards against an order that waits
-// to be sent while the ownership lease expires.
+// The order waits to be sent while the ownership lease expires.
 func TestHostOrderIsNotSentAfterTheLeaseOfItsOwner(t *testing.T) {
 	o := testOwner(t, standin.NewRows(), 1)
 	for _, kind := range []fleetplan.Kind{fleetplan.Move, fleetplan.Maintain} {
@@ -88,8 +86,7 @@
 	return r.Rows.CommitRows(ctx, txn)
 }
 
-// TestLateRecordOfAWaveDoesNotReplaceANewerOne guards against a successor that
-// empties and maintains hosts of a wave once more.
+// A successor would empty and maintain hosts of the wave once more.
 func TestLateRecordOfAWaveDoesNotReplaceANewerOne(t *testing.T) {
 	for name, lateFirst := range map[string]bool{"before the newer one": true, "after the newer one": false} {
 		rows := standin.NewRows()
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -287,13 +287,7 @@
 	}
 	observe := func() ownership.Heartbeat {
 		t.Helper()
-		control, _, err := rows.ReadRows(t.Context(), controlTable, controlPart, "", "")
-		if err == nil {
-			err = n.observeControl(control, n.Clock.Now())
-		}
-		if err != nil {
-			t.Fatal(err)
-		}
+		readControl(t, n, rows)
 		return n.view.Load().Heartbeat
 	}
 	observe()
--- a/internal/scheduler/cancellation_test.go
+++ b/internal/scheduler/cancellation_test.go
@@ -52,6 +52,11 @@
 	})
 }
 
+// seededRandom returns a source of uniform draws, as those of rapid favour small values.
+func seededRandom(t *rapid.T) *rand.Rand {
+	return rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+}
+
 // TestNoTaskStartsLongAfterItsCancellationInAnyHistory simulates owners that
 // learn of jobs and cancellations up to 8 s late, hold starts back for up to 4 s
 // before they send them, and replace each other. Tasks of a cancelled job may
@@ -60,8 +65,7 @@
 func TestNoTaskStartsLongAfterItsCancellationInAnyHistory(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		seed := rapid.Uint64().Draw(t, "seed") // draws of rapid favour small values
-		random := rand.New(rand.NewPCG(seed, 0))
+		random := seededRandom(t)
 		upTo := func(n int) int { return random.IntN(n + 1) }
 		sim := newSimulation(t)
 		sim.cancelWithin = testCancelWithin
@@ -151,7 +155,7 @@
 func (sim *simulation) cancelledRun() (*testOwner, *fakeWorker, *workload.Job, *[]CancelledRunsEnd) {
 	f := sim.addWorker("w1", "p", 8)
 	f.stopTakes = 50 * time.Millisecond
-	f.duration = func(workload.TaskID) (time.Duration, platform.RunEnd) { return time.Hour, platform.EndDone }
+	f.duration = forever
 	owner := sim.newOwner()
 	ends := new([]CancelledRunsEnd)
 	owner.opts.CancelledRunsEnded = func(end CancelledRunsEnd) { *ends = append(*ends, end) }
@@ -208,17 +212,11 @@
 	}
 }
 
-// TestRunsOfCancelledJobsEndInTimeInAnyHistory simulates workers that go away, come
-// back and restart, entries that are missing for a while, starts and stops that are
-// lost or late, of each run's stops up to three, polls without an answer and owners
-// that replace each other. A run of a cancelled job may go on for the bound on
-// cancellations and the time of a stop, from when its owner knows of the
-// cancellation, the worker is back and the run has started.
+// Workers go away and restart, entries are missing, orders are lost or late, and owners replace each other.
 func TestRunsOfCancelledJobsEndInTimeInAnyHistory(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		seed := rapid.Uint64().Draw(t, "seed") // draws of rapid favour small values
-		random := rand.New(rand.NewPCG(seed, 0))
+		random := seededRandom(t)
 		upTo := func(n int) int { return random.IntN(n + 1) }
 		sim := newSimulation(t)
 		sim.cancelWithin = testCancelWithin
@@ -229,7 +227,7 @@
 		sound, lost := map[string]time.Duration{}, map[runKey]int{}
 		for i := range 1 + upTo(3) {
 			f := sim.addWorker(string(rune('a'+i)), "p", 6)
-			f.stopTakes, f.duration = stopTakes, endless
+			f.stopTakes, f.duration = stopTakes, forever
 		}
 		sim.injectFault = func(o Order) orderFault {
 			switch x := o.(type) {
--- a/internal/scheduler/cancelled_runs_test.go
+++ b/internal/scheduler/cancelled_runs_test.go
@@ -234,8 +234,7 @@
 }
 
 func playCancelledRuns(t *rapid.T, grants bool) *cancelledRuns {
-	seed := rapid.Uint64().Draw(t, "seed") // draws of rapid favour small values
-	h := &cancelledRuns{simulation: newSimulation(t), random: rand.New(rand.NewPCG(seed, 0)), grants: grants}
+	h := &cancelledRuns{simulation: newSimulation(t), random: seededRandom(t), grants: grants}
 	h.cancelWithin = testCancelWithin
 	h.replaceRecord = true
 	h.injectFault = h.fault
@@ -260,12 +259,7 @@
 	return h
 }
 
-// TestNoRunOfACancelledJobGoesOnInAnyHistory simulates owners that change, workers
-// that are cut off, unlisted, moved and restarted, and orders that get no answer
-// and are carried out up to 12 s later, also on workers that are idle by then. A run
-// of a cancelled job has to end within testCancelWithin and the time of a stop,
-// counted from the end of the last disruption, and from testContact after a late
-// start.
+// Owners change, workers are cut off, moved and restarted, and orders are carried out up to 12 s late, also on idle workers.
 func TestNoRunOfACancelledJobGoesOnInAnyHistory(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/scheduler/stop_test.go
+++ b/internal/scheduler/stop_test.go
@@ -26,9 +26,6 @@
 	return false
 }
 
-// endless lets the runs of a worker go on until they are stopped.
-func endless(workload.TaskID) (time.Duration, platform.RunEnd) { return time.Hour, platform.EndDone }
-
 // loseStops loses the next stops, which are not carried out, and returns the number
 // of all stops.
 func (sim *simulation) loseStops(lost int) *int {
@@ -64,12 +61,11 @@
 	}
 }
 
-// The next incarnation of the worker carries out the start after the stop, before
-// its first answer to a poll.
+// The next incarnation carries out the start after the stop, before its first answer to a poll.
 func TestStopFollowsItsRunToTheNextIncarnation(t *testing.T) {
 	sim := newSimulation(t)
 	f := sim.addWorker("w1", "p", 8)
-	f.duration = endless
+	f.duration = forever
 	owner := sim.newOwner()
 	owner.opts.StopGrace = stopGrace
 	sim.run(400*time.Millisecond, owner)
@@ -102,7 +98,7 @@
 	for silence := 600 * time.Millisecond; silence < 3*time.Second; silence += 100 * time.Millisecond {
 		sim := newSimulation(t)
 		f := sim.addWorker("w1", "p", 8)
-		f.duration = endless
+		f.duration = forever
 		owner := sim.newOwner()
 		owner.opts.StopGrace = stopGrace
 		job := jobOf(1, 2, 2)
@@ -153,7 +149,7 @@
 func TestLostStopOfAnOrphanIsRepeated(t *testing.T) {
 	sim := newSimulation(t)
 	f := sim.addWorker("w1", "p", 8)
-	f.duration = endless
+	f.duration = forever
 	f.leaseMS = 5000
 	f.stopTakes = 50 * time.Millisecond
 	unknown := workload.TaskID{Job: "00000000000000ff"}
@@ -199,12 +195,11 @@
 	}
 }
 
-// A successor finds the run on a worker whose entry is missing, as those of sound
-// workers are at times.
+// A successor finds the run on a worker whose entry is missing, as those of sound workers are at times.
 func TestOrphanOfAnUnlistedWorkerIsStopped(t *testing.T) {
 	sim := newSimulation(t)
 	f := sim.addWorker("w1", "p", 8)
-	f.duration, f.stopTakes = endless, 50*time.Millisecond
+	f.duration, f.stopTakes = forever, 50*time.Millisecond
 	job := jobOf(1, 1, 2)
 	previous := sim.newOwner()
 	sim.submit(previous, job)
--- a/internal/scheduler/terms_test.go
+++ b/internal/scheduler/terms_test.go
@@ -263,7 +263,7 @@
 	sim := newSimulation(t)
 	sim.run(time.Second)
 	f := sim.addWorker("w1", "p", 8)
-	f.duration = endless
+	f.duration = forever
 	owner := sim.newOwner()
 	sim.submit(owner, jobOf(1, 1, 1))
 	sim.run(500*time.Millisecond, owner)
