scheduler: what cancels a job stands in cancelled.go

Cause: job.go has grown by the cancellations that come before their job, and since was the name of two times in one function. Change: Cancel, cancel and JobsRead are moved, unchanged; dueBefore is the limit that reportOverdueStops compares with.

--- a/internal/scheduler/cancelled.go
+++ b/internal/scheduler/cancelled.go
@@ -1,11 +1,13 @@
 package scheduler
 
 import (
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/egretpitch/egretpitch/internal/event"
+	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
 // overdueInterval is the time between two checks for runs that should have been
@@ -49,6 +51,36 @@
 	return c
 }
 
+// Cancel ends a job at the request of its caller. version is that of the
+// cancellation's row, and above that of the job's. A job that has not been added yet
+// ends when it is.
+func (e *Engine) Cancel(id string, version int64, now time.Duration) {
+	if _, ok := e.knownJobs[id]; !ok {
+		if version > e.jobsVersion {
+			e.cancelledFirst[id] = version
+		}
+		return
+	}
+	e.cancel(id, now)
+}
+
+// cancel ends a job that was added, unless it has ended already.
+func (e *Engine) cancel(id string, now time.Duration) {
+	j := e.jobs[id]
+	if j == nil || j.ended() {
+		return
+	}
+	e.endJob(j, workload.Cancelled, now)
+}
+
+// JobsRead reports that all jobs whose rows have at most the given version were
+// added. A cancellation up to that version is of none that is still to come: no job
+// is stored after its cancellation.
+func (e *Engine) JobsRead(version int64) {
+	e.jobsVersion = max(e.jobsVersion, version)
+	maps.DeleteFunc(e.cancelledFirst, func(_ string, cancelled int64) bool { return cancelled <= e.jobsVersion })
+}
+
 // reportCancelledRunsEnd reports the end of a run if it was the last one of a
 // cancelled job.
 func (e *Engine) reportCancelledRunsEnd(r *run, now time.Duration) {
@@ -79,13 +111,13 @@
 		return
 	}
 	e.nextOverdueCheck = now + overdueInterval
-	since := now - e.opts.CancelWithin - e.opts.StopGrace
+	dueBefore := now - e.opts.CancelWithin - e.opts.StopGrace
 	e.stats.OverdueStops = 0
 	for _, w := range e.workers {
 		var oldest overdueStop
 		overdue := 0
 		add := func(o overdueStop) {
-			if o.since >= since {
+			if o.since >= dueBefore {
 				return
 			}
 			if overdue++; overdue == 1 || o.since < oldest.since {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -228,14 +227,6 @@
 	}
 }
 
-// JobsRead reports that all jobs whose rows have at most the given version were
-// added. A cancellation up to that version is of none that is still to come: no job
-// is stored after its cancellation.
-func (e *Engine) JobsRead(version int64) {
-	e.jobsVersion = max(e.jobsVersion, version)
-	maps.DeleteFunc(e.cancelledFirst, func(_ string, cancelled int64) bool { return cancelled <= e.jobsVersion })
-}
-
 // updateQueue applies the current settings of the job's queue. A job of a queue
 // that the configuration has no more keeps the last ones.
 func (e *Engine) updateQueue(j *job) {
@@ -425,28 +416,6 @@
 	e.dirty[j] = struct{}{}
 }
 
-// Cancel ends a job at the request of its caller. version is that of the
-// cancellation's row, and above that of the job's. A job that has not been added yet
-// ends when it is.
-func (e *Engine) Cancel(id string, version int64, now time.Duration) {
-	if _, ok := e.knownJobs[id]; !ok {
-		if version > e.jobsVersion {
-			e.cancelledFirst[id] = version
-		}
-		return
-	}
-	e.cancel(id, now)
-}
-
-// cancel ends a job that was added, unless it has ended already.
-func (e *Engine) cancel(id string, now time.Duration) {
-	j := e.jobs[id]
-	if j == nil || j.ended() {
-		return
-	}
-	e.endJob(j, workload.Cancelled, now)
-}
-
 // endJob moves a job to a final state and stops its runs.
 func (e *Engine) endJob(j *job, state workload.State, now time.Duration) {
 	j.cancelled = state == workload.Cancelled
