estate, workload: teams with weight and quota, and the team of a job

The configuration of a deployment may divide callers into teams. These are the types that keys, quotas, shares and admission have in common; nothing sets them yet, and rows without a team stay as they are.

--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -18,7 +18,10 @@
 	Version int64
 	Queues  map[string]*Queue
 	Pools   map[string]*Pool
-	Limits  Limits
+	// Teams holds the teams by name. It is empty where the configuration has none:
+	// then no caller needs a key, and there are no quotas and shares.
+	Teams  map[string]*Team
+	Limits Limits
 
 	// byHost maps each lower-case host name to its queues, those with the
 	// longest path prefix first.
@@ -48,6 +51,20 @@
 	// Recommendation is set if each start of a task needs a ticket of the
 	// recommendation service, nil if not.
 	Recommendation *Recommendation
+	// Public is set if callers need no key. The jobs of such a queue may have no
+	// team.
+	Public bool
+}
+
+// Team is a group of callers with shared quotas.
+type Team struct {
+	Name string
+	// Weight is the team's share of a full pool in proportion to those of the
+	// others, and the number of jobs a second that it may expect to be served.
+	Weight float64
+	// Quota bounds what the team's tasks hold on all workers together. A resource
+	// of 0 is not bounded.
+	Quota placement.Resources
 }
 
 // Recommendation describes the recommendation service that a queue uses.
--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -124,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	progress := workload.Progress{Queue: job.Queue, State: workload.Queued}
+	progress := workload.Progress{Queue: job.Queue, Team: job.Team, State: workload.Queued}
 	record, err := progress.Encode()
 	if err != nil {
 		return nil, err
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -331,7 +331,7 @@
 		event.RowUnreadable.Log(n.Log, zap.String("key", r.Key), zap.Error(err))
 		return
 	}
-	p := &workload.Progress{Queue: spec.Queue, State: workload.Queued}
+	p := &workload.Progress{Queue: spec.Queue, Team: spec.Team, State: workload.Queued}
 	version := r.Version
 	if recorded.Version != 0 {
 		if p, err = workload.DecodeProgress(recorded.Value); err != nil {
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -19,6 +19,8 @@
 type Job struct {
 	ID    string
 	Queue string
+	// Team is the name of the team that submitted the job, empty for none.
+	Team string `json:",omitempty"`
 	// Pool is the pool that served the queue when the job was accepted. It runs
 	// the job to its end, even if the queue is assigned to another pool in the
 	// meantime.
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -24,6 +24,8 @@
 // tasks run where: the owner reads that from the workers.
 type Progress struct {
 	Queue string `json:"queue"`
+	// Team is the name of the job's team, empty for none.
+	Team  string `json:"team,omitempty"`
 	State State  `json:"state"`
 	// Done lists the finished tasks as [occurrence, step, index].
 	Done [][3]int `json:"done,omitempty"`
@@ -77,6 +79,7 @@
 // packedProgress is Progress with packed lists.
 type packedProgress struct {
 	Queue    string `json:"queue"`
+	Team     string `json:"team,omitempty"`
 	State    State  `json:"state"`
 	Done     []byte `json:"done"`
 	Failures []byte `json:"failures,omitempty"`
@@ -89,7 +92,7 @@
 	if err != nil || len(data) <= maxPlainBytes {
 		return data, errors.Wrap(err, "encode progress")
 	}
-	packed := packedProgress{Queue: p.Queue, State: p.State}
+	packed := packedProgress{Queue: p.Queue, Team: p.Team, State: p.State}
 	done, failures, crashes := make([][]int, len(p.Done)), make([][]int, len(p.Failures)), make([][]int, len(p.Crashes))
 	for i := range p.Done {
 		done[i] = p.Done[i][:]
@@ -130,7 +133,7 @@
 }
 
 func (w *packedProgress) progress() (*Progress, error) {
-	p := &Progress{Queue: w.Queue, State: w.State}
+	p := &Progress{Queue: w.Queue, Team: w.Team, State: w.State}
 	done, err := unpackTasks(w.Done, 3)
 	if err != nil {
 		return nil, err
