node: what a successor reads has a part of its own, beside the heartbeats

Cause: a part applies one transaction at a time. The record of workers in use and the hosts of waves shared the heartbeats' part and are written back to back while hosts move, each for 0.5 s there, so heartbeats were answered after their lease. Ruled out: the pace of the heartbeats themselves; alone in the part, one takes 0.72 s of the 1.7 s. Change: both records are in a part of their own, guarded by a copy of the fencing token as the parts of the jobs are. A release writes them before the owner record. An owner reads those of earlier releases until it has marked them as moved; such a release cannot read the mark and waits for all leases. Red first: with both in one part, TestHeartbeatsDoNotWaitForTheRecordsOfASlowStore fails ("a heartbeat waits for the record of workers in use").

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -133,6 +133,7 @@
 var (
 	OwnershipOffered    = New(527, zapcore.InfoLevel, "offered to take the control work over")
 	OwnershipHandedOver = New(528, zapcore.InfoLevel, "control work handed over to a larger host")
+	RecordsMoved        = New(529, zapcore.InfoLevel, "records of an earlier release read")
 )
 
 // SettingsKept is logged when a process is told to reload its settings file
--- a/internal/node/fence.go
+++ b/internal/node/fence.go
@@ -11,18 +11,23 @@
 	"github.com/egretpitch/egretpitch/internal/platform"
 )
 
-// fenceParts writes the owner's fencing token to every part of the jobs. From
-// then on the transactions of previous owners conflict there. It sets o.fences,
-// the conditions under which this owner's transactions are applied.
+// fenceParts writes the owner's fencing token to the records part and to every part
+// of the jobs. From then on the transactions of previous owners conflict there. It
+// sets o.recordsFence and o.fences, the conditions under which this owner's
+// transactions are applied.
 func (o *owner) fenceParts(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	for i := range jobParts {
+	fence := func(part string, to *platform.RowCondition) {
 		group.Go(func() error {
-			version, err := o.fencePart(ctx, i)
-			o.fences[i] = platform.RowCondition{RowKey: fenceRow(i), Version: version}
+			version, err := o.fencePart(ctx, part)
+			*to = platform.RowCondition{RowKey: fenceRow(part), Version: version}
 			return err
 		})
 	}
+	fence(recordsPart, &o.recordsFence)
+	for i := range jobParts {
+		fence(partName(i), &o.fences[i])
+	}
 	return group.Wait()
 }
 
@@ -32,7 +37,7 @@
 // fencePart writes the fence of one part and returns the version of its row. A
 // write without an answer may have been applied; the next attempt reads the row
 // and finds out.
-func (o *owner) fencePart(ctx context.Context, part int) (int64, error) {
+func (o *owner) fencePart(ctx context.Context, part string) (int64, error) {
 	key := fenceRow(part)
 	token := strconv.FormatInt(o.token, 10)
 	for {
@@ -46,11 +51,11 @@
 			held, err := strconv.ParseInt(string(rows[0].Value), 10, 64)
 			switch {
 			case err != nil:
-				return 0, errors.Wrapf(err, "fence of part %d", part)
+				return 0, errors.Wrapf(err, "fence of part %s", part)
 			case held == o.token:
 				return rows[0].Version, nil
 			case held > o.token:
-				return 0, errors.Errorf("fence of part %d holds the token of a later owner", part)
+				return 0, errors.Errorf("fence of part %s holds the token of a later owner", part)
 			}
 		}
 		callCtx, cancel := context.WithTimeout(ctx, fenceTimeout)
--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -107,7 +107,10 @@
 			event.RowUnreadable.Log(o.node.Log, zap.String("key", r.Key), zap.Error(err))
 			continue
 		}
-		maintained[number], recorded[number] = hosts, waveRecord{hosts: len(hosts), version: r.Version}
+		maintained[number] = hosts
+		if r.Part == recordsPart {
+			recorded[number] = waveRecord{hosts: len(hosts), version: r.Version}
+		}
 	}
 	f := &fleetController{
 		owner: o, recorded: recorded, workerHosts: hosts,
@@ -295,9 +298,9 @@
 			event.RowUnreadable.Log(f.owner.node.Log, zap.Int64("wave", w.Number), zap.Error(err))
 			continue
 		}
-		key := controlRow(waveTable, strconv.FormatInt(w.Number, 10))
+		key := recordsRow(waveTable, strconv.FormatInt(w.Number, 10))
 		txn := platform.RowTxn{
-			Conditions: []platform.RowCondition{f.owner.fence(), {RowKey: key, Version: record.version}},
+			Conditions: []platform.RowCondition{f.owner.recordsFence, {RowKey: key, Version: record.version}},
 			Writes:     []platform.RowWrite{{RowKey: key, Value: value}},
 		}
 		record.writing = true
--- a/internal/node/hostorder_test.go
+++ b/internal/node/hostorder_test.go
@@ -114,7 +114,7 @@
 				fn(0)
 			case <-time.After(20 * time.Millisecond):
 			}
-			list, _, err := rows.ReadRows(t.Context(), waveTable, controlPart, "", "")
+			list, _, err := rows.ReadRows(t.Context(), waveTable, recordsPart, "", "")
 			if err != nil || len(list) > 1 {
 				t.Fatalf("%d records, %v", len(list), err)
 			}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -335,18 +335,21 @@
 	if err := next.fenceParts(ctx); err != nil {
 		t.Fatal(err)
 	}
-	for part := range jobParts {
-		key := platform.RowKey{Table: progressTable, Part: partName(part), Key: testID}
+	check := func(key platform.RowKey, previous, next platform.RowCondition) {
 		write := platform.RowTxn{Writes: []platform.RowWrite{{RowKey: key, Value: []byte("{}")}}}
-		write.Conditions = []platform.RowCondition{previous.fences[part]}
+		write.Conditions = []platform.RowCondition{previous}
 		if _, err := rows.CommitRows(ctx, write); !errors.Is(err, platform.ErrConflict) {
-			t.Errorf("part %d: the previous owner's commit returned %v, want a conflict", part, err)
+			t.Errorf("part %s: the previous owner's commit returned %v, want a conflict", key.Part, err)
 		}
-		write.Conditions = []platform.RowCondition{next.fences[part]}
+		write.Conditions = []platform.RowCondition{next}
 		if _, err := rows.CommitRows(ctx, write); err != nil {
-			t.Errorf("part %d: the owner's commit returned %v", part, err)
+			t.Errorf("part %s: the owner's commit returned %v", key.Part, err)
 		}
 	}
+	check(recordsRow(waveTable, "1"), previous.recordsFence, next.recordsFence)
+	for part := range jobParts {
+		check(platform.RowKey{Table: progressTable, Part: partName(part), Key: testID}, previous.fences[part], next.fences[part])
+	}
 	if err := previous.fenceParts(ctx); err == nil {
 		t.Error("a previous owner fenced the parts again")
 	}
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -55,6 +55,8 @@
 	// fences are the conditions of this owner's transactions in the parts of
 	// the jobs, by part.
 	fences [jobParts]platform.RowCondition
+	// recordsFence is that of its transactions in the records part.
+	recordsFence platform.RowCondition
 	// previousHeartbeat is when the previous owner's last heartbeat was first
 	// seen.
 	previousHeartbeat time.Duration
@@ -175,13 +177,7 @@
 	if l.progress, _, err = n.readJobParts(ctx, progressTable); err != nil {
 		return nil, err
 	}
-	usedRows, _, err := n.Rows.ReadRows(ctx, usedWorkersTable, controlPart, "", "")
-	if err != nil {
-		return nil, err
-	}
-	l.readUsedWorkers(usedRows, n.Log)
-	o.used.restore(usedRows)
-	if l.waves, _, err = n.Rows.ReadRows(ctx, waveTable, controlPart, "", ""); err != nil {
+	if err := o.loadRecords(ctx, l); err != nil {
 		return nil, err
 	}
 	if l.workers, err = n.readEntries(ctx); err != nil {
@@ -446,8 +442,8 @@
 	}()
 }
 
-// commitRelease stores an owner record without an owner, with the record of
-// workers in use if asked to: the successor then waits for none that has ended.
+// commitRelease stores an owner record without an owner, and before it the record
+// of workers in use if asked to: the successor then waits for none that has ended.
 func (o *owner) commitRelease(ctx context.Context, withWorkers bool) error {
 	record := o.record
 	record.Owner, record.Incarnation, record.Constrained = "", 0, false
@@ -460,13 +456,17 @@
 	if err != nil {
 		return err
 	}
-	txn := platform.RowTxn{Conditions: []platform.RowCondition{o.fence()}}
 	if withWorkers {
-		if txn, err = o.usedWorkersTxn(o.withHosts(o.engine.InUse(o.node.Clock.Now()))); err != nil {
+		txn, err := o.usedWorkersTxn(o.withHosts(o.engine.InUse(o.node.Clock.Now())))
+		if err != nil {
+			return err
+		}
+		if _, err := o.node.Rows.CommitRows(ctx, txn); err != nil {
 			return err
 		}
 	}
-	txn.Writes = append(txn.Writes, platform.RowWrite{RowKey: ownerRow, Value: value})
-	_, err = o.node.Rows.CommitRows(ctx, txn)
+	_, err = o.node.Rows.CommitRows(ctx, platform.RowTxn{
+		Conditions: []platform.RowCondition{o.fence()}, Writes: []platform.RowWrite{{RowKey: ownerRow, Value: value}},
+	})
 	return err
 }
--- /dev/null
+++ b/internal/node/records_test.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/scheduler"
+	"github.com/egretpitch/egretpitch/internal/standin"
+)
+
+// serialRows applies the transactions of a part one after another, as the platform
+// does, and those with a row of the record of workers in use only when released.
+type serialRows struct {
+	platform.Rows
+	parts    sync.Map
+	released chan struct{}
+}
+
+func (r *serialRows) CommitRows(ctx context.Context, txn platform.RowTxn) (platform.Stamp, error) {
+	lock, _ := r.parts.LoadOrStore(txn.Writes[0].Part, make(chan struct{}, 1))
+	part := lock.(chan struct{})
+	select {
+	case part <- struct{}{}:
+		defer func() { <-part }()
+	case <-ctx.Done():
+		return platform.Stamp{}, platform.ErrUnknown
+	}
+	if txn.Writes[0].Table == usedWorkersTable {
+		<-r.released // whether its caller still waits or not
+	}
+	return r.Rows.CommitRows(ctx, txn)
+}
+
+// An owner whose heartbeats wait for its records loses its lease while the store is slow.
+func TestHeartbeatsDoNotWaitForTheRecordsOfASlowStore(t *testing.T) {
+	rows := standin.NewRows()
+	o := testOwner(t, rows, 1)
+	slow := &serialRows{Rows: rows, released: make(chan struct{})}
+	defer close(slow.released)
+	o.node.Rows = slow
+	o.engine = scheduler.New(scheduler.Options{Token: 1, Epoch: 1, MaxLease: 6 * time.Second, Log: zap.NewNop()})
+	o.engine.SetCatalog(testCatalog(1, "/q/"))
+	o.fleetController = newFleetController(o, nil, scheduler.WorkerHosts{}, 0)
+	o.engine.WorkerListed(testWorker, 0)
+	o.answerPolls(0, testWorker.StartedMS)
+	o.recordUsedWorkers(t.Context(), o.node.Clock.Now())
+	if !o.used.writing {
+		t.Fatal("the record of workers in use is not written")
+	}
+	for begun := false; !begun; _, begun = slow.parts.Load(firstUsedWorkersRow.Part) {
+		time.Sleep(time.Millisecond)
+	}
+	sent := o.node.Clock.Now()
+	o.sendHeartbeat(t.Context(), sent)
+	if !o.ownershipValid(sent) {
+		t.Error("a heartbeat waits for the record of workers in use")
+	}
+}
+
+// A successor must know the workers that an owner of an earlier release used, until its own record holds them.
+func TestRecordsOfAnEarlierReleaseCountUntilTheyAreMoved(t *testing.T) {
+	rows := standin.NewRows()
+	before := testOwner(t, rows, 1)
+	write := func(key platform.RowKey, value string) {
+		t.Helper()
+		if _, err := rows.CommitRows(t.Context(), platform.RowTxn{Writes: []platform.RowWrite{{RowKey: key, Value: []byte(value)}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(movedRow, `[{"id":"w1","pool":"p","address":"a"}]`)
+	write(controlRow(waveTable, "1"), `["h1"]`)
+	load := func(o *owner) *recoveredState {
+		t.Helper()
+		l := &recoveredState{}
+		if err := o.loadRecords(t.Context(), l); err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	l := load(before)
+	if len(l.used) != 1 || l.used[0].ID != "w1" || len(l.waves) != 1 {
+		t.Fatalf("workers %v and waves %v, want w1 and wave 1", l.used, l.waves)
+	}
+	f := newFleetController(before, l.waves, scheduler.WorkerHosts{}, 0)
+	if hosts := f.planner.MaintenanceStarted(1); len(hosts) != 1 || f.recorded[1].version != platform.NoVersion {
+		t.Errorf("hosts %v in maintenance, record %v; want h1 and no record yet", hosts, f.recorded[1])
+	}
+	write(firstUsedWorkersRow, `[{"id":"w2","pool":"p","address":"a"}]`)
+	if l := load(before); len(l.used) != 2 {
+		t.Errorf("workers %v before the record is marked, want both", l.used)
+	}
+	if err := before.markMoved(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if l := load(testOwner(t, rows, 2)); len(l.used) != 1 || l.used[0].ID != "w2" {
+		t.Errorf("workers %v after it, want w2 alone", l.used)
+	}
+	l = &recoveredState{}
+	earlier, _, err := rows.ReadRows(t.Context(), usedWorkersTable, controlPart, "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l.readUsedWorkers(earlier, zap.NewNop()); !l.usedIncomplete {
+		t.Error("an earlier release can read the record, though it is out of date")
+	}
+}
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -195,7 +195,7 @@
 	close(o.done)
 	o.node.owner.Store(o)
 	o.node.release(t.Context())
-	stored, _, err := rows.ReadRows(t.Context(), usedWorkersTable, controlPart, "", "")
+	stored, _, err := rows.ReadRows(t.Context(), usedWorkersTable, recordsPart, "", "")
 	if err != nil || len(stored) != 1 {
 		t.Fatalf("%d rows, %v; want 1", len(stored), err)
 	}
--- a/internal/node/schema.go
+++ b/internal/node/schema.go
@@ -11,10 +11,11 @@
 )
 
 // Tables of the processes. Rows that one transaction writes or conditions on
-// together share a part. The control part holds the owner record, the heartbeat
-// and the other rows that only the owner writes. Jobs are spread over parts of
-// their own, each with a copy of the owner's fencing token, so that neither a
-// backlog of submissions nor a slow part delays the heartbeats.
+// together share a part. The control part holds the owner record and the
+// heartbeat, the records part what the owner stores for a successor. Jobs are
+// spread over parts of their own. The records part and those of the jobs each have
+// a copy of the owner's fencing token. A part applies one transaction at a time, so
+// neither a backlog of submissions nor the owner's records delay the heartbeats.
 const (
 	controlTable     = "egretpitch-control"
 	usedWorkersTable = "egretpitch-fenced"
@@ -28,6 +29,7 @@
 	// the jobs.
 	cancelTable = "egretpitch-cancels"
 	controlPart = "control"
+	recordsPart = "records"
 )
 
 // jobParts is the number of parts that jobs are spread over. A part commits
@@ -39,6 +41,11 @@
 	return platform.RowKey{Table: table, Part: controlPart, Key: key}
 }
 
+// recordsRow returns the key of a row that the owner stores for a successor.
+func recordsRow(table, key string) platform.RowKey {
+	return platform.RowKey{Table: table, Part: recordsPart, Key: key}
+}
+
 var (
 	ownerRow     = controlRow(controlTable, "owner")
 	heartbeatRow = controlRow(controlTable, "beat")
@@ -56,9 +63,9 @@
 }
 
 // fenceRow returns the key of the row that holds the owner's fencing token in a
-// part of the jobs.
-func fenceRow(part int) platform.RowKey {
-	return platform.RowKey{Table: fenceTable, Part: partName(part), Key: "token"}
+// part.
+func fenceRow(part string) platform.RowKey {
+	return platform.RowKey{Table: fenceTable, Part: part, Key: "token"}
 }
 
 // readJobParts reads a table in all parts of the jobs. The returned stamp is
--- a/internal/node/usedworkers.go
+++ b/internal/node/usedworkers.go
@@ -25,7 +25,7 @@
 
 // firstUsedWorkersRow is written with every update of the record, so its
 // version is the version of the whole record.
-var firstUsedWorkersRow = controlRow(usedWorkersTable, usedWorkersKey(0))
+var firstUsedWorkersRow = recordsRow(usedWorkersTable, usedWorkersKey(0))
 
 // usedWorkersKey returns the key of the i-th row of the record.
 func usedWorkersKey(i int) string { return "workers-" + strconv.Itoa(i) }
@@ -42,6 +42,9 @@
 	// lastWrite is when the last write started, 0 to write again at once.
 	lastWrite time.Duration
 	writing   bool
+	// moved is set once the record of earlier releases is marked as moved. It
+	// belongs to the write in progress.
+	moved bool
 }
 
 // restore initializes the state from the rows that the previous owner stored.
@@ -152,7 +155,7 @@
 			return nil, errors.Wrap(err, "encode workers in use")
 		}
 		used = used[n:]
-		writes = append(writes, platform.RowWrite{RowKey: controlRow(usedWorkersTable, usedWorkersKey(i)), Value: value})
+		writes = append(writes, platform.RowWrite{RowKey: recordsRow(usedWorkersTable, usedWorkersKey(i)), Value: value})
 	}
 	return writes, nil
 }
@@ -240,6 +243,9 @@
 		callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 		defer cancel()
 		stamp, err := o.node.Rows.CommitRows(callCtx, txn)
+		if err == nil {
+			err = o.markMoved(callCtx)
+		}
 		o.post(ctx, func(time.Duration) { o.usedWorkersRecorded(used, len(txn.Writes), stamp.Version, err) })
 	}()
 }
@@ -250,7 +256,7 @@
 func (o *owner) usedWorkersTxn(used []usedWorker) (platform.RowTxn, error) {
 	writes, err := usedWorkerRows(used, o.used.rows)
 	return platform.RowTxn{
-		Conditions: []platform.RowCondition{o.fence(), {RowKey: firstUsedWorkersRow, Version: o.used.version}}, Writes: writes,
+		Conditions: []platform.RowCondition{o.recordsFence, {RowKey: firstUsedWorkersRow, Version: o.used.version}}, Writes: writes,
 	}, err
 }
 
--- a/internal/node/usedworkers_test.go
+++ b/internal/node/usedworkers_test.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	stored, _, err := rows.ReadRows(ctx, usedWorkersTable, controlPart, "", "")
+	stored, _, err := rows.ReadRows(ctx, usedWorkersTable, recordsPart, "", "")
 	if err != nil || len(stored) != 1 {
 		t.Fatalf("%d rows, %v; want 1", len(stored), err)
 	}
