node: a successor moves the idle hosts that its predecessor gave no orders about

Cause: a successor does not know which orders its predecessor gave, so it waits for all hosts. Change: an owner announces orders about hosts in a row of the records part before it sends them, at most 2 s ahead. A successor reads the row once it has fenced the part, so the row is complete, and moves standby hosts that it does not name as soon as its recovery has ended. Everything else still waits: hosts with workers, and maintenance, since hosts of a wave may be down by orders that are on their way. Ruled out: a shorter wait for all hosts; late orders arrive up to 1.2 s after the lease, and the platform wants 3 s between the orders of two holders.

--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -35,6 +35,9 @@
 	// holderSlack is added to the time between the orders of two owners for those
 	// of the previous one that are still in flight.
 	holderSlack = 350 * time.Millisecond
+	// recoveryBeforePlan bounds how long the first plan waits for the recovery:
+	// before workers have answered, their pools seem to lack them.
+	recoveryBeforePlan = time.Second
 )
 
 // waveSet holds the maintenance waves that the operator requested, by number.
@@ -77,9 +80,12 @@
 	// workerHosts holds the hosts of the workers, also of those in no host list
 	// of this owner.
 	workerHosts scheduler.WorkerHosts
-	// firstOrderAt is when this owner may give its first order about a host;
-	// see firstHostOrder.
+	// firstOrderAt is when this owner may give orders about every host; see
+	// firstHostOrder. Before it only those that mayOrderEarly allows.
 	firstOrderAt time.Duration
+	// createdAt is when the controller was created.
+	createdAt time.Duration
+	announcer *announcer
 	// recorded holds the state of each wave's row, by wave.
 	recorded map[int64]waveRecord
 }
@@ -93,7 +99,8 @@
 }
 
 // newFleetController returns the controller of a new owner. rows list the hosts
-// of each wave whose maintenance a previous owner started.
+// of each wave whose maintenance a previous owner started. The controller has no
+// announcements of previous owners.
 func newFleetController(o *owner, rows []platform.PartRow, hosts scheduler.WorkerHosts, now time.Duration) *fleetController {
 	maintained := map[int64][]string{}
 	recorded := map[int64]waveRecord{}
@@ -113,7 +120,7 @@
 		}
 	}
 	f := &fleetController{
-		owner: o, recorded: recorded, workerHosts: hosts,
+		owner: o, recorded: recorded, workerHosts: hosts, createdAt: now, announcer: newAnnouncer(o, platform.PartRow{}),
 		planner: fleetplan.New(o.node.Migration, maintained,
 			o.previousSurges(now), timesOf(&o.node.Clock, o.inherited.Waves, now), timesOf(&o.node.Clock, o.inherited.Evacuations, now)),
 	}
@@ -185,17 +192,23 @@
 	}
 	f.lastPlan = now
 	o := f.owner
-	if now < f.firstOrderAt {
-		// Tasks that the previous owner moved must not come back meanwhile.
-		o.engine.SetPendingRemoval(f.planner.PendingRemoval(fleetplan.State{Hosts: f.hosts, Waves: o.node.waves.list()}))
-		return
-	}
-	state := fleetplan.State{
-		Now: now, Pools: o.engine.Pools(now), Hosts: f.hosts, HostsAt: f.hostsAt, Waves: o.node.waves.list(),
+	f.announcer.write(ctx, now, f.announced(ctx))
+	state := fleetplan.State{Now: now, Hosts: f.hosts, HostsAt: f.hostsAt, Waves: o.node.waves.list()}
+	// Tasks that the previous owner moved must not come back, whatever is planned.
+	o.engine.SetPendingRemoval(f.planner.PendingRemoval(state))
+	early := now < f.firstOrderAt
+	if early {
+		if !f.announcer.complete || (o.engine.Recovering() && now < f.createdAt+recoveryBeforePlan) {
+			return
+		}
+		state.Waves = nil // their hosts may be down by orders that this owner does not know yet
 	}
+	state.Pools = o.engine.Pools(now)
 	decisions := f.planner.Plan(state)
-	o.engine.SetPendingRemoval(f.planner.PendingRemoval(state))
-	o.engine.SetReservations(f.planner.Reservations())
+	if !early {
+		o.engine.SetPendingRemoval(f.planner.PendingRemoval(state))
+		o.engine.SetReservations(f.planner.Reservations())
+	}
 	for _, dec := range decisions {
 		switch dec.Kind {
 		case fleetplan.Evacuate:
@@ -208,34 +221,69 @@
 		case fleetplan.Complete:
 			go f.reportWave(ctx, dec.Wave)
 		default:
-			f.orderHost(ctx, dec)
+			if early && !f.mayOrderEarly(dec, now) {
+				f.planner.Refused(dec)
+				continue
+			}
+			f.orderHost(ctx, dec, now)
 		}
 	}
+	f.announcer.write(ctx, now, f.announced(ctx))
 	f.recordWaves(ctx)
 }
 
+// mayOrderEarly reports whether an order may be given before firstOrderAt: it moves
+// a host that runs nothing out of a standby pool, and previous owners gave no order
+// about the host. A pool that surges while the owner changes waits for such hosts.
+func (f *fleetController) mayOrderEarly(dec fleetplan.Decision, now time.Duration) bool {
+	pool := f.owner.node.catalog.Load().Pools[dec.From]
+	return dec.Kind == fleetplan.Move && dec.Worker == "" && pool != nil && pool.Standby && f.announcer.free(dec.Host, now)
+}
+
 // orderHost orders the move or maintenance of a host, provided that its worker,
-// if it has one, is idle.
-func (f *fleetController) orderHost(ctx context.Context, dec fleetplan.Decision) {
+// if it has one, is idle. The order is sent once it is announced.
+func (f *fleetController) orderHost(ctx context.Context, dec fleetplan.Decision, now time.Duration) {
 	o := f.owner
 	if dec.Worker != "" && !o.engine.IsIdle(dec.Worker) {
 		f.planner.Refused(dec)
 		return
 	}
+	until := f.announcer.until(dec.Host)
+	if now >= until {
+		f.announcer.waiting = append(f.announcer.waiting, dec)
+		return
+	}
 	go func() {
-		outcome, err := f.sendOrder(ctx, dec)
+		outcome, err := f.sendOrder(ctx, dec, until)
 		o.post(ctx, func(now time.Duration) { f.handleAnswer(dec, outcome, err, now) })
 	}()
 }
 
-// sendOrder sends an order to the fleet service if the ownership lease is still
-// valid when it is written.
-func (f *fleetController) sendOrder(ctx context.Context, dec fleetplan.Decision) (platform.HostOrderOutcome, error) {
+// announced returns what is done with orders once the write of their announcement
+// has ended. Orders that are not announced are left to the next plan.
+func (f *fleetController) announced(ctx context.Context) func([]fleetplan.Decision, error, time.Duration) {
+	return func(orders []fleetplan.Decision, err error, now time.Duration) {
+		for _, dec := range orders {
+			if err != nil || now >= f.announcer.until(dec.Host) {
+				f.planner.Refused(dec)
+				continue
+			}
+			f.orderHost(ctx, dec, now)
+		}
+	}
+}
+
+// sendOrder sends an order to the fleet service if the ownership lease and the
+// order's announcement are still valid when it is written.
+func (f *fleetController) sendOrder(ctx context.Context, dec fleetplan.Decision, until time.Duration) (platform.HostOrderOutcome, error) {
 	n := f.owner.node
 	ctx, cancel := context.WithTimeout(ctx, hostCallTimeout)
 	defer cancel()
 	holder := platform.HostOrderHolder{
-		Name: n.Name, Token: f.owner.token, Valid: func() bool { return f.owner.ownershipValid(n.Clock.Now()) },
+		Name: n.Name, Token: f.owner.token, Valid: func() bool {
+			now := n.Clock.Now()
+			return now < until && f.owner.ownershipValid(now)
+		},
 	}
 	if dec.Kind == fleetplan.Move {
 		return n.Fleet.MoveHost(ctx, holder, dec.Host, dec.To)
--- a/internal/node/hostorder_test.go
+++ b/internal/node/hostorder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
@@ -64,7 +65,7 @@
 			o.node.Fleet = fleet
 			o.lease = ownership.Lease{}
 			o.lease.Renew(o.node.Clock.Now() - ownership.LeaseDuration + c.left)
-			_, err := (&fleetController{owner: o}).sendOrder(t.Context(), fleetplan.Decision{Kind: kind, Host: "h1", To: "p", Wave: 1})
+			_, err := (&fleetController{owner: o}).sendOrder(t.Context(), fleetplan.Decision{Kind: kind, Host: "h1", To: "p", Wave: 1}, math.MaxInt64)
 			if fleet.sent != c.want || (c.want == 0) != errors.Is(err, platform.ErrUnavailable) {
 				t.Errorf("kind %v, lease ends in %v, sent after %v: %d orders sent, %v; want %d", kind, c.left, c.wait, fleet.sent, err, c.want)
 			}
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -153,9 +153,12 @@
 	usedIncomplete bool
 	hosts          []estate.Host
 	waves          []platform.PartRow
-	jobStamp       platform.Stamp
-	workers        entryChanges
-	cancels        cancelChanges
+	// announced lists the hosts that previous owners announced orders about, with
+	// NoVersion if none did.
+	announced platform.PartRow
+	jobStamp  platform.Stamp
+	workers   entryChanges
+	cancels   cancelChanges
 }
 
 // load fences the previous owners and reads the stored state. From then on
@@ -297,6 +300,7 @@
 	e.EntriesRead(l.workers.sent)
 	o.engine = e
 	o.fleetController = newFleetController(o, l.waves, workerHosts, now)
+	o.fleetController.announcer = newAnnouncer(o, l.announced)
 	progress := make(map[string]platform.PartRow, len(l.progress))
 	for _, r := range l.progress {
 		progress[r.Key] = r
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -33,6 +33,13 @@
 	if l.waves, _, err = rows.ReadRows(ctx, waveTable, recordsPart, "", ""); err != nil {
 		return err
 	}
+	announced, _, err := rows.ReadRows(ctx, announcedRow.Table, recordsPart, "", "")
+	if err != nil {
+		return err
+	}
+	if len(announced) > 0 {
+		l.announced = announced[0]
+	}
 	earlier, _, err := rows.ReadRows(ctx, usedWorkersTable, controlPart, "", "")
 	if err != nil {
 		return err
