--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -55,6 +55,8 @@
 	// fences are the conditions of this owner's transactions in the parts of
 	// the jobs, by part.
 	fences [jobParts]platform.RowCondition
+	// recordsFence is that of its transactions in the records part.
+	recordsFence platform.RowCondition
 	// previousHeartbeat is when the previous owner's last heartbeat was first
 	// seen.
 	previousHeartbeat time.Duration
@@ -151,9 +153,12 @@
 	usedIncomplete bool
 	hosts          []estate.Host
 	waves          []platform.PartRow
-	jobStamp       platform.Stamp
-	workers        entryChanges
-	cancels        cancelChanges
+	// announced lists the hosts that previous owners announced orders about, with
+	// NoVersion if none did.
+	announced platform.PartRow
+	jobStamp  platform.Stamp
+	workers   entryChanges
+	cancels   cancelChanges
 }
 
 // load fences the previous owners and reads the stored state. From then on
@@ -175,13 +180,7 @@
 	if l.progress, _, err = n.readJobParts(ctx, progressTable); err != nil {
 		return nil, err
 	}
-	usedRows, _, err := n.Rows.ReadRows(ctx, usedWorkersTable, controlPart, "", "")
-	if err != nil {
-		return nil, err
-	}
-	l.readUsedWorkers(usedRows, n.Log)
-	o.used.restore(usedRows)
-	if l.waves, _, err = n.Rows.ReadRows(ctx, waveTable, controlPart, "", ""); err != nil {
+	if err := o.loadRecords(ctx, l); err != nil {
 		return nil, err
 	}
 	if l.workers, err = n.readEntries(ctx); err != nil {
@@ -301,6 +300,7 @@
 	e.EntriesRead(l.workers.sent)
 	o.engine = e
 	o.fleetController = newFleetController(o, l.waves, workerHosts, now)
+	o.fleetController.announcer = newAnnouncer(o, l.announced)
 	progress := make(map[string]platform.PartRow, len(l.progress))
 	for _, r := range l.progress {
 		progress[r.Key] = r
@@ -331,7 +331,7 @@
 		event.RowUnreadable.Log(n.Log, zap.String("key", r.Key), zap.Error(err))
 		return
 	}
-	p := &workload.Progress{Queue: spec.Queue, State: workload.Queued}
+	p := &workload.Progress{Queue: spec.Queue, Team: spec.Team, State: workload.Queued}
 	version := r.Version
 	if recorded.Version != 0 {
 		if p, err = workload.DecodeProgress(recorded.Value); err != nil {
@@ -446,8 +446,8 @@
 	}()
 }
 
-// commitRelease stores an owner record without an owner, with the record of
-// workers in use if asked to: the successor then waits for none that has ended.
+// commitRelease stores an owner record without an owner, and before it the record
+// of workers in use if asked to: the successor then waits for none that has ended.
 func (o *owner) commitRelease(ctx context.Context, withWorkers bool) error {
 	record := o.record
 	record.Owner, record.Incarnation, record.Constrained = "", 0, false
@@ -460,13 +460,17 @@
 	if err != nil {
 		return err
 	}
-	txn := platform.RowTxn{Conditions: []platform.RowCondition{o.fence()}}
 	if withWorkers {
-		if txn, err = o.usedWorkersTxn(o.withHosts(o.engine.InUse(o.node.Clock.Now()))); err != nil {
+		txn, err := o.usedWorkersTxn(o.withHosts(o.engine.InUse(o.node.Clock.Now())))
+		if err != nil {
+			return err
+		}
+		if _, err := o.node.Rows.CommitRows(ctx, txn); err != nil {
 			return err
 		}
 	}
-	txn.Writes = append(txn.Writes, platform.RowWrite{RowKey: ownerRow, Value: value})
-	_, err = o.node.Rows.CommitRows(ctx, txn)
+	_, err = o.node.Rows.CommitRows(ctx, platform.RowTxn{
+		Conditions: []platform.RowCondition{o.fence()}, Writes: []platform.RowWrite{{RowKey: ownerRow, Value: value}},
+	})
 	return err
 }
