platform: teams with keys, and public queues, from the operator's configuration

Callers that are not under our control connect, and the configuration names teams with keys. It decodes them now. A configuration with a list of teams, also an empty one, requires keys; one without, or with null, does not.

A key that two teams list belongs to the one whose name comes first. Refusing it was ruled out, since it would refuse a key that the configuration holds, and so was the order of the list, which versions may change.

The errors of the JSON decoder were checked for quoted keys: it quotes numbers only where a number is expected.

A queue that is not public is stored with jobs as before: Public is left out there. The estimate of a progress row counts the team's name.

--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -19,13 +19,21 @@
 	Queues  map[string]*Queue
 	Pools   map[string]*Pool
 	// Teams holds the teams by name. It is empty where the configuration has none:
-	// then no caller needs a key, and there are no quotas and shares.
-	Teams  map[string]*Team
-	Limits Limits
+	// then there are no quotas and shares.
+	Teams map[string]*Team
+	// RequiresKeys is set if callers need a key of a team, except for public queues.
+	// It is set wherever the configuration has a list of teams, even an empty one.
+	RequiresKeys bool
+	Limits       Limits
+	// Problems are contradictions in the configuration that do not keep it from
+	// being used.
+	Problems []string
 
 	// byHost maps each lower-case host name to its queues, those with the
 	// longest path prefix first.
 	byHost map[string][]*Queue
+	// teamOfKey maps the digest of each valid key to its team.
+	teamOfKey map[KeyDigest]*Team
 }
 
 // Queue is a stream of jobs that one pool serves.
@@ -52,19 +60,9 @@
 	// recommendation service, nil if not.
 	Recommendation *Recommendation
 	// Public is set if callers need no key. The jobs of such a queue may have no
-	// team.
-	Public bool
-}
-
-// Team is a group of callers with shared quotas.
-type Team struct {
-	Name string
-	// Weight is the team's share of a full pool in proportion to those of the
-	// others, and the number of jobs a second that it may expect to be served.
-	Weight float64
-	// Quota bounds what the team's tasks hold on all workers together. A resource
-	// of 0 is not bounded.
-	Quota placement.Resources
+	// team. Jobs store the settings of their queue, and a row of a queue that is not
+	// public is as it was before there were public ones.
+	Public bool `json:",omitempty"`
 }
 
 // Recommendation describes the recommendation service that a queue uses.
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -113,6 +113,12 @@
 	Catalog *estate.Catalog
 	// Waves holds the maintenance waves that were written.
 	Waves []estate.Wave
+	// Unreadable is set if the newest configuration among the changes could not be
+	// decoded.
+	Unreadable bool
+	// MayHaveMore is set if there may be further changes that were stored before the
+	// answer.
+	MayHaveMore bool
 }
 
 // Operator reads the operator's configuration and maintenance waves, and reports
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -68,12 +68,12 @@
 // than a row holds is stored packed.
 func progressSize(p *workload.Progress) int {
 	const (
-		plain  = 150 // queue and state
+		plain  = 150 // queue, state and names of the fields
 		number = 8   // digits and separator
 		keys   = 30  // names of the fields of a crash
 		row    = 64 << 10
 	)
-	return min(row, plain+number*(3*len(p.Done)+4*len(p.Failures)+5*len(p.Crashes))+keys*len(p.Crashes))
+	return min(row, plain+len(p.Team)+number*(3*len(p.Done)+4*len(p.Failures)+5*len(p.Crashes))+keys*len(p.Crashes))
 }
 
 func (e *Engine) anyUrgent() bool {
