node: callers authenticate with a key of their team

Every caller could submit, read and cancel every job. Where the configuration requires keys, a request to a queue that is not public needs one of a team (401), a job is reached with a key of its team only (403), and its rows keep the team. A submission under an id that another team has stored is answered 403; two teams that submit one id at the same time go into different transactions, as those of one transaction share its outcome.

A process relies on its configuration up to the sending of the last call of the feed whose answer left nothing to read. Its connection, answers to other calls and open long polls were ruled out as signals: none tells of a newer version. Beyond bounds.config_apply_ms it answers 503 in place of 401, 403 and 404, and 503 to all requests while it reaches the table service, after a wait of up to 0.5 s for the feed: a paused process finds requests and the new version at the same time. With bounds.strict_revocation it refuses all from bounds.revoke_ms on.

A process that starts ignores versions below the highest one that any process recorded, so a withdrawn key stays invalid when an older version is delivered after a restart. The record is in a part of its own, off the heartbeats' part.

--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -163,6 +163,7 @@
 			}
 			debug.SetGCPercent(percent)
 		},
+		ConfigWithin: s.Bounds.ConfigWithin, StrictRevocation: s.Bounds.StrictRevocation, RevokeWithin: s.Bounds.RevokeWithin,
 		HolderLease: s.Bounds.HolderLease, Migration: s.Bounds.Migration,
 		Scheduling: scheduler.Options{
 			MaxLease: s.Bounds.MaxLease, StopGrace: s.Bounds.StopGrace, CancelWithin: s.Bounds.CancelWithin, DrainWithin: s.Bounds.DrainWithin,
@@ -181,7 +182,7 @@
 	callers := echo.New()
 	node.NewQueueAPI(n, node.Codec{
 		DecodeJob: platform.DecodeJob, EncodeState: platform.EncodeState, EncodePending: platform.EncodePending,
-		DeadlineHeader: platform.DeadlineHeader,
+		DeadlineHeader: platform.DeadlineHeader, CallerKey: platform.CallerKey, Challenge: platform.KeyChallenge,
 	}).Register(callers)
 	ready := echo.New()
 	ready.GET(platform.ReadyPath, func(c echo.Context) error {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -135,6 +135,12 @@
 	OwnershipHandedOver = New(528, zapcore.InfoLevel, "control work handed over to a larger host")
 )
 
+// Events of the configuration's teams and versions.
+var (
+	CatalogProblem = New(970, zapcore.WarnLevel, "configuration contradicts itself")
+	CatalogIgnored = New(971, zapcore.WarnLevel, "configuration ignored, a later one was in force")
+)
+
 // SettingsKept is logged when a process is told to reload its settings file
 // (SIGHUP) and the changes need a restart to take effect.
 var SettingsKept = New(104, zapcore.InfoLevel, "settings file changed, settings kept")
--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -66,7 +66,10 @@
 	// outcomeUnknown is set after an attempt that returned no usable answer and
 	// may still be applied.
 	outcomeUnknown bool
-	outcome        chan submitOutcome
+	// existing is the row of the job if an earlier attempt or request had stored it,
+	// nil otherwise. It is set before the outcome is sent.
+	existing *platform.PartRow
+	outcome  chan submitOutcome
 }
 
 // acceptor stores submitted jobs. It batches the jobs of each part and commits
@@ -89,10 +92,12 @@
 // It returns submitNotStored at once while the table service is unreachable, if
 // the queue of the job's part is full or if ctx has ended.
 func (a *acceptor) submit(ctx context.Context, job *workload.Job, deadline time.Time) submitOutcome {
-	s, err := newSubmission(job, deadline)
-	if err != nil {
-		return submitNotStored
-	}
+	outcome, _ := a.submitChecked(ctx, job, deadline)
+	return outcome
+}
+
+// await queues a submission and returns its outcome.
+func (a *acceptor) await(ctx context.Context, s *submission) submitOutcome {
 	s.callerGone = ctx.Done()
 	if len(s.rows[0].Value) > maxRowBytes {
 		return submitTooLarge // its transaction would fail, with the other jobs in it
@@ -101,11 +106,11 @@
 		return submitNotStored
 	}
 	select {
-	case a.queues[partOf(job.ID)] <- s:
+	case a.queues[partOf(s.job.ID)] <- s:
 	default:
 		return submitNotStored
 	}
-	timer := time.NewTimer(time.Until(deadline))
+	timer := time.NewTimer(time.Until(s.deadline))
 	defer timer.Stop()
 	select {
 	case outcome := <-s.outcome:
@@ -159,7 +164,7 @@
 			}
 		}
 		batch = fillBatch(batch, queue)
-		batch = a.store(ctx, batch)
+		batch = a.storeByTeam(ctx, batch)
 	}
 }
 
@@ -249,8 +254,10 @@
 func resolveConflict(batch []*submission, conflict *platform.RowConflict) []*submission {
 	var rest []*submission
 	for _, s := range batch {
+		existing := conflict.Row(s.rows[0].RowKey)
 		switch {
-		case conflict.Row(s.rows[0].RowKey).Version != platform.NoVersion:
+		case existing.Version != platform.NoVersion:
+			s.existing = &existing
 			s.outcome <- submitStored
 		case conflict.Row(jobRow(cancelTable, s.job.ID)).Version != platform.NoVersion:
 			s.outcome <- submitCancelled
--- /dev/null
+++ b/internal/node/authenticate_test.go
@@ -0,0 +1,277 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/egretpitch/egretpitch/internal/estate"
+	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/standin"
+	"github.com/egretpitch/egretpitch/internal/workload"
+)
+
+// teams lists the keys of each team.
+type teams map[string][]string
+
+// teamCatalog returns a configuration with a private queue at /q/ and another one at
+// /open/, which is public if open is set.
+func teamCatalog(version int64, keys teams, open bool) *estate.Catalog {
+	c := estate.NewCatalog(version, []*estate.Queue{
+		{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p"}, {Name: "open", Host: "h", PathPrefix: "/open/", Pool: "p", Public: open},
+	}, []*estate.Pool{{Name: "p"}}, estate.Limits{MaxBodyBytes: 1000})
+	var list []*estate.Team
+	for _, name := range slices.Sorted(maps.Keys(keys)) {
+		t := &estate.Team{Name: name}
+		for _, key := range keys[name] {
+			t.Keys = append(t.Keys, estate.DigestOf(key))
+		}
+		list = append(list, t)
+	}
+	c.SetTeams(list)
+	return c
+}
+
+const noKey = "(none)"
+
+// answerTo sends a request with a key and returns the status.
+func answerTo(e *echo.Echo, method, path, key string) int {
+	header := http.Header{"Key": {key}}
+	if key == noKey {
+		header = http.Header{}
+	}
+	return requestWith(e, method, path, testBody, header).Code
+}
+
+// teamNode returns a node whose configuration has the teams a and b, with the keys
+// ka and kb, and a public queue.
+func teamNode(t *testing.T) (*Node, *standin.Rows, *echo.Echo) {
+	n, rows, e := testNode(t)
+	n.adopt(platform.OperatorChanges{Catalog: teamCatalog(2, teams{"a": {"ka"}, "b": {"kb"}}, true)})
+	return n, rows, e
+}
+
+func TestQueueThatIsNotPublicNeedsAKey(t *testing.T) {
+	n, rows, e := teamNode(t)
+	for _, path := range []string{"/q/" + testID, "/q/"} {
+		for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodDelete} {
+			for _, key := range []string{noKey, "", "unknown"} {
+				if got := answerTo(e, method, path, key); got != http.StatusUnauthorized {
+					t.Errorf("%s %s with key %q: %d, want 401", method, path, key, got)
+				}
+			}
+		}
+	}
+	if w := requestWith(e, http.MethodGet, "/q/", "", http.Header{}); w.Header().Get(echo.HeaderWWWAuthenticate) != "Scheme" {
+		t.Errorf("headers %v, want a challenge", w.Header())
+	}
+	if got := answerTo(e, http.MethodGet, "/nowhere/", noKey); got != http.StatusNotFound {
+		t.Errorf("%d for a queue that does not exist, want 404", got)
+	}
+	if got := rows.Load().RowsWrote; got != 0 {
+		t.Errorf("%d rows were written for refused requests", got)
+	}
+	if got := n.metrics.refusals.String(); !strings.Contains(got, `"key_malformed": 6`) || !strings.Contains(got, `"key_missing": 7`) || !strings.Contains(got, `"key_unknown": 6`) {
+		t.Errorf("refusals %s", got)
+	}
+	if got := answerTo(e, http.MethodGet, "/q/", "kb"); got != http.StatusOK {
+		t.Errorf("%d for the count of pending jobs, want 200 for any team", got)
+	}
+	n.catalog.Store(nil)
+	if got := answerTo(e, http.MethodPost, "/q/"+testID, noKey); got != http.StatusServiceUnavailable {
+		t.Errorf("%d without a configuration, want 503", got)
+	}
+}
+
+// storedTeamOf returns the team in the rows of a job.
+func storedTeamOf(t *testing.T, n *Node, id string) string {
+	t.Helper()
+	p, err := n.readProgress(t.Context(), id)
+	rows, _, rowsErr := n.Rows.ReadRows(t.Context(), jobTable, partName(partOf(id)), id, id+"\x00")
+	if err != nil || p == nil || rowsErr != nil || len(rows) != 1 {
+		t.Fatalf("job %s: progress %v, %v, rows %v, %v", id, p, err, rows, rowsErr)
+	}
+	job, err := workload.DecodeJob(rows[0].Value)
+	if err != nil || job.Team != p.Team {
+		t.Fatalf("job %s is of team %q by its row and %q by its progress, %v", id, job.Team, p.Team, err)
+	}
+	return p.Team
+}
+
+// Jobs are numbered; each case says who submits one by which queue, and who asks for it.
+func TestJobIsReachedByItsTeamOnly(t *testing.T) {
+	n, _, e := teamNode(t)
+	for i, c := range []struct {
+		queue, key, team string
+		asks, by         string
+		want             int
+	}{
+		{"/q/", "ka", "a", "/q/", "ka", 200},
+		{"/q/", "ka", "a", "/q/", "kb", 403},
+		{"/q/", "ka", "a", "/open/", "kb", 403},
+		{"/q/", "ka", "a", "/open/", noKey, 401},
+		{"/q/", "ka", "a", "/open/", "unknown", 401},
+		{"/open/", "ka", "a", "/open/", "ka", 200},
+		{"/open/", "ka", "a", "/open/", "kb", 403},
+		{"/open/", "ka", "a", "/open/", noKey, 200},
+		{"/open/", noKey, "", "/open/", noKey, 200},
+		{"/open/", noKey, "", "/open/", "kb", 200},
+		{"/open/", "unknown", "", "/open/", "unknown", 200},
+	} {
+		id := fmt.Sprintf("%016x", i)
+		if got := answerTo(e, http.MethodPost, c.queue+id, c.key); got != http.StatusOK {
+			t.Fatalf("case %d: submission answered %d", i, got)
+		}
+		if got := storedTeamOf(t, n, id); got != c.team {
+			t.Errorf("case %d: team %q, want %q", i, got, c.team)
+		}
+		for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodDelete} {
+			if got := answerTo(e, method, c.asks+id, c.by); got != c.want {
+				t.Errorf("case %d: %s answered %d, want %d", i, method, got, c.want)
+			}
+		}
+		cancels, _, err := n.Rows.ReadRows(t.Context(), cancelTable, partName(partOf(id)), id, id+"\x00")
+		if err != nil || (len(cancels) == 1) != (c.want == 200) {
+			t.Errorf("case %d: cancellations %v, %v", i, cancels, err)
+		}
+	}
+}
+
+func TestKeysFollowTheVersionsOfTheConfiguration(t *testing.T) {
+	n, _, e := testNode(t)
+	const job = "/q/" + testID
+	type want map[string]int // by key
+	for _, c := range []struct {
+		catalog *estate.Catalog
+		want    want
+	}{
+		{teamCatalog(2, teams{"a": {"k1"}}, false), want{"k1": 200, "k2": 401}},
+		{teamCatalog(3, teams{"a": {"k1", "k2"}, "b": {"kb"}}, false), want{"k1": 200, "k2": 200, "kb": 403}},
+		{teamCatalog(4, teams{"a": {"k2"}, "b": {"kb"}}, false), want{"k1": 401, "k2": 200, "kb": 403}},
+		{teamCatalog(3, teams{"a": {"k1", "k2"}}, false), want{"k1": 401, "k2": 200}}, // delivered again
+		{teamCatalog(5, teams{"a": nil, "b": {"kb"}}, false), want{"k1": 401, "k2": 401, "kb": 403}},
+		{teamCatalog(6, nil, false), want{"k1": 401, "kb": 401}},
+		{teamCatalog(7, teams{"a": {"k1"}}, false), want{"k1": 200, "k2": 401}},
+		{testCatalog(8, "/q/"), want{"k1": 200, "k2": 200, noKey: 200}},
+		{teamCatalog(9, teams{"a": {"k3"}}, false), want{"k1": 401, "k3": 200}},
+	} {
+		n.adopt(platform.OperatorChanges{Catalog: c.catalog})
+		for _, key := range slices.Sorted(maps.Keys(c.want)) {
+			if got := answerTo(e, http.MethodPost, job, key); got != c.want[key] {
+				t.Errorf("version %d: POST with key %s answered %d, want %d", c.catalog.Version, key, got, c.want[key])
+			}
+			if got := answerTo(e, http.MethodGet, job, key); got != c.want[key] {
+				t.Errorf("version %d: GET with key %s answered %d, want %d", c.catalog.Version, key, got, c.want[key])
+			}
+		}
+	}
+	if got := storedTeamOf(t, n, testID); got != "a" {
+		t.Errorf("team %q at the end, want a", got)
+	}
+}
+
+func TestQueueBecomesPublicAndPrivateAgain(t *testing.T) {
+	n, _, e := testNode(t)
+	for i, want := range []int{http.StatusUnauthorized, http.StatusOK, http.StatusUnauthorized} {
+		n.adopt(platform.OperatorChanges{Catalog: teamCatalog(int64(2+i), teams{"a": {"ka"}}, want == http.StatusOK)})
+		if got := answerTo(e, http.MethodPost, "/open/"+testID, noKey); got != want {
+			t.Errorf("version %d: %d without a key, want %d", 2+i, got, want)
+		}
+	}
+	if got := answerTo(e, http.MethodGet, "/open/"+testID, "ka"); got != http.StatusOK {
+		t.Errorf("%d for the job without a team once a key is needed, want 200 with any valid one", got)
+	}
+}
+
+// Submissions of one batch share the outcome of their id.
+func TestConcurrentSubmissionsOfTwoTeamsAreNotOne(t *testing.T) {
+	n, _, _ := testNode(t)
+	var batch []*submission
+	for _, team := range []string{"a", "b", "a"} {
+		s, err := newSubmission(&workload.Job{ID: testID, Queue: "q", Team: team}, time.Now().Add(time.Minute))
+		if err != nil {
+			t.Fatal(err)
+		}
+		batch = append(batch, s)
+	}
+	for rest := batch; len(rest) > 0; {
+		rest = n.acceptor.storeByTeam(context.Background(), rest)
+	}
+	for i, stored := range []bool{false, true, false} {
+		if outcome := <-batch[i].outcome; outcome != submitStored || (batch[i].existing != nil) != stored {
+			t.Errorf("submission %d: outcome %d, existing row %v; want an existing row: %v", i, outcome, batch[i].existing, stored)
+		}
+	}
+}
+
+// The conflict of the store's answer may hold no values.
+func TestTeamOfAStoredJobIsReadIfTheConflictLacksIt(t *testing.T) {
+	n, rows, e := teamNode(t)
+	answerTo(e, http.MethodPost, "/q/"+testID, "ka")
+	n.Rows = withoutValues{rows}
+	for key, want := range map[string]int{"ka": http.StatusOK, "kb": http.StatusForbidden} {
+		if got := answerTo(e, http.MethodPost, "/q/"+testID, key); got != want {
+			t.Errorf("key %s: %d, want %d", key, got, want)
+		}
+	}
+}
+
+// withoutValues is a table service whose conflicts hold no values.
+type withoutValues struct{ platform.Rows }
+
+func (s withoutValues) CommitRows(ctx context.Context, txn platform.RowTxn) (platform.Stamp, error) {
+	stamp, err := s.Rows.CommitRows(ctx, txn)
+	if conflict := (&platform.RowConflict{}); errors.As(err, &conflict) {
+		for i := range conflict.Rows {
+			conflict.Rows[i].Value = nil
+		}
+	}
+	return stamp, err
+}
+
+func TestKeysAreNeverLogged(t *testing.T) {
+	n, _, e := testNode(t)
+	var log bytes.Buffer
+	n.Log = zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.Lock(zapcore.AddSync(&log)), zapcore.DebugLevel))
+	keys := []string{"secret-a", "secret-shared", "secret-unknown"}
+	n.adopt(platform.OperatorChanges{Catalog: teamCatalog(2, teams{"a": {"secret-a", "secret-shared"}, "b": {"secret-shared"}}, true)})
+	var answers strings.Builder
+	for _, key := range keys {
+		for _, path := range []string{"/q/" + testID, "/open/" + testID, "/q/"} {
+			for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodDelete} {
+				w := requestWith(e, method, path, testBody, http.Header{"Key": {key}})
+				fmt.Fprint(&answers, w.Header(), w.Body.String())
+			}
+		}
+	}
+	stored, _, err := n.readJobParts(t.Context(), jobTable)
+	if err != nil {
+		t.Fatal(err)
+	}
+	shown := fmt.Sprint(log.String(), answers.String(), n.metrics.refusals, n.configurationMetrics(), n.catalog.Load().Teams["a"])
+	for _, r := range stored {
+		shown += string(r.Value)
+	}
+	for _, key := range keys {
+		digest := estate.DigestOf(key)
+		if whole := hex.EncodeToString(digest[:]); strings.Contains(shown, key) || strings.Contains(shown, whole[:12]) {
+			t.Errorf("the key %s or its digest is in what is logged, answered, stored or measured: %s", key, shown)
+		}
+	}
+	unknown := estate.DigestOf("secret-unknown")
+	if !strings.Contains(log.String(), `"fingerprint":"`+unknown.Fingerprint()) || !strings.Contains(log.String(), `"event":970`) {
+		t.Errorf("log %s, want the fingerprint of the refused key and the key of two teams", log.String())
+	}
+}
--- /dev/null
+++ b/internal/node/configuration.go
@@ -0,0 +1,218 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/egretpitch/egretpitch/internal/ctxtime"
+	"github.com/egretpitch/egretpitch/internal/event"
+	"github.com/egretpitch/egretpitch/internal/platform"
+)
+
+const (
+	// confirmationWait is how long a request waits for the configuration to be
+	// confirmed after a pause of this process: two calls of the feed on a slow
+	// connection. It is a small part of a caller's timeout.
+	confirmationWait = 500 * time.Millisecond
+	// confirmationPoll is how often such a request looks.
+	confirmationPoll = 10 * time.Millisecond
+	// floorDelay bounds the random delay before a process stores the version that
+	// it has adopted: all processes adopt one at the same time, and one of them
+	// suffices.
+	floorDelay = time.Second
+	// floorRetryDelay is the delay after an attempt that failed.
+	floorRetryDelay = time.Second
+	// floorTimeout bounds one attempt.
+	floorTimeout = 3 * time.Second
+)
+
+// confirmation tells up to which time this process knows the configuration. Only
+// an answer to a call about the configuration confirms it, not that the service is
+// connected or answers other calls. The time is that of the sending of the call:
+// the answer to a long poll says nothing about changes after the service wrote it,
+// and may have waited on its way or in this process. It is safe for concurrent use.
+type confirmation struct {
+	// at is the time up to which the configuration is known, 0 for never.
+	at atomic.Int64
+	// unreadableSince is when an answer came whose configuration could not be
+	// decoded, 0 if a later one could be.
+	unreadableSince atomic.Int64
+}
+
+// observe records an answer to a call about the configuration. It is called by one
+// goroutine.
+func (c *confirmation) observe(changes platform.OperatorChanges, sent, received time.Duration) {
+	if !changes.MayHaveMore && int64(sent) > c.at.Load() {
+		c.at.Store(int64(sent))
+	}
+	switch {
+	case changes.Unreadable:
+		c.unreadableSince.CompareAndSwap(0, int64(received))
+	case changes.Catalog != nil:
+		c.unreadableSince.Store(0)
+	}
+}
+
+// age returns how long ago the configuration was last known. It returns false if
+// it never was.
+func (c *confirmation) age(now time.Duration) (time.Duration, bool) {
+	at := time.Duration(c.at.Load())
+	return max(0, now-at), at != 0
+}
+
+// strictAge is age, and at least the time since which a configuration is stored
+// that cannot be decoded: it may withdraw any key.
+func (c *confirmation) strictAge(now time.Duration) (time.Duration, bool) {
+	age, known := c.age(now)
+	if since := time.Duration(c.unreadableSince.Load()); since != 0 {
+		age = max(age, now-since)
+	}
+	return age, known
+}
+
+// configurationUse says what a process may do by its configuration.
+type configurationUse int
+
+const (
+	// configurationCurrent means that the configuration is in force.
+	configurationCurrent configurationUse = iota
+	// configurationLast means that the process cannot reach the table service and
+	// continues with its last configuration: requests are served, but those that it
+	// forbids may be allowed meanwhile.
+	configurationLast
+	// configurationUnconfirmed means that no request may be served.
+	configurationUnconfirmed
+)
+
+// configurationUse decides what requests may rely on. A process that answers other
+// calls of the service must have the configuration in force within ConfigWithin, so
+// it refuses requests until the feed answers; that happens after a pause of the
+// process, and where the feed alone is silent.
+func (n *Node) configurationUse() configurationUse {
+	now := n.Clock.Now()
+	age, known := n.confirmed.age(now)
+	strictAge, _ := n.confirmed.strictAge(now)
+	switch {
+	case n.StrictRevocation && (!known || strictAge > n.RevokeWithin):
+		return configurationUnconfirmed
+	case n.ConfigWithin == 0 || age <= n.ConfigWithin:
+		return configurationCurrent
+	case n.reachability.unreachable():
+		return configurationLast
+	}
+	return configurationUnconfirmed
+}
+
+// awaitConfiguration is configurationUse, and waits a while for the feed first if
+// the process may have been paused.
+func (n *Node) awaitConfiguration(ctx context.Context, deadline time.Time) configurationUse {
+	use := n.configurationUse()
+	for until := time.Now().Add(min(confirmationWait, time.Until(deadline))); use == configurationUnconfirmed; use = n.configurationUse() {
+		if n.reachability.unreachable() || !time.Now().Before(until) || ctxtime.Sleep(ctx, confirmationPoll) != nil {
+			break
+		}
+	}
+	return use
+}
+
+// configFloorRow holds the highest version of the configuration that a process has
+// put in force. All processes write it at the same time, so it is in a part of its
+// own, where that does not delay heartbeats.
+var configFloorRow = platform.RowKey{Table: configTable, Part: "config", Key: "in-force"}
+
+type configFloor struct {
+	Version int64 `json:"version"`
+}
+
+// floor is the highest version of the configuration that any process has recorded.
+// A process that starts ignores lower ones: they may hold keys that were withdrawn.
+type floor struct {
+	read atomic.Bool
+	// version is the recorded version of the configuration, and row that of the row.
+	version, row atomic.Int64
+	// adopted signals that a configuration was adopted.
+	adopted chan struct{}
+}
+
+// readFloor reads the recorded version. A row that cannot be decoded counts as none.
+func (n *Node) readFloor(ctx context.Context) error {
+	rows, _, err := n.Rows.ReadRows(ctx, configFloorRow.Table, configFloorRow.Part, "", "")
+	if err != nil {
+		return err
+	}
+	n.floor.row.Store(platform.NoVersion)
+	for _, r := range rows {
+		var stored configFloor
+		if err := json.Unmarshal(r.Value, &stored); err != nil {
+			event.RowUnreadable.Log(n.Log, zap.String("key", r.Key), zap.Error(err))
+		}
+		n.floor.version.Store(max(stored.Version, n.floor.version.Load()))
+		n.floor.row.Store(r.Version)
+	}
+	n.floor.read.Store(true)
+	return nil
+}
+
+// keepFloor records each adopted version in the table service until ctx ends. A
+// configuration that never had teams withdraws no keys and is not recorded. Only a
+// process that is restarted relies on the record, so adoption does not wait for it.
+func (n *Node) keepFloor(ctx context.Context) error {
+	for {
+		select {
+		case <-n.floor.adopted:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		delay := rand.N(floorDelay)
+		for {
+			if err := ctxtime.Sleep(ctx, delay); err != nil {
+				return err
+			}
+			c := n.catalog.Load()
+			if c == nil || c.Version <= n.floor.version.Load() || (!c.RequiresKeys && n.floor.version.Load() == 0) {
+				break
+			}
+			n.storeFloor(ctx, c.Version)
+			delay = floorRetryDelay
+		}
+	}
+}
+
+// storeFloor attempts to record a version. It reads the row again if that is not as
+// it was last read.
+func (n *Node) storeFloor(ctx context.Context, version int64) {
+	value, err := json.Marshal(configFloor{Version: version})
+	if err != nil {
+		return // it has no field that cannot be encoded
+	}
+	ctx, cancel := context.WithTimeout(ctx, floorTimeout)
+	defer cancel()
+	stamp, err := n.Rows.CommitRows(ctx, platform.RowTxn{
+		Conditions: []platform.RowCondition{{RowKey: configFloorRow, Version: n.floor.row.Load()}},
+		Writes:     []platform.RowWrite{{RowKey: configFloorRow, Value: value}},
+	})
+	if err != nil {
+		_ = n.readFloor(ctx) // the next attempt fails as well if the row is not known
+		return
+	}
+	n.floor.version.Store(version)
+	n.floor.row.Store(stamp.Version)
+}
+
+// configurationMetrics returns the version in force, 0 for none, how long ago it was
+// last known to be up to date in microseconds, -1 for never, and what it holds.
+func (n *Node) configurationMetrics() map[string]any {
+	out := map[string]any{"version": int64(0), "age_us": int64(-1), "recorded_version": n.floor.version.Load()}
+	if age, known := n.confirmed.age(n.Clock.Now()); known {
+		out["age_us"] = age.Microseconds()
+	}
+	if c := n.catalog.Load(); c != nil {
+		out["version"], out["teams"], out["keys"], out["requires_keys"] = c.Version, len(c.Teams), c.KeyCount(), c.RequiresKeys
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/configuration_test.go
@@ -0,0 +1,184 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/egretpitch/egretpitch/internal/platform"
+)
+
+// operatorRow is an operator that answers a call for changes once there is one.
+type operatorRow struct {
+	platform.Operator
+	changes chan platform.OperatorChanges
+	current platform.OperatorChanges
+}
+
+func (o *operatorRow) ReadOperator(context.Context) (platform.OperatorChanges, error) {
+	return o.current, nil
+}
+
+func (o *operatorRow) WatchOperator(ctx context.Context, _ int64, _ time.Duration) (platform.OperatorChanges, error) {
+	select {
+	case c := <-o.changes:
+		return c, nil
+	case <-ctx.Done():
+		return platform.OperatorChanges{}, ctx.Err()
+	}
+}
+
+// watching returns a node that follows an operator until the test ends.
+func watching(t *testing.T, rows platform.Rows, o *operatorRow) *Node {
+	n := New(Options{Name: "n", Rows: rows, Operator: o, Log: zap.NewNop()})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = n.watchOperator(ctx) }()
+	go func() { _ = n.keepFloor(ctx) }()
+	return n
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within 5 s: %s", what)
+		}
+	}
+}
+
+// The old version is delivered to a process that has not seen the withdrawal itself.
+func TestWithdrawnKeyStaysInvalidAfterARestart(t *testing.T) {
+	_, rows, _ := testNode(t)
+	old := teamCatalog(4, teams{"a": {"k1"}}, false)
+	first := watching(t, rows, &operatorRow{current: platform.OperatorChanges{Catalog: teamCatalog(5, teams{"a": {"k2"}}, false)}})
+	second := watching(t, rows, &operatorRow{current: platform.OperatorChanges{Catalog: teamCatalog(5, teams{"a": {"k2"}}, false)}})
+	for _, n := range []*Node{first, second} {
+		eventually(t, "version 5 is recorded", func() bool { return n.floor.version.Load() == 5 })
+	}
+	o := &operatorRow{current: platform.OperatorChanges{Catalog: old}, changes: make(chan platform.OperatorChanges)}
+	restarted := watching(t, rows, o)
+	o.changes <- platform.OperatorChanges{Catalog: old}
+	o.changes <- platform.OperatorChanges{}
+	if c := restarted.catalog.Load(); c != nil || restarted.Ready() {
+		t.Fatalf("version %d is in force, want none", c.Version)
+	}
+	o.changes <- platform.OperatorChanges{Catalog: teamCatalog(6, teams{"a": {"k1"}}, false)}
+	eventually(t, "version 6 is in force", func() bool { return catalogVersion(restarted.catalog.Load()) == 6 })
+	eventually(t, "version 6 is recorded", func() bool { return restarted.floor.version.Load() == 6 })
+}
+
+func TestVersionsWithoutTeamsAreNotRecorded(t *testing.T) {
+	_, rows, _ := testNode(t)
+	n := watching(t, rows, &operatorRow{current: platform.OperatorChanges{Catalog: testCatalog(5, "/q/")}})
+	eventually(t, "version 5 is in force", func() bool { return n.catalog.Load() != nil })
+	time.Sleep(floorDelay + 100*time.Millisecond)
+	if got := rows.Load().RowsWrote; got != 0 {
+		t.Errorf("%d rows were written", got)
+	}
+}
+
+func TestWhatAProcessServesWithoutTheTableService(t *testing.T) {
+	const within, revoke = 3 * time.Second, 5 * time.Second
+	for _, c := range []struct {
+		name                string
+		strict, unreachable bool
+		// age is how long ago the configuration was known, unreadable since when one is
+		// stored that cannot be decoded.
+		age, unreadable      time.Duration
+		valid, unknown, none int
+	}{
+		{"up to date", false, false, time.Second, 0, 200, 401, 404},
+		{"unreachable for a moment", false, true, time.Second, 0, 200, 401, 404},
+		{"unreachable", false, true, time.Minute, 0, 200, 503, 503},
+		{"the feed alone is silent", false, false, time.Minute, 0, 503, 503, 503},
+		{"unreadable", false, false, time.Second, time.Minute, 200, 401, 404},
+		{"strict, up to date", true, false, time.Second, 0, 200, 401, 404},
+		{"strict, unreachable for less than the bound", true, true, 4 * time.Second, 0, 200, 503, 503},
+		{"strict, unreachable", true, true, 6 * time.Second, 0, 503, 503, 503},
+		{"strict, the feed alone is silent", true, false, 6 * time.Second, 0, 503, 503, 503},
+		{"strict, unreadable", true, false, time.Second, 6 * time.Second, 503, 503, 503},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n, _, e := teamNode(t)
+			n.ConfigWithin, n.StrictRevocation, n.RevokeWithin = within, c.strict, revoke
+			now := n.Clock.Now()
+			n.confirmed.at.Store(int64(now - c.age))
+			if c.unreadable > 0 {
+				n.confirmed.unreadableSince.Store(int64(now - c.unreadable))
+			}
+			if c.unreachable {
+				n.reachability.failingSince.Store(time.Now().Add(-c.age).UnixNano())
+			}
+			for path, want := range map[string]map[string]int{"/q/": {"ka": c.valid, "unknown": c.unknown}, "/nowhere/": {"ka": c.none}} {
+				for key, want := range want {
+					if got := answerTo(e, http.MethodGet, path, key); got != want {
+						t.Errorf("GET %s with key %s: %d, want %d", path, key, got, want)
+					}
+				}
+			}
+		})
+	}
+}
+
+// A process that was paused finds requests and the answer of the feed at the same time.
+func TestRequestAfterAPauseWaitsForTheConfiguration(t *testing.T) {
+	n, _, e := teamNode(t)
+	n.ConfigWithin = 3 * time.Second
+	n.confirmed.at.Store(int64(n.Clock.Now() - time.Minute))
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		n.adopt(platform.OperatorChanges{Catalog: teamCatalog(3, teams{"a": {"k2"}}, false)})
+		n.confirmed.observe(platform.OperatorChanges{}, n.Clock.Now(), n.Clock.Now())
+	}()
+	if got := answerTo(e, http.MethodPost, "/q/"+testID, "ka"); got != http.StatusUnauthorized {
+		t.Errorf("%d for a key that was withdrawn during the pause, want 401", got)
+	}
+}
+
+func TestOnlyAnAnswerThatLeavesNothingToReadConfirmsTheConfiguration(t *testing.T) {
+	var c confirmation
+	age := func() time.Duration {
+		age, _ := c.age(100 * time.Second)
+		return age
+	}
+	if _, known := c.age(time.Second); known {
+		t.Error("known before the first answer")
+	}
+	c.observe(platform.OperatorChanges{}, 90*time.Second, 95*time.Second)
+	c.observe(platform.OperatorChanges{MayHaveMore: true}, 97*time.Second, 98*time.Second)
+	c.observe(platform.OperatorChanges{}, 80*time.Second, 99*time.Second) // a late answer
+	if got := age(); got != 10*time.Second {
+		t.Errorf("age %v, want 10 s: since the sending of the newest call with all changes", got)
+	}
+	c.observe(platform.OperatorChanges{Unreadable: true}, 92*time.Second, 93*time.Second)
+	c.observe(platform.OperatorChanges{}, 99*time.Second, 100*time.Second)
+	if strict, _ := c.strictAge(100 * time.Second); age() != time.Second || strict != 7*time.Second {
+		t.Errorf("age %v, strict %v; want 1 s, and 7 s since the unreadable one", age(), strict)
+	}
+	c.observe(platform.OperatorChanges{Catalog: testCatalog(1, "/")}, 99*time.Second, 100*time.Second)
+	if strict, _ := c.strictAge(100 * time.Second); strict != time.Second {
+		t.Errorf("strict age %v after a readable one, want 1 s", strict)
+	}
+}
+
+// The connection of the feed is open and its calls are not answered.
+func TestConnectedButSilentFeedDoesNotConfirm(t *testing.T) {
+	_, rows, _ := testNode(t)
+	o := &operatorRow{current: platform.OperatorChanges{Catalog: teamCatalog(5, nil, false)}, changes: make(chan platform.OperatorChanges)}
+	n := watching(t, rows, o)
+	eventually(t, "a configuration is in force", func() bool { return n.catalog.Load() != nil })
+	n.reachability.observe(nil) // other calls are answered
+	time.Sleep(100 * time.Millisecond)
+	if age, known := n.confirmed.age(n.Clock.Now()); !known || age < 100*time.Millisecond {
+		t.Errorf("age %v, known %v; want at least the time without an answer", age, known)
+	}
+	before := n.Clock.Now()
+	o.changes <- platform.OperatorChanges{}
+	o.changes <- platform.OperatorChanges{} // to a call that was sent after the first answer
+	eventually(t, "an answer confirms", func() bool { return n.confirmed.at.Load() >= int64(before) })
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -17,9 +18,13 @@
 	requests   *expvar.Map
 	latency    map[string]*histogram
 	ownerships *expvar.Int
-	cancelled  *cancelledRuns
-	mu         sync.Mutex
-	stats      scheduler.Stats
+	// refusals counts the requests that the configuration did not allow, by refusal.
+	refusals *expvar.Map
+	// configuration returns the figures of the configuration in force.
+	configuration atomic.Pointer[func() map[string]any]
+	cancelled     *cancelledRuns
+	mu            sync.Mutex
+	stats         scheduler.Stats
 }
 
 // histogram is a latency histogram that is safe for concurrent use.
@@ -64,11 +69,18 @@
 // newMetrics returns new metrics. Only those of the first call are published.
 func newMetrics() *metrics {
 	m := &metrics{
-		requests: new(expvar.Map).Init(), ownerships: new(expvar.Int), cancelled: newCancelledRuns(),
+		requests: new(expvar.Map).Init(), refusals: new(expvar.Map).Init(), ownerships: new(expvar.Int), cancelled: newCancelledRuns(),
 		latency: map[string]*histogram{"POST": newHistogram(), "GET": newHistogram(), "DELETE": newHistogram()},
 	}
 	publishOnce.Do(func() {
 		expvar.Publish("egretpitch_node_requests", m.requests)
+		expvar.Publish("egretpitch_node_refusals", m.refusals)
+		expvar.Publish("egretpitch_node_configuration", expvar.Func(func() any {
+			if f := m.configuration.Load(); f != nil {
+				return (*f)()
+			}
+			return nil
+		}))
 		expvar.Publish("egretpitch_node_ownerships", m.ownerships)
 		expvar.Publish("egretpitch_node_latency_us", expvar.Func(func() any {
 			out := map[string]any{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,13 @@
 	// OwnershipChanged is called when this process begins to own the control work
 	// and when it no longer does, if set.
 	OwnershipChanged func(owner bool)
+	// ConfigWithin is the time after which a stored configuration must be in force
+	// here while the process reaches the table service, 0 for no bound.
+	ConfigWithin time.Duration
+	// StrictRevocation is set if requests are refused once the configuration has not
+	// been known to be up to date for RevokeWithin.
+	StrictRevocation bool
+	RevokeWithin     time.Duration
 	// HolderLease is the minimum time between orders about hosts by two
 	// holders.
 	HolderLease time.Duration
@@ -60,6 +67,8 @@
 	incarnation uint64
 
 	catalog      atomic.Pointer[estate.Catalog]
+	confirmed    confirmation
+	floor        floor
 	view         atomic.Pointer[ownership.View]
 	waves        waveSet
 	acceptor     *acceptor
@@ -97,6 +106,9 @@
 	n.view.Store(&ownership.View{})
 	n.acceptor = newAcceptor(n)
 	n.newJobs = newNewJobs(n)
+	n.floor.adopted = make(chan struct{}, 1)
+	configuration := n.configurationMetrics
+	n.metrics.configuration.Store(&configuration)
 	return n
 }
 
@@ -106,6 +118,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return n.watchOperator(ctx) })
 	group.Go(func() error { return n.watchControl(ctx) })
+	group.Go(func() error { return n.keepFloor(ctx) })
 	group.Go(func() error { return n.acceptor.run(ctx) })
 	return group.Wait()
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -45,6 +45,8 @@
 		EncodeState:    func(s workload.State) map[string]string { return map[string]string{"state": string(s)} },
 		EncodePending:  func(n int) map[string]int { return map[string]int{"pending": n} },
 		DeadlineHeader: "Deadline",
+		CallerKey:      func(h http.Header) (string, bool) { return h.Get("Key"), len(h["Key"]) > 0 },
+		Challenge:      "Scheme",
 	}).Register(e)
 	return n, rows, e
 }
@@ -65,14 +67,22 @@
 
 // requestWithType is request with a content type, empty for none.
 func requestWithType(e *echo.Echo, method, path, body, media string) (int, string) {
-	r := httptest.NewRequest(method, "http://h"+path, strings.NewReader(body))
-	r.Header.Set("Deadline", "3000")
+	header := http.Header{}
 	if media != "" {
-		r.Header.Set("Content-Type", media)
+		header.Set("Content-Type", media)
 	}
+	w := requestWith(e, method, path, body, header)
+	return w.Code, w.Body.String()
+}
+
+// requestWith sends a request with headers and returns the answer.
+func requestWith(e *echo.Echo, method, path, body string, header http.Header) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, "http://h"+path, strings.NewReader(body))
+	r.Header = header.Clone()
+	r.Header.Set("Deadline", "3000")
 	w := httptest.NewRecorder()
 	e.ServeHTTP(w, r)
-	return w.Code, w.Body.String()
+	return w
 }
 
 const testBody = `[{"Count":1}]`
--- a/internal/node/queueapi.go
+++ b/internal/node/queueapi.go
@@ -46,6 +46,12 @@
 // Codec decodes and encodes the bodies of the callers' API, and names its
 // deadline header, whose value is in milliseconds.
 type Codec struct {
+	// CallerKey returns the key in the headers of a request. present is set if the
+	// request has one at all; the key is empty if that is malformed.
+	CallerKey func(http.Header) (key string, present bool)
+	// Challenge names the scheme of keys in an answer that a key is needed.
+	Challenge string
+
 	DecodeJob      func(id, queue, pool string, body []byte) (*workload.Job, error)
 	EncodeState    func(workload.State) map[string]string
 	EncodePending  func(int) map[string]int
@@ -79,6 +85,9 @@
 	id       string
 	deadline time.Time
 	catalog  *estate.Catalog
+	caller   caller
+	// use is what the request may rely on the catalog for.
+	use configurationUse
 }
 
 // response is the answer to a request. reason is logged, and sent as the error
@@ -119,8 +128,8 @@
 
 // route finds the queue by host and path and serves the request.
 func (h *QueueAPI) route(r *queueRequest, serve func(*queueRequest) response) response {
-	if r.catalog == nil {
-		return response{status: http.StatusServiceUnavailable, reason: "no configuration yet"}
+	if a, ok := h.checkConfiguration(r); !ok {
+		return a
 	}
 	host := r.Request().Host
 	if name, _, err := net.SplitHostPort(host); err == nil {
@@ -128,7 +137,10 @@
 	}
 	r.queue, r.id = r.catalog.Route(host, r.Request().URL.Path)
 	if r.queue == nil {
-		return response{status: http.StatusNotFound, reason: "no such queue"}
+		return h.refuse(r, http.StatusNotFound, refusedNoQueue)
+	}
+	if a, ok := h.authenticate(r); !ok {
+		return a
 	}
 	return serve(r)
 }
@@ -182,9 +194,13 @@
 	if err != nil {
 		return response{status: http.StatusBadRequest, reason: err.Error()}
 	}
-	job.AcceptedMS, job.Terms = h.node.Clock.StoreMS(h.node.Clock.Now()), r.queue
-	switch h.node.acceptor.submit(r.Request().Context(), job, r.deadline) {
+	job.AcceptedMS, job.Terms, job.Team = h.node.Clock.StoreMS(h.node.Clock.Now()), r.queue, r.caller.team
+	outcome, existing := h.node.acceptor.submitChecked(r.Request().Context(), job, r.deadline)
+	switch outcome {
 	case submitStored:
+		if a, ok := h.authorizeStored(r, existing); !ok {
+			return a
+		}
 		return response{status: http.StatusOK, body: h.codec.EncodeState(workload.Queued), reason: "stored"}
 	case submitNotStored:
 		return response{status: http.StatusServiceUnavailable, reason: "not stored: table service unavailable"}
@@ -214,6 +230,9 @@
 	case p == nil:
 		return response{status: http.StatusGone, reason: "no such job"}
 	}
+	if a, ok := h.authorize(r, p.Team, p.Queue); !ok {
+		return a
+	}
 	return response{status: http.StatusOK, body: h.codec.EncodeState(p.State), reason: string(p.State)}
 }
 
@@ -279,7 +298,16 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Request().Context(), r.deadline)
 	defer cancel()
-	before, status, err := h.node.cancelJob(ctx, r.id)
+	before, err := h.node.readProgress(ctx, r.id)
+	if err != nil {
+		return response{status: http.StatusServiceUnavailable, reason: err.Error()}
+	}
+	if before != nil {
+		if a, ok := h.authorize(r, before.Team, before.Queue); !ok {
+			return a
+		}
+	}
+	status, err := h.node.cancelKnown(ctx, r.id, before)
 	switch {
 	case err != nil:
 		return response{status: status, reason: err.Error()}
@@ -301,13 +329,19 @@
 	if err != nil {
 		return nil, http.StatusServiceUnavailable, err
 	}
+	status, err = n.cancelKnown(ctx, id, before)
+	return before, status, err
+}
+
+// cancelKnown is cancelJob for a job whose progress was just read.
+func (n *Node) cancelKnown(ctx context.Context, id string, before *workload.Progress) (status int, err error) {
 	if before != nil && before.State.Over() {
-		return before, 0, nil
+		return 0, nil
 	}
 	if err := n.writeCancel(ctx, id); err != nil {
-		return nil, http.StatusGatewayTimeout, err
+		return http.StatusGatewayTimeout, err
 	}
-	return before, 0, nil
+	return 0, nil
 }
 
 // writeCancel stores the cancellation of a job. The write is idempotent, so an
--- a/internal/node/schema.go
+++ b/internal/node/schema.go
@@ -20,6 +20,7 @@
 	usedWorkersTable = "egretpitch-fenced"
 	waveTable        = "egretpitch-waves"
 	fenceTable       = "egretpitch-fence"
+	configTable      = "egretpitch-config"
 	jobTable         = "egretpitch-jobs"
 	progressTable    = "egretpitch-progress"
 	// cancelTable holds a row for each cancelled job, under the job's id. A job is
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -23,37 +23,60 @@
 // watchOperator keeps the catalog and the maintenance waves up to date until
 // ctx ends.
 func (n *Node) watchOperator(ctx context.Context) error {
-	answer := func(c platform.OperatorChanges, err error) (handleAnswer, error) {
+	answer := func(sent time.Duration, c platform.OperatorChanges, err error) (handleAnswer, error) {
 		return func() (int64, error) {
-			n.Clock.ObserveStore(c.Stamp, n.Clock.Now())
+			now := n.Clock.Now()
+			n.Clock.ObserveStore(c.Stamp, now)
 			n.adopt(c)
+			n.confirmed.observe(c, sent, now)
 			return c.Version, nil
 		}, err
 	}
 	f := feed{
 		name: "operator's configuration", log: n.Log, version: unread, wait: feedLongPollWait,
-		readAll: func(ctx context.Context) (handleAnswer, error) { return answer(n.Operator.ReadOperator(ctx)) },
+		readAll: func(ctx context.Context) (handleAnswer, error) {
+			if !n.floor.read.Load() {
+				if err := n.readFloor(ctx); err != nil {
+					return nil, err
+				}
+			}
+			sent := n.Clock.Now()
+			c, err := n.Operator.ReadOperator(ctx)
+			return answer(sent, c, err)
+		},
 		readChanges: func(ctx context.Context, after int64) (handleAnswer, error) {
-			return answer(n.Operator.WatchOperator(ctx, after, feedLongPollWait))
+			sent := n.Clock.Now()
+			c, err := n.Operator.WatchOperator(ctx, after, feedLongPollWait)
+			return answer(sent, c, err)
 		},
 	}
 	return f.run(ctx)
 }
 
 // adopt adds new waves and puts a newer catalog in force. An older catalog is
-// ignored.
+// ignored, also if only a process that has ended had put a newer one in force.
 func (n *Node) adopt(c platform.OperatorChanges) {
 	n.waves.add(c.Waves)
 	old := n.catalog.Load()
-	if c.Catalog == nil || (old != nil && c.Catalog.Version <= old.Version) {
+	if c.Catalog == nil || (old != nil && c.Catalog.Version == old.Version) {
+		return
+	}
+	if highest := max(n.floor.version.Load(), catalogVersion(old)); c.Catalog.Version < highest {
+		event.CatalogIgnored.Log(n.Log, zap.Int64("version", c.Catalog.Version), zap.Int64("highest", highest))
 		return
 	}
 	n.catalog.Store(c.Catalog)
 	event.CatalogAdopted.Log(n.Log, zap.Int64("version", c.Catalog.Version), zap.Int("queues", len(c.Catalog.Queues)),
-		zap.Int("pools", len(c.Catalog.Pools)), zap.Int64("store_version", c.Version))
-	select {
-	case n.catalogChanged <- struct{}{}:
-	default:
+		zap.Int("pools", len(c.Catalog.Pools)), zap.Int("teams", len(c.Catalog.Teams)), zap.Int("keys", c.Catalog.KeyCount()),
+		zap.Bool("requires_keys", c.Catalog.RequiresKeys), zap.Int64("store_version", c.Version))
+	for _, problem := range c.Catalog.Problems {
+		event.CatalogProblem.Log(n.Log, zap.Int64("version", c.Catalog.Version), zap.String("problem", problem))
+	}
+	for _, changed := range []chan struct{}{n.catalogChanged, n.floor.adopted} {
+		select {
+		case changed <- struct{}{}:
+		default:
+		}
 	}
 }
 
