standin, soak: a team with keys, and callers with wrong ones

The stand-in's estate has teams, which Configure writes and ConfigureTeams changes.

It may be answered 401, 503 or not at all, and must not run; a valid key must never be answered 401, 403 or 404; no log may hold a key.

--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -27,6 +27,8 @@
 	violations []string
 	// closed counts the connections that ended with a request, by how.
 	closed map[string]int
+	// unauthorized counts the requests with a wrong key that were answered 401.
+	unauthorized int
 	// roomSince is since when the long-running tasks without a run have capacity
 	// twice over, and longestIdle the longest time of any without a run.
 	roomSince   time.Time
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -146,8 +146,13 @@
 	for i := range max(3, len(w.nodes)/4) {
 		injectors.Go(func() { inject(w, faultCtx, rand.New(rand.NewPCG(seed, uint64(100+i)))) })
 	}
+	c.withdrawKey()
 	rng := rand.New(rand.NewPCG(seed, 1))
 	for n := 0; faultCtx.Err() == nil; n++ {
+		if n%wrongKeyInterval == 0 {
+			keyRNG := rand.New(rand.NewPCG(seed, uint64(firstWrongKeyJob+n)))
+			jobs.Go(func() { c.submitWithWrongKey(jobID(seed, firstWrongKeyJob+n), keyRNG) })
+		}
 		jobRNG := rand.New(rand.NewPCG(seed, uint64(1000+n)))
 		jobs.Go(func() { c.runJob(ctx, jobID(seed, n), jobRNG) })
 		time.Sleep(time.Duration(rng.ExpFloat64() * float64(meanJobInterval)))
@@ -157,11 +162,15 @@
 		n.start(t) // a signal ends a process that has not begun to handle it
 	}
 	jobs.Wait()
+	w.checkLogsForKeys()
 	violations := w.checker.finish()
 	t.Logf("seed %d: connections that ended with a request: %v; longest time of a long-running task without a run: %v", seed, w.checker.closed, w.checker.longestIdle)
 	if len(violations) > 0 {
 		t.Errorf("seed %d: %d violations, the first: %s", seed, len(violations), strings.Join(violations[:min(5, len(violations))], "\n"))
 	}
+	if w.checker.unauthorized == 0 {
+		t.Errorf("seed %d: no request with a wrong key was answered 401", seed)
+	}
 	if count := w.checker.completed(); count == 0 {
 		t.Errorf("seed %d: no job was reported as completed", seed)
 	}
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -50,6 +50,8 @@
 	// for good one at a time.
 	silent   sync.Map
 	crashing sync.Mutex
+	// keyWithdrawn is when withdrawnKey was withdrawn, zero before.
+	keyWithdrawn time.Time
 	// workerProxies has a proxy for every worker that was started, also for
 	// those that have ended. It is guarded by mu.
 	workerProxies []*proxy
@@ -82,6 +84,7 @@
 			{Name: "spare", Workers: 2, Standby: true, Capacity: placement.Resources{Processors: 8, MemoryMB: 4096}},
 		},
 		Queues: []standin.Queue{{Name: "q", Host: queueHost, PathPrefix: queuePrefix, Pool: "pool", MaxAttempts: maxAttempts}},
+		Teams:  teamsWithKeys(validKey, withdrawnKey),
 	})
 	p.Size = func(workload.TaskID) placement.Resources { return size }
 	p.RunOutcome = w.runOutcome
