node: a process that may not serve by its configuration is not ready

A process whose configuration feed alone is silent, or that follows strict revocation with a configuration it cannot decode, answered 503 to all requests and told the balancer that it was ready. Other processes may serve meanwhile.

The list of jobs shows teams.

--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -93,7 +93,7 @@
 		valid, unknown, none int
 	}{
 		{"up to date", false, false, time.Second, 0, 200, 401, 404},
-		{"unreachable for a moment", false, true, time.Second, 0, 200, 401, 404},
+		{"unreachable for a second", false, true, time.Second, 0, 200, 401, 404},
 		{"unreachable", false, true, time.Minute, 0, 200, 503, 503},
 		{"the feed alone is silent", false, false, time.Minute, 0, 503, 503, 503},
 		{"unreadable", false, false, time.Second, time.Minute, 200, 401, 404},
@@ -114,6 +114,9 @@
 			if c.unreachable {
 				n.reachability.failingSince.Store(time.Now().Add(-c.age).UnixNano())
 			}
+			if want := !c.unreachable && c.valid == http.StatusOK; n.Ready() != want {
+				t.Errorf("ready %v, want %v", !want, want)
+			}
 			for path, want := range map[string]map[string]int{"/q/": {"ka": c.valid, "unknown": c.unknown}, "/nowhere/": {"ka": c.none}} {
 				for key, want := range want {
 					if got := answerTo(e, http.MethodGet, path, key); got != want {
--- a/internal/node/jobsapi.go
+++ b/internal/node/jobsapi.go
@@ -59,7 +59,7 @@
 			event.RowUnreadable.Log(a.node.Log, zap.String("key", r.Key), zap.Error(err))
 			continue
 		}
-		answer.Jobs = append(answer.Jobs, adminapi.Job{JobSpec: adminapi.JobSpec{ID: r.Key, Queue: p.Queue}, State: adminStates[p.State]})
+		answer.Jobs = append(answer.Jobs, adminapi.Job{JobSpec: adminapi.JobSpec{ID: r.Key, Queue: p.Queue, Team: p.Team}, State: adminStates[p.State]})
 		if p.State == workload.Queued {
 			answer.Pending[p.Queue]++
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -123,11 +123,15 @@
 	return group.Wait()
 }
 
-// Ready reports whether the process can serve callers: it has a configuration,
-// is not shutting down and has not failed to reach the table service for
-// unreadyAfter.
+// Ready reports whether the process can serve callers: it has a configuration by
+// which it may serve, is not shutting down and has not failed to reach the table
+// service for unreadyAfter.
 func (n *Node) Ready() bool {
-	return n.catalog.Load() != nil && !n.stopping.Load() && n.reachability.failingFor() < unreadyAfter
+	c := n.catalog.Load()
+	if c == nil || n.stopping.Load() || n.reachability.failingFor() >= unreadyAfter {
+		return false
+	}
+	return !c.RequiresKeys || n.configurationUse() != configurationUnconfirmed
 }
 
 // self returns the owner record of this process, without epoch and host order
