node, command: egretpitch teams lists teams with weight, quota and fingerprints

An operator could not see which keys a process accepts. GET /v1/teams at the metrics address answers by the configuration in force there, with its version and age, public queues and contradictions; keys are shown by fingerprint alone.

--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -194,6 +194,7 @@
 	metrics := echo.New()
 	metrics.GET("/metrics", echo.WrapHandler(expvar.Handler()))
 	node.NewJobsAPI(n).Register(metrics)
+	node.NewTeamsAPI(n).Register(metrics)
 	callersServer, err := listen(n, s.CallersAddress, callers)
 	if err != nil {
 		return nil, err
--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -108,6 +108,11 @@
 	return get[Status](ctx, c, PathStatus)
 }
 
+// Teams returns the teams of the configuration in force at the server.
+func (c *Client) Teams(ctx context.Context) (*Teams, error) {
+	return get[Teams](ctx, c, PathTeams)
+}
+
 // SubmitJobs submits jobs. It may be repeated, because a job whose ID exists
 // already is left unchanged.
 func (c *Client) SubmitJobs(ctx context.Context, jobs []JobSpec) (*JobsReply, error) {
--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -28,6 +28,8 @@
 	PathReport = "/v1/report"
 	// PathStatus answers GET with Status.
 	PathStatus = "/v1/status"
+	// PathTeams answers GET with Teams. Only egretpitch-node serves it.
+	PathTeams = "/v1/teams"
 )
 
 // Media types of the report.
@@ -296,6 +298,38 @@
 	Unchanged []string `json:"unchanged,omitempty"`
 }
 
+// Teams are the teams of the configuration that is in force at the process that
+// answers.
+type Teams struct {
+	// Version is that of the configuration.
+	Version int64 `json:"version"`
+	// AgeMS is how long ago the process last knew that no newer one was stored, -1
+	// for never.
+	AgeMS int64 `json:"age_ms"`
+	// KeysRequired is set if callers need a key of a team, except for public queues.
+	KeysRequired bool `json:"keys_required"`
+	// PublicQueues are the queues that need no key, sorted.
+	PublicQueues []string `json:"public_queues,omitempty"`
+	// Teams are sorted by name.
+	Teams []Team `json:"teams"`
+	// Problems are contradictions in the configuration.
+	Problems []string `json:"problems,omitempty"`
+}
+
+// Team is a team of callers.
+type Team struct {
+	Name   string  `json:"name"`
+	Weight float64 `json:"weight"`
+	// Processors (cores, possibly a fraction), MemoryMB (MiB) and Accelerators are
+	// the team's quota, 0 for no bound.
+	Processors   float64 `json:"processors,omitempty"`
+	MemoryMB     int     `json:"memory_mb,omitempty"`
+	Accelerators int     `json:"accelerators,omitempty"`
+	// Keys are the fingerprints of the team's keys: the first 8 hexadecimal digits of
+	// their SHA-256 digests.
+	Keys []string `json:"keys"`
+}
+
 // PoolStatus is the state of a pool as its owner reports it.
 type PoolStatus struct {
 	Pool string `json:"pool"`
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -40,6 +40,7 @@
 	CancelJobs(ctx context.Context, ids []string) (*adminapi.JobsReply, error)
 	Report(ctx context.Context, media string) ([]byte, error)
 	Status(ctx context.Context) (*adminapi.Status, error)
+	Teams(ctx context.Context) (*adminapi.Teams, error)
 }
 
 // Environment holds the outputs and the API connection of a run of the command
@@ -159,6 +160,7 @@
 		{parser.Command, "status", "Show a summary of the estate", statusHelp, &statusCommand{app: a}},
 		{parser.Command, "hosts", "List workers with pool and phase", hostsHelp, &hostsCommand{app: a}},
 		{parser.Command, "maintenance", "Show the progress of maintenance", maintenanceHelp, &maintenanceCommand{app: a}},
+		{parser.Command, "teams", "List teams with weight, quota and key fingerprints", teamsHelp, &teamsCommand{app: a}},
 		{jobs, "list", "List jobs", jobsListHelp, &jobsListCommand{app: a}},
 		{jobs, "submit", "Submit a job", jobsSubmitHelp, &jobsSubmitCommand{app: a}},
 		{jobs, "start", "Submit a job of several tasks from a file", jobsStartHelp, &jobsStartCommand{app: a}},
