--- a/internal/node/authenticate_test.go
+++ b/internal/node/authenticate_test.go
@@ -5,10 +5,14 @@
 	"context"
 	"encoding/hex"
 	"fmt"
+	"io"
 	"maps"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -149,8 +153,42 @@
 	}
 }
 
+// connectionTo returns a function that sends requests over one connection.
+func connectionTo(t *testing.T, e *echo.Echo) func(method, path, key string) int {
+	server := httptest.NewUnstartedServer(e)
+	var opened atomic.Int64
+	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	return func(method, path, key string) int {
+		t.Helper()
+		r, err := http.NewRequest(method, server.URL+path, strings.NewReader(testBody))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Host = "h"
+		if key != noKey {
+			r.Header.Set("Key", key)
+		}
+		answer, err := server.Client().Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer answer.Body.Close()
+		if _, err := io.Copy(io.Discard, answer.Body); err != nil || opened.Load() != 1 {
+			t.Fatalf("%d connections, error %v; want one", opened.Load(), err)
+		}
+		return answer.StatusCode
+	}
+}
+
 func TestKeysFollowTheVersionsOfTheConfiguration(t *testing.T) {
 	n, _, e := testNode(t)
+	answerTo := connectionTo(t, e)
 	const job = "/q/" + testID
 	type want map[string]int // by key
 	for _, c := range []struct {
@@ -169,10 +207,10 @@
 	} {
 		n.adopt(platform.OperatorChanges{Catalog: c.catalog})
 		for _, key := range slices.Sorted(maps.Keys(c.want)) {
-			if got := answerTo(e, http.MethodPost, job, key); got != c.want[key] {
+			if got := answerTo(http.MethodPost, job, key); got != c.want[key] {
 				t.Errorf("version %d: POST with key %s answered %d, want %d", c.catalog.Version, key, got, c.want[key])
 			}
-			if got := answerTo(e, http.MethodGet, job, key); got != c.want[key] {
+			if got := answerTo(http.MethodGet, job, key); got != c.want[key] {
 				t.Errorf("version %d: GET with key %s answered %d, want %d", c.catalog.Version, key, got, c.want[key])
 			}
 		}
