node: the cancellation of an unknown job holds for its team only

A cancellation of a job that is not stored keeps its submission from being stored, whoever sends it. So a caller with any valid key cancelled the job of another team whose submission was still on its way, against the rule that it gets 403 and no cancellation.

Such a cancellation by a team is now a row under the id and the team, on which each submission of that team is conditional (a fifth entry, so 20 of them go into one transaction), and the job is read once more: if it was stored meanwhile, the answer is that for a stored job. An owner passes these rows over.

Ruled out: a team in the existing row, since the last write would win and lose the other team's cancellation; the same for callers without a key, whose key may have been withdrawn between submission and cancellation.

Without teams nothing changes. The new tests fail without the row, the second read, the condition and the bound.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,7 +15,7 @@
 const (
 	// maxAcceptBatch is the maximum number of jobs stored in one transaction.
 	// Each job takes four of the 100 entries that the platform allows: two
-	// conditions and two writes.
+	// conditions and two writes. One of a team takes five.
 	maxAcceptBatch = 25
 	// maxAcceptBytes bounds the rows of one transaction, so that the whole
 	// call, encoded in base64, stays below the platform's limit of 1 MB.
@@ -200,9 +201,10 @@
 			continue // the same job was submitted twice concurrently
 		}
 		included[s.job.ID] = true
-		txn.Conditions = append(txn.Conditions,
-			platform.RowCondition{RowKey: s.rows[0].RowKey, Version: platform.NoVersion},
-			platform.RowCondition{RowKey: jobRow(cancelTable, s.job.ID), Version: platform.NoVersion})
+		txn.Conditions = append(txn.Conditions, platform.RowCondition{RowKey: s.rows[0].RowKey, Version: platform.NoVersion})
+		for _, key := range cancelRows(s.job) {
+			txn.Conditions = append(txn.Conditions, platform.RowCondition{RowKey: key, Version: platform.NoVersion})
+		}
 		txn.Writes = append(txn.Writes, s.rows[:]...)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, acceptTimeout)
@@ -259,7 +261,7 @@
 		case existing.Version != platform.NoVersion:
 			s.existing = &existing
 			s.outcome <- submitStored
-		case conflict.Row(jobRow(cancelTable, s.job.ID)).Version != platform.NoVersion:
+		case slices.ContainsFunc(cancelRows(s.job), func(k platform.RowKey) bool { return conflict.Row(k).Version != platform.NoVersion }):
 			s.outcome <- submitCancelled
 		default:
 			rest = append(rest, s)
--- a/internal/node/acceptteam.go
+++ b/internal/node/acceptteam.go
@@ -49,21 +49,27 @@
 	}
 }
 
+// maxAcceptEntries is the number of conditions and writes that the platform allows
+// in one transaction.
+const maxAcceptEntries = 100
+
 // storeByTeam is store for submissions of several teams. One transaction stores a
 // job of each id, and its outcome is that of all submissions of the id, so those of
-// other teams wait for the next one.
+// other teams wait for the next one, as do those that do not fit.
 func (a *acceptor) storeByTeam(ctx context.Context, batch []*submission) []*submission {
 	first, later := splitTeams(batch)
 	return append(a.store(ctx, first), later...)
 }
 
 // splitTeams separates the submissions of another team than the first one of their
-// id.
+// id, and those beyond maxAcceptEntries.
 func splitTeams(batch []*submission) (first, later []*submission) {
+	entries := 0
 	for i, s := range batch {
 		earlier := slices.IndexFunc(batch[:i], func(o *submission) bool { return o.job.ID == s.job.ID })
+		entries += len(cancelRows(s.job)) + 1 + len(s.rows)
 		switch {
-		case earlier >= 0 && batch[earlier].job.Team != s.job.Team:
+		case earlier >= 0 && batch[earlier].job.Team != s.job.Team, entries > maxAcceptEntries:
 			if later == nil {
 				first = slices.Clone(batch[:i])
 			}
--- a/internal/node/authenticate_test.go
+++ b/internal/node/authenticate_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -254,6 +255,66 @@
 	}
 }
 
+// The cancellation comes before the submission, or while it is on its way.
+func TestCancellationOfAnUnknownJobHoldsForItsTeamOnly(t *testing.T) {
+	n, rows, e := teamNode(t)
+	if got := answerTo(e, http.MethodDelete, "/q/"+testID, "kb"); got != http.StatusGone {
+		t.Fatalf("cancellation of an unknown job answered %d, want 410", got)
+	}
+	for _, c := range []struct {
+		key  string
+		want int
+	}{{"kb", http.StatusGone}, {"ka", http.StatusOK}} {
+		if got := answerTo(e, http.MethodPost, "/q/"+testID, c.key); got != c.want {
+			t.Errorf("submission with key %s answered %d, want %d", c.key, got, c.want)
+		}
+	}
+	for i, c := range []struct {
+		key     string
+		want    int
+		cancels int // rows
+	}{{"kb", http.StatusForbidden, 1}, {"ka", http.StatusOK, 2}} {
+		id := fmt.Sprintf("%016x", i)
+		n.Rows = &storedAfterRead{Rows: rows, id: id, store: func() { answerTo(e, http.MethodPost, "/q/"+id, "ka") }}
+		if got := answerTo(e, http.MethodDelete, "/q/"+id, c.key); got != c.want {
+			t.Errorf("key %s: the cancellation of a job that is stored meanwhile answered %d, want %d", c.key, got, c.want)
+		}
+		if cancels, _, err := rows.ReadRows(t.Context(), cancelTable, partName(partOf(id)), id, id+"~"); err != nil || len(cancels) != c.cancels {
+			t.Errorf("key %s: cancellations %v, %v; want %d", c.key, cancels, err, c.cancels)
+		}
+	}
+}
+
+// storedAfterRead stores a job once its progress has been read for the first time.
+type storedAfterRead struct {
+	platform.Rows
+	id    string
+	store func()
+	once  sync.Once
+}
+
+func (s *storedAfterRead) ReadRows(ctx context.Context, table, part, from, to string) ([]platform.PartRow, platform.Stamp, error) {
+	rows, stamp, err := s.Rows.ReadRows(ctx, table, part, from, to)
+	if table == progressTable && from == s.id {
+		s.once.Do(s.store)
+	}
+	return rows, stamp, err
+}
+
+func TestBatchOfATeamFitsOneTransaction(t *testing.T) {
+	var batch []*submission
+	for i := range maxAcceptBatch {
+		s, err := newSubmission(&workload.Job{ID: fmt.Sprintf("%016x", i), Team: "a"}, time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		batch = append(batch, s)
+	}
+	if first, later := splitTeams(batch); len(first) != 20 || len(later) != 5 {
+		t.Errorf("%d now and %d later, want 20 of 5 entries each and 5", len(first), len(later))
+	}
+}
+
 // The conflict of the store's answer may hold no values.
 func TestTeamOfAStoredJobIsReadIfTheConflictLacksIt(t *testing.T) {
 	n, rows, e := teamNode(t)
--- a/internal/node/cancels.go
+++ b/internal/node/cancels.go
@@ -57,7 +57,7 @@
 // are known.
 func (o *owner) applyCancels(c cancelChanges, now time.Duration) {
 	for _, r := range c.rows {
-		if !r.Deleted {
+		if !r.Deleted && !isTeamCancelRow(r.Key) {
 			o.engine.Cancel(r.Key, r.Version, now)
 		}
 	}
--- a/internal/node/queueapi.go
+++ b/internal/node/queueapi.go
@@ -302,12 +302,19 @@
 	if err != nil {
 		return response{status: http.StatusServiceUnavailable, reason: err.Error()}
 	}
+	var status int
+	unknown := before == nil && r.caller.team != ""
+	if unknown {
+		before, status, err = h.node.cancelUnknown(ctx, r.id, r.caller.team)
+	}
 	if before != nil {
 		if a, ok := h.authorize(r, before.Team, before.Queue); !ok {
 			return a
 		}
 	}
-	status, err := h.node.cancelKnown(ctx, r.id, before)
+	if err == nil && (before != nil || !unknown) {
+		status, err = h.node.cancelKnown(ctx, r.id, before)
+	}
 	switch {
 	case err != nil:
 		return response{status: status, reason: err.Error()}
@@ -344,10 +351,15 @@
 	return 0, nil
 }
 
-// writeCancel stores the cancellation of a job. The write is idempotent, so an
-// attempt without an answer is retried until ctx ends.
+// writeCancel stores the cancellation of a job.
 func (n *Node) writeCancel(ctx context.Context, id string) error {
-	txn := platform.RowTxn{Writes: []platform.RowWrite{{RowKey: jobRow(cancelTable, id), Value: []byte("{}")}}}
+	return n.writeCancelRow(ctx, jobRow(cancelTable, id))
+}
+
+// writeCancelRow stores a row of a cancellation. The write is idempotent, so an
+// attempt without an answer is retried until ctx ends.
+func (n *Node) writeCancelRow(ctx context.Context, key platform.RowKey) error {
+	txn := platform.RowTxn{Writes: []platform.RowWrite{{RowKey: key, Value: []byte("{}")}}}
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, acceptTimeout)
 		_, err := n.Rows.CommitRows(callCtx, txn)
