--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,7 +15,7 @@
 const (
 	// maxAcceptBatch is the maximum number of jobs stored in one transaction.
 	// Each job takes four of the 100 entries that the platform allows: two
-	// conditions and two writes.
+	// conditions and two writes. One of a team takes five.
 	maxAcceptBatch = 25
 	// maxAcceptBytes bounds the rows of one transaction, so that the whole
 	// call, encoded in base64, stays below the platform's limit of 1 MB.
@@ -66,7 +67,10 @@
 	// outcomeUnknown is set after an attempt that returned no usable answer and
 	// may still be applied.
 	outcomeUnknown bool
-	outcome        chan submitOutcome
+	// existing is the row of the job if an earlier attempt or request had stored it,
+	// nil otherwise. It is set before the outcome is sent.
+	existing *platform.PartRow
+	outcome  chan submitOutcome
 }
 
 // acceptor stores submitted jobs. It batches the jobs of each part and commits
@@ -89,10 +93,12 @@
 // It returns submitNotStored at once while the table service is unreachable, if
 // the queue of the job's part is full or if ctx has ended.
 func (a *acceptor) submit(ctx context.Context, job *workload.Job, deadline time.Time) submitOutcome {
-	s, err := newSubmission(job, deadline)
-	if err != nil {
-		return submitNotStored
-	}
+	outcome, _ := a.submitChecked(ctx, job, deadline)
+	return outcome
+}
+
+// await queues a submission and returns its outcome.
+func (a *acceptor) await(ctx context.Context, s *submission) submitOutcome {
 	s.callerGone = ctx.Done()
 	if len(s.rows[0].Value) > maxRowBytes {
 		return submitTooLarge // its transaction would fail, with the other jobs in it
@@ -101,11 +107,11 @@
 		return submitNotStored
 	}
 	select {
-	case a.queues[partOf(job.ID)] <- s:
+	case a.queues[partOf(s.job.ID)] <- s:
 	default:
 		return submitNotStored
 	}
-	timer := time.NewTimer(time.Until(deadline))
+	timer := time.NewTimer(time.Until(s.deadline))
 	defer timer.Stop()
 	select {
 	case outcome := <-s.outcome:
@@ -159,7 +165,7 @@
 			}
 		}
 		batch = fillBatch(batch, queue)
-		batch = a.store(ctx, batch)
+		batch = a.storeByTeam(ctx, batch)
 	}
 }
 
@@ -195,9 +201,10 @@
 			continue // the same job was submitted twice concurrently
 		}
 		included[s.job.ID] = true
-		txn.Conditions = append(txn.Conditions,
-			platform.RowCondition{RowKey: s.rows[0].RowKey, Version: platform.NoVersion},
-			platform.RowCondition{RowKey: jobRow(cancelTable, s.job.ID), Version: platform.NoVersion})
+		txn.Conditions = append(txn.Conditions, platform.RowCondition{RowKey: s.rows[0].RowKey, Version: platform.NoVersion})
+		for _, key := range cancelRows(s.job) {
+			txn.Conditions = append(txn.Conditions, platform.RowCondition{RowKey: key, Version: platform.NoVersion})
+		}
 		txn.Writes = append(txn.Writes, s.rows[:]...)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, acceptTimeout)
@@ -249,10 +256,12 @@
 func resolveConflict(batch []*submission, conflict *platform.RowConflict) []*submission {
 	var rest []*submission
 	for _, s := range batch {
+		existing := conflict.Row(s.rows[0].RowKey)
 		switch {
-		case conflict.Row(s.rows[0].RowKey).Version != platform.NoVersion:
+		case existing.Version != platform.NoVersion:
+			s.existing = &existing
 			s.outcome <- submitStored
-		case conflict.Row(jobRow(cancelTable, s.job.ID)).Version != platform.NoVersion:
+		case slices.ContainsFunc(cancelRows(s.job), func(k platform.RowKey) bool { return conflict.Row(k).Version != platform.NoVersion }):
 			s.outcome <- submitCancelled
 		default:
 			rest = append(rest, s)
