node: resolve a submission without an answer while its caller waits

Cause: once every call had failed for 0.6 s, all submissions with unknown outcome were answered 504 at once, though their callers waited for up to 1.7 s more and the service was often back by then. An attempt was also given up after 0.9 s while a slow service takes 0.96 s, so that each retry met the same end.

Such a submission is now tried under the same condition until its caller's deadline. An attempt waits for up to 1.8 s, and is given up after 0.9 s only if the service has answered a later call to the part: then its answer is lost. 503 is answered only if no attempt can be applied any more: none was sent, or each was refused, or its conditions did not hold, or no connection could be set up (attemptState says so).

Ruled out: to learn from a later answer that an earlier attempt will not be applied. The service may apply it seconds later; only its own answer, the job's row or its cancellation end the doubt. A row that bars earlier attempts would make refusals possible, but whoever can write it can as well store the job.

Measured in virtual time (TestAnswersWhileTheTableServiceFails): a service that is silent for 1.5 s and applies the first attempt never, or after 1.3 s: stored within 2.2 s, both unknown before; one of 960 ms a call: stored; one that stays away: unknown at 2.35 s, the deadline.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -24,8 +24,13 @@
 	// acceptQueueLength is the maximum number of jobs of a part that wait for a
 	// transaction.
 	acceptQueueLength = 256
-	// acceptTimeout bounds one attempt to commit a transaction.
+	// acceptTimeout bounds one attempt to commit a transaction, if the service
+	// answers later calls meanwhile: the answer is then lost. It also bounds the
+	// commit of a cancellation.
 	acceptTimeout = 900 * time.Millisecond
+	// maxAcceptTimeout bounds one attempt while the service answers no later call
+	// either. On slow days an answer takes longer than acceptTimeout.
+	maxAcceptTimeout = 2 * acceptTimeout
 	// refuseAfter is how long a submission is retried while the store is
 	// unavailable. It is a small part of a caller's timeout, so that the caller
 	// has time to try again.
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -44,8 +44,9 @@
 	included := map[string]bool{}
 	sent := batch[:0]
 	for _, s := range batch {
-		if !s.open() {
-			continue // its caller was answered
+		if s.abandoned() || !s.open() {
+			s.bar()
+			continue
 		}
 		sent = append(sent, s)
 		if included[s.job.ID] {
@@ -101,12 +102,6 @@
 			s.outcomeUnknown = true
 		}
 	}
-	if a.node.reachability.unreachable() {
-		// Another process may reach the service, and the callers' retries, under the
-		// same job ids, go to other processes.
-		answerAll(batch, submitUnknown)
-		return nil
-	}
 	delay := acceptRetryDelay
 	if a.node.storeHealth.suspect(part) {
 		delay = probeInterval
@@ -117,11 +112,20 @@
 	return batch
 }
 
-// commit commits a transaction.
+// commit commits a transaction. It gives up after acceptTimeout if the service has
+// answered a later call to the part.
 func (a *acceptor) commit(ctx context.Context, part string, txn platform.RowTxn) (platform.Stamp, error) {
-	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxAcceptTimeout)
 	defer cancel()
+	sent := time.Now()
 	end := a.node.storeHealth.begin(ctx, part, 0)
+	overtaken := time.AfterFunc(acceptTimeout, func() {
+		for ctx.Err() == nil && !a.node.storeHealth.answeredSince(part, sent) {
+			_ = ctxtime.Sleep(ctx, holdInterval)
+		}
+		cancel()
+	})
+	defer overtaken.Stop()
 	stamp, err := a.node.Rows.CommitRows(ctx, txn)
 	end(err)
 	return stamp, err
--- a/internal/node/unstable_test.go
+++ b/internal/node/unstable_test.go
@@ -206,6 +206,18 @@
 			return then
 		}
 	}
+	until := func(ms int, b, then behaviour) func(int, bool) behaviour {
+		var begin time.Time
+		return func(int, bool) behaviour {
+			if begin.IsZero() {
+				begin = time.Now()
+			}
+			if time.Since(begin) < time.Duration(ms)*time.Millisecond {
+				return b
+			}
+			return then
+		}
+	}
 	for _, c := range []struct {
 		name     string
 		behave   func(int, bool) behaviour
@@ -213,11 +225,15 @@
 		min, max time.Duration
 	}{
 		{"refused", always(refuse), submitNotStored, 250, 400},
-		{"reset", always(reset), submitUnknown, 600, 900},
-		{"silent", always(silent), submitUnknown, 1800, 2100},
+		{"reset", always(reset), submitUnknown, 2350, 2350},
+		{"silent", always(silent), submitUnknown, 2350, 2350},
 		{"silent once", first(silent, answered), submitStored, 900, 1200},
 		{"reset once, applied late", first(behaviour{reset: true, applyAfter: time.Second}, answered), submitStored, 60, 100},
-		{"reset once, then refused", first(reset, refuse), submitUnknown, 600, 900},
+		{"reset once, then refused", first(reset, refuse), submitUnknown, 2350, 2350},
+		{"silent for 1.5 s, never applied", until(1500, silent, answered), submitStored, 1500, 2200},
+		{"silent for 1.5 s, applied late", until(1500, behaviour{silent: true, applyAfter: 1300 * time.Millisecond}, answered), submitStored, 1300, 2200},
+		{"slow", always(behaviour{takes: 960 * time.Millisecond}), submitStored, 960, 1000},
+		{"slow, and the first answer is lost", first(behaviour{reset: true, applyAfter: time.Second}, behaviour{takes: 960 * time.Millisecond}), submitStored, 960, 1100},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
