node: refuse jobs that cannot be of use in a full pool

Where the configuration has teams, or the settings' contracts list contains pressure, the owner publishes with its heartbeat the load of the pools whose startable tasks keep them busy for 2 s, and entries answer 429 by package admission. A pool with a standby host, a host that moves to it or one whose worker is not listed yet is not full, nor is any pool by a host list older than 2 s, nor while recovery lasts. The number of entries is that of the hosts that are up in the pool of the owner's host; without such a host an entry counts its own admissions only.

Before a job is refused its progress is read: a job that is stored already is answered 200, and one whose read fails goes on to the submission, which answers for itself. Jobs without an objective (with a schedule, of long-running or of filler tasks only) are not refused.

Rate of completion is the estimated work of the tasks that ended in the last 3 s; capacity is the larger of it and all cores of the pool's hosts that long-running tasks do not hold, also of those in maintenance.

Without teams and pressure nothing is computed or published, and the heartbeat is unchanged.

--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -163,7 +164,7 @@
 			}
 			debug.SetGCPercent(percent)
 		},
-		HolderLease: s.Bounds.HolderLease, Migration: s.Bounds.Migration,
+		HolderLease: s.Bounds.HolderLease, Migration: s.Bounds.Migration, Pressure: slices.Contains(s.Contracts, platform.ContractPressure),
 		Scheduling: scheduler.Options{
 			MaxLease: s.Bounds.MaxLease, StopGrace: s.Bounds.StopGrace, CancelWithin: s.Bounds.CancelWithin, DrainWithin: s.Bounds.DrainWithin,
 			CapacityValidity: s.Bounds.Contact + s.Bounds.Heartbeat,
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -155,7 +155,7 @@
 	b.teams[team][Work{Rank: rank, Timely: roundSlack(timely), Useful: roundSlack(useful)}] += int64(work)
 }
 
-// roundSlack rounds down to 1 s below 8 s, and to an eighth or less above.
+// roundSlack rounds down to whole seconds below 16 s, and by less than an eighth above.
 func roundSlack(d time.Duration) int64 {
 	if d < 0 {
 		return -1
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -125,6 +125,12 @@
 	RowUnreadable         = New(112, zapcore.WarnLevel, "row unreadable")
 )
 
+// Events of the acceptance of jobs while the table service is unstable or pools are
+// full.
+var (
+	SubmissionRefusedForLoad = New(994, zapcore.InfoLevel, "submission refused, pool is full")
+)
+
 // CommitUnconfirmed is logged when a transaction that records the progress of
 // jobs got no answer or was refused.
 var CommitUnconfirmed = New(526, zapcore.WarnLevel, "progress commit unconfirmed")
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -73,6 +73,7 @@
 	heartbeat := ownership.Heartbeat{
 		Incarnation: n.incarnation, PendingKnown: o.pending != nil, Pending: maps.Clone(o.pending),
 		JobsVersion: o.pendingAsOf.Version, JobsMS: o.pendingAsOf.NowMS, Surges: o.surges, Waves: o.waves, Evacuations: o.evacuations,
+		Admission: o.poolLoad.state,
 	}
 	o.pendingMu.Unlock()
 	value, err := ownership.Encode(heartbeat)
@@ -106,8 +107,9 @@
 // updateHeartbeat sets the contents of the following heartbeats and publishes
 // the engine's counters.
 func (o *owner) updateHeartbeat() {
-	pending := o.engine.Pending()
+	pending, now := o.engine.Pending(), o.node.Clock.Now()
 	o.pendingMu.Lock()
+	o.updateLoad(now)
 	o.pending, o.pendingAsOf = pending, o.jobsRead
 	planner := o.fleetController.planner
 	o.surges, o.waves = o.fleetController.surges(), storeTimes(&o.node.Clock, planner.WavesFirstSeen())
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -17,9 +17,11 @@
 	requests   *expvar.Map
 	latency    map[string]*histogram
 	ownerships *expvar.Int
-	cancelled  *cancelledRuns
-	mu         sync.Mutex
-	stats      scheduler.Stats
+	// refused counts refused submissions by reason.
+	refused   *expvar.Map
+	cancelled *cancelledRuns
+	mu        sync.Mutex
+	stats     scheduler.Stats
 }
 
 // histogram is a latency histogram that is safe for concurrent use.
@@ -64,12 +66,13 @@
 // newMetrics returns new metrics. Only those of the first call are published.
 func newMetrics() *metrics {
 	m := &metrics{
-		requests: new(expvar.Map).Init(), ownerships: new(expvar.Int), cancelled: newCancelledRuns(),
+		requests: new(expvar.Map).Init(), ownerships: new(expvar.Int), refused: new(expvar.Map).Init(), cancelled: newCancelledRuns(),
 		latency: map[string]*histogram{"POST": newHistogram(), "GET": newHistogram(), "DELETE": newHistogram()},
 	}
 	publishOnce.Do(func() {
 		expvar.Publish("egretpitch_node_requests", m.requests)
 		expvar.Publish("egretpitch_node_ownerships", m.ownerships)
+		expvar.Publish("egretpitch_node_refused", m.refused)
 		expvar.Publish("egretpitch_node_latency_us", expvar.Func(func() any {
 			out := map[string]any{}
 			for method, h := range m.latency {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,9 @@
 	// process acquires it, so that a process with more processor time can acquire it
 	// first.
 	TakeoverBackoff time.Duration
+	// Pressure is set if jobs are refused for the load of their pool also where the
+	// configuration has no teams.
+	Pressure bool
 	// OwnershipChanged is called when this process begins to own the control work
 	// and when it no longer does, if set.
 	OwnershipChanged func(owner bool)
@@ -66,6 +69,7 @@
 	newJobs      *newJobs
 	reachability reachability
 	storeHealth  storeHealth
+	admission    *admissionGate
 	metrics      *metrics
 	// owner is the current ownership of the control work, nil if this process
 	// does not own it.
@@ -93,7 +97,8 @@
 	if o.OwnershipChanged == nil {
 		o.OwnershipChanged = func(bool) {}
 	}
-	n := &Node{Options: o, incarnation: rand.Uint64() | 1, metrics: newMetrics(), catalogChanged: make(chan struct{}, 1), releasing: make(chan struct{}, 1)}
+	n := &Node{Options: o, incarnation: rand.Uint64() | 1, metrics: newMetrics(), catalogChanged: make(chan struct{}, 1), releasing: make(chan struct{}, 1),
+		admission: newAdmissionGate()}
 	n.requests, n.endRequests = context.WithCancel(context.Background())
 	n.view.Store(&ownership.View{})
 	n.acceptor = newAcceptor(n)
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -80,14 +80,15 @@
 	// jobsRead is the state of the table service up to which all accepted jobs
 	// are in the engine. Only run uses it.
 	jobsRead platform.Stamp
-	// pending, pendingAsOf, surges, waves and evacuations are the contents of the next
-	// heartbeat. run sets them under pendingMu.
+	// pending, pendingAsOf, surges, waves, evacuations and poolLoad are the contents of the
+	// next heartbeat. run sets them under pendingMu.
 	pendingMu   sync.Mutex
 	pending     map[string]int
 	pendingAsOf platform.Stamp
 	surges      []ownership.Surge
 	waves       map[int64]int64
 	evacuations map[string]int64
+	poolLoad    poolLoad
 
 	// deciding is set once the stored state is loaded, and handingOver once the
 	// ownership is to be released: run then ends when no task is moving.
--- a/internal/node/queueapi.go
+++ b/internal/node/queueapi.go
@@ -88,6 +88,8 @@
 	body   any
 	reason string
 	fields []zap.Field
+	// retryAfter is the Retry-After of a refusal, 0 for retryAfterSeconds.
+	retryAfter time.Duration
 }
 
 // handle finds the queue of a request, serves it with the given function,
@@ -105,7 +107,7 @@
 		}
 		h.node.metrics.countRequest(c.Request().Method, a.status, time.Since(start))
 		if a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests {
-			c.Response().Header().Set("Retry-After", retryAfterSeconds)
+			c.Response().Header().Set("Retry-After", a.retryAfterHeader())
 		}
 		if h.node.stopping.Load() {
 			c.Response().Header().Set("Connection", "close")
@@ -183,6 +185,9 @@
 		return response{status: http.StatusBadRequest, reason: err.Error()}
 	}
 	job.AcceptedMS, job.Terms = h.node.Clock.StoreMS(h.node.Clock.Now()), r.queue
+	if refusal, refused := h.node.refuse(r.Request().Context(), job, r.catalog); refused {
+		return refusal
+	}
 	switch h.node.acceptor.submit(r.Request().Context(), job, r.deadline) {
 	case submitStored:
 		return response{status: http.StatusOK, body: h.codec.EncodeState(workload.Queued), reason: "stored"}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/egretpitch/egretpitch/internal/admission"
 )
 
 const (
@@ -97,6 +99,9 @@
 	// Evacuations holds, by host, since when the hosts of waves are evacuated whose
 	// evacuation has not ended, in milliseconds on the store's clock.
 	Evacuations map[string]int64 `json:"evacuations,omitempty"`
+	// Admission is the load of the full pools, as of JobsMS. It is nil where entries
+	// refuse no jobs for it.
+	Admission *admission.State `json:"admission,omitempty"`
 }
 
 // Surge is a surge in a pool's demand.
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -129,9 +129,14 @@
 
 // weight returns the weight of a job relative to the mean job of its queue.
 func (e *Engine) weight(j *job) float64 {
-	mean := e.pool(j.Pool).queues[j.Queue].work
+	return Weight(j.Work(), e.pool(j.Pool).queues[j.Queue].work)
+}
+
+// Weight returns the weight of a job of the given work relative to a job of the mean
+// work of its queue, 1 if the mean is not known. Work is in core-seconds.
+func Weight(work, mean float64) float64 {
 	if mean <= 0 {
 		return 1
 	}
-	return min(baseWeight+workWeight*j.Work()/mean, maxWeight)
+	return min(baseWeight+workWeight*work/mean, maxWeight)
 }
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -304,6 +304,7 @@
 		}
 		s.job.progress.Done = append(s.job.progress.Done, [3]int{s.occ.number, s.index, f.index})
 		e.markDone(f)
+		e.pool(s.job.Pool).completed += s.Requests().Processors * s.Estimate.Seconds()
 		if s.Gang {
 			continue // the others end by themselves
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -277,6 +277,10 @@
 	// arrivedJobs jobs. Jobs that run until cancelled do not count.
 	arrived     float64
 	arrivedJobs int
+	// completed is the estimated work in core-seconds of the tasks that are done, and
+	// completions its latest samples.
+	completed   float64
+	completions []completionSample
 }
 
 // queueStats holds statistics of the past jobs of a queue.
