node: metrics and events of submissions over an unstable table service

egretpitch_node_store is the state of the service as this process sees it, egretpitch_node_unresolved the number of submissions whose write has no answer while their callers wait, and egretpitch_node_refused counts refused submissions by reason. Events 990 and 991 tell of parts that have stopped answering and answer again, once per change and not for a single lost answer; 992 and 993 tell of each submission without an answer and of its outcome.

The random histories check that no submission stays unresolved.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -66,6 +66,11 @@
 	submitCancelled
 )
 
+// String returns the outcome's name for logs.
+func (o submitOutcome) String() string {
+	return [...]string{"stored", "not stored", "unknown", "too large", "cancelled"}[o]
+}
+
 // submission is a job that waits to be stored.
 type submission struct {
 	job  *workload.Job
@@ -152,12 +157,15 @@
 		return submitTooLarge // its transaction would fail, with the other jobs in it
 	}
 	part := partOf(job.ID)
+	refused := a.node.metrics.refused
 	if a.away(part) || ctx.Err() != nil {
+		refused.Add("table service away", 1)
 		return submitNotStored
 	}
 	select {
 	case a.queues[part] <- s:
 	default:
+		refused.Add("queue full", 1)
 		return submitNotStored
 	}
 	silence := time.NewTicker(silenceCheckInterval)
@@ -170,6 +178,7 @@
 			return outcome
 		case <-silence.C:
 			if a.away(part) && s.bar() {
+				refused.Add("table service away", 1)
 				return submitNotStored
 			}
 		case <-timer.C:
@@ -179,6 +188,7 @@
 		}
 	}
 	if s.bar() {
+		refused.Add("not sent in time", 1)
 		return submitNotStored
 	}
 	select {
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -5,14 +5,16 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/egretpitch/egretpitch/internal/ctxtime"
+	"github.com/egretpitch/egretpitch/internal/event"
 	"github.com/egretpitch/egretpitch/internal/platform"
 )
 
 // store attempts one transaction and returns the submissions to retry.
 func (a *acceptor) store(ctx context.Context, batch []*submission) []*submission {
-	batch = dropAbandoned(batch)
+	batch = a.dropAbandoned(batch)
 	if len(batch) == 0 {
 		return nil
 	}
@@ -45,7 +47,7 @@
 	sent := batch[:0]
 	for _, s := range batch {
 		if s.abandoned() || !s.open() {
-			s.bar()
+			held = append(held, s) // dropped with the next batch
 			continue
 		}
 		sent = append(sent, s)
@@ -86,10 +88,12 @@
 	var conflict *platform.RowConflict
 	switch {
 	case err == nil:
-		answerAll(batch, submitStored)
+		for _, s := range batch {
+			a.finish(s, submitStored)
+		}
 		return nil
 	case errors.As(err, &conflict):
-		return resolveConflict(batch, conflict)
+		return a.resolveConflict(batch, conflict)
 	case errors.Is(err, platform.ErrUnavailable):
 		// The service refused the call, or no connection to it could be set up:
 		// nothing was written, and nothing will be.
@@ -99,7 +103,7 @@
 		batch = a.refuseNotStored(batch)
 	default:
 		for _, s := range batch {
-			s.outcomeUnknown = true
+			a.unresolved(s, err)
 		}
 	}
 	delay := acceptRetryDelay
@@ -133,14 +137,14 @@
 
 // resolveConflict reports the jobs that are already stored and those that were
 // cancelled before, and returns the other submissions.
-func resolveConflict(batch []*submission, conflict *platform.RowConflict) []*submission {
+func (a *acceptor) resolveConflict(batch []*submission, conflict *platform.RowConflict) []*submission {
 	var rest []*submission
 	for _, s := range batch {
 		switch {
 		case conflict.Row(s.rows[0].RowKey).Version != platform.NoVersion:
-			s.outcome <- submitStored
+			a.finish(s, submitStored)
 		case conflict.Row(jobRow(cancelTable, s.job.ID)).Version != platform.NoVersion:
-			s.outcome <- submitCancelled
+			a.finish(s, submitCancelled)
 		default:
 			s.ended()
 			rest = append(rest, s)
@@ -159,7 +163,8 @@
 	var rest []*submission
 	for _, s := range batch {
 		if (a.node.reachability.unreachable() || time.Since(s.submittedAt) > refuseAfter) && s.bar() {
-			s.outcome <- submitNotStored
+			a.node.metrics.refused.Add("table service refuses", 1)
+			a.finish(s, submitNotStored)
 			continue
 		}
 		rest = append(rest, s)
@@ -170,11 +175,13 @@
 // dropAbandoned ends the submissions whose callers were answered, have left or are
 // past their deadline, and returns the others. A caller without an answer submits
 // the job again or cancels it.
-func dropAbandoned(batch []*submission) []*submission {
+func (a *acceptor) dropAbandoned(batch []*submission) []*submission {
 	var rest []*submission
 	for _, s := range batch {
 		if s.abandoned() {
-			s.bar()
+			if !s.bar() {
+				a.finish(s, submitUnknown)
+			}
 			continue
 		}
 		rest = append(rest, s)
@@ -195,9 +202,23 @@
 	}
 }
 
-// answerAll reports one outcome for all submissions of a batch.
-func answerAll(batch []*submission, outcome submitOutcome) {
-	for _, s := range batch {
-		s.outcome <- outcome
+// unresolved records an attempt of unknown outcome.
+func (a *acceptor) unresolved(s *submission, err error) {
+	if s.outcomeUnknown {
+		return
+	}
+	s.outcomeUnknown = true
+	a.node.metrics.unresolved.Add(1)
+	event.SubmissionUnresolved.Log(a.node.Log, zap.String("job", s.job.ID), zap.String("queue", s.job.Queue),
+		zap.Duration("age", time.Since(s.submittedAt)), zap.Error(err))
+}
+
+// finish reports the outcome of a submission.
+func (a *acceptor) finish(s *submission, outcome submitOutcome) {
+	if s.outcomeUnknown {
+		a.node.metrics.unresolved.Add(-1)
+		event.SubmissionResolved.Log(a.node.Log, zap.String("job", s.job.ID), zap.String("queue", s.job.Queue),
+			zap.Stringer("outcome", outcome), zap.Duration("age", time.Since(s.submittedAt)))
 	}
+	s.outcome <- outcome
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -17,6 +17,8 @@
 	requests   *expvar.Map
 	latency    map[string]*histogram
 	ownerships *expvar.Int
+	// unresolved is the number of submissions without an answer whose callers wait.
+	unresolved *expvar.Int
 	// refused counts refused submissions by reason.
 	refused   *expvar.Map
 	cancelled *cancelledRuns
@@ -63,16 +65,19 @@
 // process; tests create several nodes.
 var publishOnce sync.Once
 
-// newMetrics returns new metrics. Only those of the first call are published.
-func newMetrics() *metrics {
+// newMetrics returns new metrics. Only those of the first call are published, with
+// the state of the table service that storeState returns.
+func newMetrics(storeState func() string) *metrics {
 	m := &metrics{
-		requests: new(expvar.Map).Init(), ownerships: new(expvar.Int), refused: new(expvar.Map).Init(), cancelled: newCancelledRuns(),
+		requests: new(expvar.Map).Init(), ownerships: new(expvar.Int), refused: new(expvar.Map).Init(), unresolved: new(expvar.Int), cancelled: newCancelledRuns(),
 		latency: map[string]*histogram{"POST": newHistogram(), "GET": newHistogram(), "DELETE": newHistogram()},
 	}
 	publishOnce.Do(func() {
 		expvar.Publish("egretpitch_node_requests", m.requests)
 		expvar.Publish("egretpitch_node_ownerships", m.ownerships)
 		expvar.Publish("egretpitch_node_refused", m.refused)
+		expvar.Publish("egretpitch_node_unresolved", m.unresolved)
+		expvar.Publish("egretpitch_node_store", expvar.Func(func() any { return storeState() }))
 		expvar.Publish("egretpitch_node_latency_us", expvar.Func(func() any {
 			out := map[string]any{}
 			for method, h := range m.latency {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,8 +97,9 @@
 	if o.OwnershipChanged == nil {
 		o.OwnershipChanged = func(bool) {}
 	}
-	n := &Node{Options: o, incarnation: rand.Uint64() | 1, metrics: newMetrics(), catalogChanged: make(chan struct{}, 1), releasing: make(chan struct{}, 1),
+	n := &Node{Options: o, incarnation: rand.Uint64() | 1, catalogChanged: make(chan struct{}, 1), releasing: make(chan struct{}, 1),
 		admission: newAdmissionGate()}
+	n.metrics = newMetrics(n.storeState)
 	n.requests, n.endRequests = context.WithCancel(context.Background())
 	n.view.Store(&ownership.View{})
 	n.acceptor = newAcceptor(n)
--- a/internal/node/storeprobe.go
+++ b/internal/node/storeprobe.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sync/semaphore"
+
+	"github.com/egretpitch/egretpitch/internal/event"
 )
 
 const (
@@ -25,12 +28,14 @@
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
 	probes := semaphore.NewWeighted(maxProbes)
+	var suspect suspicion
 	for next := 0; ; {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		suspect.observe(n.suspectParts(), n.Log)
 		for range jobParts {
 			part := next
 			next = (next + 1) % jobParts
@@ -48,6 +53,57 @@
 	}
 }
 
+// suspectParts returns the names of the suspect parts of the jobs.
+func (n *Node) suspectParts() []string {
+	var parts []string
+	for i := range jobParts {
+		if n.storeHealth.suspect(partName(i)) {
+			parts = append(parts, partName(i))
+		}
+	}
+	return parts
+}
+
+// storeState returns the state of the table service as this process sees it:
+// "answers", "suspect" if parts of the jobs are, "silent" if parts are, or
+// "unreachable".
+func (n *Node) storeState() string {
+	if n.reachability.unreachable() {
+		return "unreachable"
+	}
+	for i := range jobParts {
+		if n.storeHealth.silent(partName(i)) {
+			return "silent"
+		}
+	}
+	if len(n.suspectParts()) > 0 {
+		return "suspect"
+	}
+	return "answers"
+}
+
+// suspicion logs when parts have become suspect and when none is any more. A part
+// that answers the first probe is not logged.
+type suspicion struct {
+	since  time.Time
+	logged bool
+}
+
+func (s *suspicion) observe(parts []string, log *zap.Logger) {
+	switch {
+	case len(parts) > 0 && s.since.IsZero():
+		s.since = time.Now()
+	case len(parts) > 0 && !s.logged:
+		s.logged = true
+		event.StoreSuspect.Log(log, zap.Strings("parts", parts))
+	case len(parts) == 0:
+		if s.logged {
+			event.StoreAnswers.Log(log, zap.Duration("after", time.Since(s.since)))
+		}
+		*s = suspicion{}
+	}
+}
+
 // probePart reads the fencing token of a part.
 func (n *Node) probePart(ctx context.Context, part int) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/internal/node/unstablehistory_test.go
+++ b/internal/node/unstablehistory_test.go
@@ -94,6 +94,11 @@
 	}
 	callers.Wait()
 	time.Sleep(10 * time.Second)
+	for _, n := range nodes {
+		if left := n.metrics.unresolved.Value(); left != 0 {
+			t.Errorf("%d submissions are unresolved though nobody waits", left)
+		}
+	}
 	rows.mu.Lock()
 	defer rows.mu.Unlock()
 	for id, outcome := range last {
