--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -128,7 +128,7 @@
 // Events of the acceptance of jobs while the table service is unstable or pools are
 // full.
 var (
-	StoreSuspect             = New(990, zapcore.WarnLevel, "table service has stopped answering, submissions held")
+	StoreUnresponsive        = New(990, zapcore.WarnLevel, "table service has stopped answering, submissions held")
 	StoreAnswers             = New(991, zapcore.InfoLevel, "table service answers again, submissions resumed")
 	SubmissionUnresolved     = New(992, zapcore.WarnLevel, "submission without an answer")
 	SubmissionResolved       = New(993, zapcore.InfoLevel, "submission without an answer resolved")
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -20,13 +20,13 @@
 	}
 	part := partOf(batch[0].job.ID)
 	var held []*submission
-	if suspect := a.node.storeHealth.suspect(partName(part)); suspect || !a.node.storeHealth.recent(partName(part)) {
+	if unresponsive := a.node.storeHealth.unresponsive(partName(part)); unresponsive || !a.node.storeHealth.recent(partName(part)) {
 		unknown, others := splitUnknown(batch)
 		switch {
-		case suspect && len(unknown) == 0:
+		case unresponsive && len(unknown) == 0:
 			_ = ctxtime.Sleep(ctx, holdInterval) // the loop of the part sees the end of ctx
 			return others
-		case suspect:
+		case unresponsive:
 			select {
 			case a.resolving <- struct{}{}:
 				defer func() { <-a.resolving }()
@@ -107,7 +107,7 @@
 		}
 	}
 	delay := acceptRetryDelay
-	if a.node.storeHealth.suspect(part) {
+	if a.node.storeHealth.unresponsive(part) {
 		delay = probeInterval
 	}
 	if len(batch) > 0 {
--- a/internal/node/storehealth.go
+++ b/internal/node/storehealth.go
@@ -133,10 +133,10 @@
 	return since
 }
 
-// suspect reports whether a call to the part, or to another one since the last
+// unresponsive reports whether a call to the part, or to another one since the last
 // answer of this part, is unanswered: the service may have stopped answering, and a
 // transaction may be applied late or never.
-func (h *storeHealth) suspect(part string) bool {
+func (h *storeHealth) unresponsive(part string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.unanswered(part, h.bound())
--- a/internal/node/storeprobe.go
+++ b/internal/node/storeprobe.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// probeInterval is the time between two probes of parts that are suspect. With
+	// probeInterval is the time between two probes of parts that are unresponsive. With
 	// 42 processes they take 210 of the 6,000 reads a second of the service, and
 	// none while it answers.
 	probeInterval = 200 * time.Millisecond
@@ -22,24 +22,24 @@
 	maxProbes = 4
 )
 
-// probeStore reads one small row of the suspect parts in turn until ctx ends, so
+// probeStore reads one small row of the unresponsive parts in turn until ctx ends, so
 // that no caller's job has to test whether the service is back.
 func (n *Node) probeStore(ctx context.Context) error {
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
 	probes := semaphore.NewWeighted(maxProbes)
-	var suspect suspicion
+	var unresponsive unresponsiveLog
 	for next := 0; ; {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		suspect.observe(n.suspectParts(), n.Log)
+		unresponsive.observe(n.unresponsiveParts(), n.Log)
 		for range jobParts {
 			part := next
 			next = (next + 1) % jobParts
-			if !n.storeHealth.suspect(partName(part)) {
+			if !n.storeHealth.unresponsive(partName(part)) {
 				continue
 			}
 			if probes.TryAcquire(1) {
@@ -53,11 +53,11 @@
 	}
 }
 
-// suspectParts returns the names of the suspect parts of the jobs.
-func (n *Node) suspectParts() []string {
+// unresponsiveParts returns the names of the unresponsive parts of the jobs.
+func (n *Node) unresponsiveParts() []string {
 	var parts []string
 	for i := range jobParts {
-		if n.storeHealth.suspect(partName(i)) {
+		if n.storeHealth.unresponsive(partName(i)) {
 			parts = append(parts, partName(i))
 		}
 	}
@@ -65,7 +65,7 @@
 }
 
 // storeState returns the state of the table service as this process sees it:
-// "answers", "suspect" if parts of the jobs are, "silent" if parts are, or
+// "answers", "unresponsive" if parts of the jobs are, "silent" if parts are, or
 // "unreachable".
 func (n *Node) storeState() string {
 	if n.reachability.unreachable() {
@@ -76,31 +76,31 @@
 			return "silent"
 		}
 	}
-	if len(n.suspectParts()) > 0 {
-		return "suspect"
+	if len(n.unresponsiveParts()) > 0 {
+		return "unresponsive"
 	}
 	return "answers"
 }
 
-// suspicion logs when parts have become suspect and when none is any more. A part
+// unresponsiveLog logs when parts have become unresponsive and when none is any more. A part
 // that answers the first probe is not logged.
-type suspicion struct {
+type unresponsiveLog struct {
 	since  time.Time
 	logged bool
 }
 
-func (s *suspicion) observe(parts []string, log *zap.Logger) {
+func (s *unresponsiveLog) observe(parts []string, log *zap.Logger) {
 	switch {
 	case len(parts) > 0 && s.since.IsZero():
 		s.since = time.Now()
 	case len(parts) > 0 && !s.logged:
 		s.logged = true
-		event.StoreSuspect.Log(log, zap.Strings("parts", parts))
+		event.StoreUnresponsive.Log(log, zap.Strings("parts", parts))
 	case len(parts) == 0:
 		if s.logged {
 			event.StoreAnswers.Log(log, zap.Duration("after", time.Since(s.since)))
 		}
-		*s = suspicion{}
+		*s = unresponsiveLog{}
 	}
 }
 
@@ -117,7 +117,7 @@
 
 // confirmPart reports whether a part of the jobs answers calls. Unless it has just
 // done so, it probes the part and waits until a call is answered, the probe fails or
-// the part is suspect.
+// the part is unresponsive.
 func (n *Node) confirmPart(ctx context.Context, part int) bool {
 	if n.storeHealth.recent(partName(part)) {
 		return true
@@ -135,7 +135,7 @@
 			return n.storeHealth.recent(partName(part))
 		case <-ticker.C:
 		}
-		if recent := n.storeHealth.recent(partName(part)); recent || n.storeHealth.suspect(partName(part)) {
+		if recent := n.storeHealth.recent(partName(part)); recent || n.storeHealth.unresponsive(partName(part)) {
 			return recent
 		}
 	}
