--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -40,7 +40,8 @@
 
 // refuse returns the refusal of a job that certainly cannot end in time to be of
 // use, or false. A job that is stored already is not refused.
-func (n *Node) refuse(ctx context.Context, j *workload.Job, c *estate.Catalog) (response, bool) {
+func (n *Node) refuse(r *queueRequest, j *workload.Job) (response, bool) {
+	c := r.catalog
 	if !n.limitsLoad(c) {
 		return response{}, false
 	}
@@ -57,6 +58,8 @@
 	if !d.Refused {
 		return response{}, false
 	}
+	ctx, cancel := context.WithDeadline(r.Request().Context(), r.deadline)
+	defer cancel()
 	if stored, err := n.readProgress(ctx, j.ID); err != nil || stored != nil {
 		return response{}, false // answered by the submission
 	}
--- a/internal/node/queueapi.go
+++ b/internal/node/queueapi.go
@@ -185,7 +185,7 @@
 		return response{status: http.StatusBadRequest, reason: err.Error()}
 	}
 	job.AcceptedMS, job.Terms = h.node.Clock.StoreMS(h.node.Clock.Now()), r.queue
-	if refusal, refused := h.node.refuse(r.Request().Context(), job, r.catalog); refused {
+	if refusal, refused := h.node.refuse(r, job); refused {
 		return refusal
 	}
 	switch h.node.acceptor.submit(r.Request().Context(), job, r.deadline) {
