node: a paused process does not take the table service for silent

After a pause all calls in flight seem unanswered for as long as it took, and requests that arrived meanwhile were refused before the process could read the answers. The probes' ticks now show a gap; calls in flight then count from its end, and nothing is silent while ticks are late. The same holds for an owner with too little processor time, which reads answers seconds late.

--- a/internal/node/storehealth.go
+++ b/internal/node/storehealth.go
@@ -27,6 +27,10 @@
 	// recentAnswer is the age of the last answer of a part up to which a job is sent
 	// without a read before it.
 	recentAnswer = 150 * time.Millisecond
+	// maxTickGap is the time between two ticks above which the process was paused or
+	// lacks processor time: then it has not read answers, and calls without one say
+	// nothing.
+	maxTickGap = 400 * time.Millisecond
 	// latencyDecay is the part of the latency estimate that each answer leaves.
 	latencyDecay = 0.9
 )
@@ -43,6 +47,8 @@
 	parts map[string]*partHealth
 	// latency is the recent largest latency of an answered call.
 	latency time.Duration
+	// ticked is the time of the last tick.
+	ticked time.Time
 }
 
 // partHealth holds the calls to one part. Times are times of the sending of calls,
@@ -133,6 +139,24 @@
 	return since
 }
 
+// tick is called each probeInterval. After a pause it counts calls in flight from now.
+func (h *storeHealth) tick() {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Sub(h.ticked) > maxTickGap {
+		for _, p := range h.parts {
+			p.firstLost, p.lastLost = time.Time{}, time.Time{}
+			for due := range p.waiting {
+				if due.Before(now) {
+					*due = now
+				}
+			}
+		}
+	}
+	h.ticked = now
+}
+
 // unresponsive reports whether a call to the part, or to another one since the last
 // answer of this part, is unanswered: the service may have stopped answering, and a
 // transaction may be applied late or never.
@@ -143,11 +167,11 @@
 }
 
 // silent reports whether the service has answered no call to the part for
-// silentAfter, though one had to be answered.
+// silentAfter, though one had to be answered and this process has read answers.
 func (h *storeHealth) silent(part string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.unanswered(part, max(silentAfter, h.bound()))
+	return time.Since(h.ticked) <= maxTickGap && h.unanswered(part, max(silentAfter, h.bound()))
 }
 
 // recent reports whether the part has answered a call within recentAnswer. It is
--- a/internal/node/storeprobe.go
+++ b/internal/node/storeprobe.go
@@ -27,6 +27,7 @@
 func (n *Node) probeStore(ctx context.Context) error {
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
+	n.storeHealth.tick()
 	probes := semaphore.NewWeighted(maxProbes)
 	var unresponsive unresponsiveLog
 	for next := 0; ; {
@@ -35,6 +36,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		n.storeHealth.tick()
 		unresponsive.observe(n.unresponsiveParts(), n.Log)
 		for range jobParts {
 			part := next
--- a/internal/node/unstablehistory_test.go
+++ b/internal/node/unstablehistory_test.go
@@ -80,7 +80,7 @@
 				}
 				outcome, _ := submitTest(ctx, nodes[random.IntN(len(nodes))], id, time.Duration(50+random.IntN(2300))*time.Millisecond)
 				leave()
-				time.Sleep(1) // an attempt that begins at this moment is sent
+				time.Sleep(time.Nanosecond) // an attempt that begins at this moment is sent
 				check(id, outcome)
 				mu.Lock()
 				last[id] = outcome
@@ -126,6 +126,31 @@
 	})
 }
 
+// TestPausedProcessDoesNotTakeTheServiceForSilent guards against refusals of what arrived during a pause.
+func TestPausedProcessDoesNotTakeTheServiceForSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var h storeHealth
+		h.tick()
+		h.begin(t.Context(), "p", 0)
+		time.Sleep(5 * time.Second)
+		if h.silent("p") {
+			t.Error("the service is silent before this process can have read its answer")
+		}
+		for range 5 {
+			h.tick()
+			time.Sleep(probeInterval)
+			if h.silent("p") {
+				t.Error("the service is silent within 1 s after the pause")
+			}
+		}
+		h.tick()
+		time.Sleep(probeInterval + 1)
+		if !h.silent("p") {
+			t.Error("the service is not silent after 1.2 s without an answer")
+		}
+	})
+}
+
 // TestFewOutcomesAreUnknownInAnOutage plays 42 processes with 64 jobs a second and a
 // service that gives no answers for 8 s. It guards against unknown outcomes of jobs
 // that need not have been sent; 125 were unknown without these rules.
