node: jobs that wait for the first answer of a slow service are not refused

While the read before a job had no answer for 100 ms, jobs older than 250 ms were refused like those that the service refuses. They are held now. Submissions of unknown outcome take turns while a part does not answer; the first four were always tried first.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -39,6 +39,9 @@
 			batch, held = unknown, others // their answer is that of a probe
 		case !a.node.confirmPart(ctx, part):
 			_ = ctxtime.Sleep(ctx, holdInterval)
+			if a.node.storeHealth.unresponsive(partName(part)) {
+				return batch // the service may be slow only
+			}
 			return a.refuseNotStored(batch)
 		}
 	}
@@ -63,7 +66,7 @@
 	if len(sent) == 0 {
 		return held
 	}
-	return append(a.attempt(ctx, partName(part), txn, sent), held...)
+	return append(held, a.attempt(ctx, partName(part), txn, sent)...) // the others have their turn
 }
 
 // splitUnknown returns up to maxResolving submissions with unknown outcome, and the
