node: a submission takes no more allocations than before

The timer that ends an attempt whose answer is lost, the ticker of each submission and the names of parts cost 11 allocations a submission. Calls without an answer are now ended by the ticks of the probes, one timer serves for silence and deadline, and the names of parts are kept.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -168,21 +168,20 @@
 		refused.Add("queue full", 1)
 		return submitNotStored
 	}
-	silence := time.NewTicker(silenceCheckInterval)
-	defer silence.Stop()
-	timer := time.NewTimer(time.Until(deadline))
+	timer := time.NewTimer(min(time.Until(deadline), silenceCheckInterval))
 	defer timer.Stop()
 	for waiting := true; waiting; {
 		select {
 		case outcome := <-s.outcome:
 			return outcome
-		case <-silence.C:
+		case <-timer.C:
 			if a.away(part) && s.bar() {
 				refused.Add("table service away", 1)
 				return submitNotStored
 			}
-		case <-timer.C:
-			waiting = false
+			left := time.Until(deadline)
+			waiting = left > 0
+			timer.Reset(min(left, silenceCheckInterval))
 		case <-ctx.Done():
 			waiting = false
 		}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,8 +46,9 @@
 			return a.refuseNotStored(batch)
 		}
 	}
-	var txn platform.RowTxn
-	included := map[string]bool{}
+	txn := platform.RowTxn{
+		Conditions: make([]platform.RowCondition, 0, 2*len(batch)), Writes: make([]platform.RowWrite, 0, 2*len(batch)),
+	}
 	sent := batch[:0]
 	for _, s := range batch {
 		if s.abandoned() || !s.open() {
@@ -54,10 +56,9 @@
 			continue
 		}
 		sent = append(sent, s)
-		if included[s.job.ID] {
+		if slices.ContainsFunc(sent[:len(sent)-1], func(o *submission) bool { return o.job.ID == s.job.ID }) {
 			continue // the same job was submitted twice concurrently
 		}
-		included[s.job.ID] = true
 		txn.Conditions = append(txn.Conditions,
 			platform.RowCondition{RowKey: s.rows[0].RowKey, Version: platform.NoVersion},
 			platform.RowCondition{RowKey: jobRow(cancelTable, s.job.ID), Version: platform.NoVersion})
@@ -124,17 +125,9 @@
 func (a *acceptor) commit(ctx context.Context, part string, txn platform.RowTxn) (platform.Stamp, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxAcceptTimeout)
 	defer cancel()
-	sent := time.Now()
-	end := a.node.storeHealth.begin(ctx, part, 0)
-	overtaken := time.AfterFunc(acceptTimeout, func() {
-		for ctx.Err() == nil && !a.node.storeHealth.answeredSince(part, sent) {
-			_ = ctxtime.Sleep(ctx, holdInterval)
-		}
-		cancel()
-	})
-	defer overtaken.Stop()
+	call := a.node.storeHealth.begin(ctx, part, 0, cancel)
 	stamp, err := a.node.Rows.CommitRows(ctx, txn)
-	end(err)
+	call.end(err)
 	return stamp, err
 }
 
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -83,12 +83,12 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	end := n.storeHealth.begin(callCtx, controlPart, 0)
+	call := n.storeHealth.begin(callCtx, controlPart, 0, nil)
 	stamp, err := n.Rows.CommitRows(callCtx, platform.RowTxn{
 		Conditions: []platform.RowCondition{o.fence()},
 		Writes:     []platform.RowWrite{{RowKey: heartbeatRow, Value: value}},
 	})
-	end(err)
+	call.end(err)
 	switch {
 	case err == nil:
 		answered = true
--- a/internal/node/queueapi.go
+++ b/internal/node/queueapi.go
@@ -225,9 +225,9 @@
 // readProgress reads a job's progress. It returns nil without an error if the
 // job does not exist.
 func (n *Node) readProgress(ctx context.Context, id string) (*workload.Progress, error) {
-	end := n.storeHealth.begin(ctx, partName(partOf(id)), 0)
+	call := n.storeHealth.begin(ctx, partName(partOf(id)), 0, nil)
 	rows, stamp, err := n.Rows.ReadRows(ctx, progressTable, partName(partOf(id)), id, id+"\x00")
-	end(err)
+	call.end(err)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/schema.go
+++ b/internal/node/schema.go
@@ -48,7 +48,14 @@
 // partOf returns the number of a job's part.
 func partOf(job string) int { return int(xxhash.Sum64String(job) % jobParts) }
 
-func partName(n int) string { return "jobs-" + strconv.Itoa(n) }
+var partNames = func() (names [jobParts]string) {
+	for i := range names {
+		names[i] = "jobs-" + strconv.Itoa(i)
+	}
+	return names
+}()
+
+func partName(n int) string { return partNames[n] }
 
 // jobRow returns the key of a job's row in a table.
 func jobRow(table, job string) platform.RowKey {
--- a/internal/node/storehealth.go
+++ b/internal/node/storehealth.go
@@ -58,43 +58,56 @@
 	// answer came.
 	answered, answeredAt time.Time
 	// waiting holds the calls in flight.
-	waiting map[*time.Time]struct{}
+	waiting map[*storeCall]struct{}
 	// firstLost and lastLost are the earliest and the latest time of calls that
 	// ended without an answer since, zero for none.
 	firstLost, lastLost time.Time
 }
 
-// begin records that a call to a part is sent, which the service may hold for wait,
-// and returns the function to call with its outcome. A call whose ctx was cancelled,
-// or ended before an answer was due, says nothing.
-func (h *storeHealth) begin(ctx context.Context, part string, wait time.Duration) func(error) {
-	sent := time.Now()
-	due := sent.Add(wait)
+// storeCall is a call in flight.
+type storeCall struct {
+	health    *storeHealth
+	part      *partHealth
+	ctx       context.Context
+	sent, due time.Time
+	// overtaken is called once the call has no answer for acceptTimeout and a later
+	// one to the part was answered, if set.
+	overtaken func()
+}
+
+// begin records that a call to a part is sent, which the service may hold for wait.
+// The caller reports its outcome to end. A call whose ctx was cancelled, or ended
+// before an answer was due, says nothing.
+func (h *storeHealth) begin(ctx context.Context, part string, wait time.Duration, overtaken func()) *storeCall {
+	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	p := h.part(part)
-	p.waiting[&due] = struct{}{}
-	return func(err error) {
-		now := time.Now()
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		delete(p.waiting, &due)
-		switch {
-		case err == nil, errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrHistoryGone):
-			p.answer(sent)
-			p.answeredAt = now
-			h.latency = max(now.Sub(due), time.Duration(latencyDecay*float64(h.latency)))
-		case errors.Is(err, platform.ErrUnavailable), ctx.Err() == context.Canceled, ctx.Err() != nil && now.Sub(due) < h.bound():
-		default:
-			p.lose(due)
-		}
+	c := &storeCall{health: h, part: h.part(part), ctx: ctx, sent: now, due: now.Add(wait), overtaken: overtaken}
+	c.part.waiting[c] = struct{}{}
+	return c
+}
+
+// end records the outcome of the call.
+func (c *storeCall) end(err error) {
+	now, h, p := time.Now(), c.health, c.part
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(p.waiting, c)
+	switch {
+	case err == nil, errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrHistoryGone):
+		p.answer(c.sent)
+		p.answeredAt = now
+		h.latency = max(now.Sub(c.due), time.Duration(latencyDecay*float64(h.latency)))
+	case errors.Is(err, platform.ErrUnavailable), c.ctx.Err() == context.Canceled, c.ctx.Err() != nil && now.Sub(c.due) < h.bound():
+	default:
+		p.lose(c.due)
 	}
 }
 
 func (h *storeHealth) part(name string) *partHealth {
 	p := h.parts[name]
 	if p == nil {
-		p = &partHealth{waiting: map[*time.Time]struct{}{}}
+		p = &partHealth{waiting: map[*storeCall]struct{}{}}
 		if h.parts == nil {
 			h.parts = map[string]*partHealth{}
 		}
@@ -131,26 +144,31 @@
 // there is none.
 func (p *partHealth) unansweredSince() time.Time {
 	since := p.firstLost
-	for due := range p.waiting {
-		if due.After(p.answered) && (since.IsZero() || due.Before(since)) {
-			since = *due
+	for c := range p.waiting {
+		if c.due.After(p.answered) && (since.IsZero() || c.due.Before(since)) {
+			since = c.due
 		}
 	}
 	return since
 }
 
-// tick is called each probeInterval. After a pause it counts calls in flight from now.
+// tick is called each probeInterval. It ends calls whose answers are lost. After a
+// pause it counts calls in flight from now.
 func (h *storeHealth) tick() {
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if now.Sub(h.ticked) > maxTickGap {
-		for _, p := range h.parts {
+	paused := now.Sub(h.ticked) > maxTickGap
+	for _, p := range h.parts {
+		if paused {
 			p.firstLost, p.lastLost = time.Time{}, time.Time{}
-			for due := range p.waiting {
-				if due.Before(now) {
-					*due = now
-				}
+		}
+		for c := range p.waiting {
+			if paused && c.due.Before(now) {
+				c.due = now
+			}
+			if c.overtaken != nil && now.Sub(c.due) > acceptTimeout && p.answered.After(c.sent) {
+				c.overtaken()
 			}
 		}
 	}
@@ -197,11 +215,3 @@
 	}
 	return false
 }
-
-// answeredSince reports whether a call to the part that was sent after the given
-// time has been answered.
-func (h *storeHealth) answeredSince(part string, sent time.Time) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.part(part).answered.After(sent)
-}
--- a/internal/node/storeprobe.go
+++ b/internal/node/storeprobe.go
@@ -110,10 +110,10 @@
 func (n *Node) probePart(ctx context.Context, part int) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	end := n.storeHealth.begin(ctx, partName(part), 0)
+	call := n.storeHealth.begin(ctx, partName(part), 0, nil)
 	row := fenceRow(part)
 	_, _, err := n.Rows.ReadRows(ctx, row.Table, row.Part, row.Key, row.Key+"\x00")
-	end(err)
+	call.end(err)
 	n.reachability.observe(err)
 }
 
--- a/internal/node/unstablehistory_test.go
+++ b/internal/node/unstablehistory_test.go
@@ -131,7 +131,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var h storeHealth
 		h.tick()
-		h.begin(t.Context(), "p", 0)
+		h.begin(t.Context(), "p", 0, nil)
 		time.Sleep(5 * time.Second)
 		if h.silent("p") {
 			t.Error("the service is silent before this process can have read its answer")
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -81,9 +81,9 @@
 		},
 		readChanges: func(ctx context.Context, after int64) (handleAnswer, error) {
 			sent := n.Clock.Now()
-			end := n.storeHealth.begin(ctx, controlPart, controlLongPollWait)
+			call := n.storeHealth.begin(ctx, controlPart, controlLongPollWait, nil)
 			rows, stamp, err := n.Rows.Changes(ctx, controlTable, after, controlLongPollWait)
-			end(err)
+			call.end(err)
 			return answer(sent, rows, stamp, err)
 		},
 	}
