--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -120,7 +120,7 @@
 	return batch
 }
 
-// commit commits a transaction. It gives up after acceptTimeout if the service has
+// commit commits a transaction. It gives up at the first tick after acceptTimeout if the service has
 // answered a later call to the part.
 func (a *acceptor) commit(ctx context.Context, part string, txn platform.RowTxn) (platform.Stamp, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxAcceptTimeout)
