--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -125,6 +125,16 @@
 	RowUnreadable         = New(112, zapcore.WarnLevel, "row unreadable")
 )
 
+// Events of the acceptance of jobs while the table service is unstable or pools are
+// full.
+var (
+	StoreUnresponsive        = New(990, zapcore.WarnLevel, "table service has stopped answering, submissions held")
+	StoreAnswers             = New(991, zapcore.InfoLevel, "table service answers again, submissions resumed")
+	SubmissionUnresolved     = New(992, zapcore.WarnLevel, "submission without an answer")
+	SubmissionResolved       = New(993, zapcore.InfoLevel, "submission without an answer resolved")
+	SubmissionRefusedForLoad = New(994, zapcore.InfoLevel, "submission refused, pool is full")
+)
+
 // CommitUnconfirmed is logged when a transaction that records the progress of
 // jobs got no answer or was refused.
 var CommitUnconfirmed = New(526, zapcore.WarnLevel, "progress commit unconfirmed")
--- a/internal/node/queueapi.go
+++ b/internal/node/queueapi.go
@@ -97,6 +97,8 @@
 	body   any
 	reason string
 	fields []zap.Field
+	// retryAfter is the Retry-After of a refusal, 0 for retryAfterSeconds.
+	retryAfter time.Duration
 }
 
 // handle finds the queue of a request, serves it with the given function,
@@ -114,7 +116,7 @@
 		}
 		h.node.metrics.countRequest(c.Request().Method, a.status, time.Since(start))
 		if a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests {
-			c.Response().Header().Set("Retry-After", retryAfterSeconds)
+			c.Response().Header().Set("Retry-After", a.retryAfterHeader())
 		}
 		if h.node.stopping.Load() {
 			c.Response().Header().Set("Connection", "close")
@@ -195,6 +197,9 @@
 		return response{status: http.StatusBadRequest, reason: err.Error()}
 	}
 	job.AcceptedMS, job.Terms, job.Team = h.node.Clock.StoreMS(h.node.Clock.Now()), r.queue, r.caller.team
+	if refusal, refused := h.node.refuse(r, job); refused {
+		return refusal
+	}
 	outcome, existing := h.node.acceptor.submitChecked(r.Request().Context(), job, r.deadline)
 	switch outcome {
 	case submitStored:
@@ -239,7 +244,9 @@
 // readProgress reads a job's progress. It returns nil without an error if the
 // job does not exist.
 func (n *Node) readProgress(ctx context.Context, id string) (*workload.Progress, error) {
+	call := n.storeHealth.begin(ctx, partName(partOf(id)), 0, nil)
 	rows, stamp, err := n.Rows.ReadRows(ctx, progressTable, partName(partOf(id)), id, id+"\x00")
+	call.end(err)
 	if err != nil {
 		return nil, err
 	}
