scheduler: report observed progress and tails by image, queue and worker

Whether tasks on one worker slow each other, and whether some workers are slow, could not be told from the log: progress and tails were read with each poll and then dropped.

Each second the owner now logs one line for each image and queue (24 of each at most): mean progress relative to the estimate, mean tail relative to the target, by whether fillers ran beside, by the number of other runs and by the requested share of the worker's processors; and the five slowest workers. Times are by the worker's clock, so a slow owner does not take its workers for slow. scheduler.Options.LearnPerformance switches it; it is on in egretpitch-node. No decision changes.

--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -167,6 +167,7 @@
 		Scheduling: scheduler.Options{
 			MaxLease: s.Bounds.MaxLease, StopGrace: s.Bounds.StopGrace, CancelWithin: s.Bounds.CancelWithin, DrainWithin: s.Bounds.DrainWithin,
 			CapacityValidity: s.Bounds.Contact + s.Bounds.Heartbeat,
+			LearnPerformance: true,
 		},
 		Rows: store, Operator: platform.NewOperator(store, unreadable), Discovery: platform.NewDiscovery(store, unreadable),
 		Runner: platform.NewWorkers(), Fleet: platform.NewFleet(s.Fleet, unreadable), Recommender: platform.NewRecommender(s.Recommender),
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -107,6 +107,9 @@
 	TaskRestarted        = New(947, zapcore.InfoLevel, "long-running task starts again")
 	CancelledRunsEnded   = New(948, zapcore.InfoLevel, "last run of a cancelled job ended")
 	StopOverdue          = New(949, zapcore.WarnLevel, "run is still there long after its job was cancelled")
+	ImageObserved        = New(950, zapcore.InfoLevel, "runs of an image observed")
+	QueueObserved        = New(951, zapcore.InfoLevel, "runs of a queue observed")
+	SlowestWorkers       = New(952, zapcore.InfoLevel, "slowest workers observed")
 	RecoveryEnded        = New(933, zapcore.InfoLevel, "recovery ended")
 )
 
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -169,6 +169,7 @@
 	throttledPercent int
 	throttling       bool
 	throttledAt      time.Duration
+	sampled          runSample
 }
 
 // withdraw keeps the start of the run from being sent, if it was not yet.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -268,7 +268,7 @@
 func fitOf(t *task, w *worker, size placement.Resources) fit {
 	f := fit{
 		avoided: slices.Contains(t.failedOn, w.ID) || (w.onProbation && len(w.runs) > 0) || (w.pendingRemoval && t.step.LongRunning),
-		remote:  t.step.Rack != "" && !slices.Contains(w.Labels, t.step.Rack),
+		remote:  t.step.remoteOn(w),
 	}
 	if t.suspect() {
 		f.beside = len(w.runs)
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -347,6 +347,7 @@
 			e.reconcileMissingRun(r, o, now)
 		}
 	}
+	e.learnFromRuns(w, now)
 	e.throttleFillers(w, now)
 }
 
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -277,6 +277,7 @@
 		if end.End == platform.EndDone {
 			w.succeeded(now)
 		}
+		e.learnFromEnd(r, end.End, now)
 		e.endRun(r, now)
 	}
 	return changed
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -47,6 +47,9 @@
 	// and PartOf returns the part of a job.
 	Parts  int
 	PartOf func(job string) int
+	// LearnPerformance enables learning from the progress and the tail latencies of
+	// runs how images slow each other and how fast workers are, and deciding by it.
+	LearnPerformance bool
 	// CancelledRunsEnded, if set, is called when the last run of a cancelled job has
 	// ended.
 	CancelledRunsEnded func(CancelledRunsEnd)
@@ -202,6 +205,7 @@
 	handingOver bool
 	// superseded is set once a worker has seen a higher token.
 	superseded bool
+	observed   observations
 }
 
 // Stats counts decisions and outcomes since the engine was created. It is
@@ -435,6 +439,7 @@
 		e.stopStalledRuns(now)
 		e.reportOutages(now)
 		e.reportOverdueStops(now)
+		e.reportObserved(now)
 		e.stats.CancelsAgeMS, e.stats.EntriesAgeMS = e.cancelsAge(now).Milliseconds(), e.EntriesAge(now).Milliseconds()
 		if e.catalog != nil && ownership != OwnershipExpired && e.mayStart(now) {
 			e.evacuate(now)
