interference: no task makes another one faster

Two fillers that were throttled together from the start could not be told apart: their shares fall and rise together, so one that slows and one that speeds up explain the tails as well as the cause alone does. In TestOnlyTheCauseIsThrottled of the scheduler (8 workers, 5 with the cause) no cause was known after 40 s.

--- a/internal/interference/fit.go
+++ b/internal/interference/fit.go
@@ -36,7 +36,7 @@
 	minCertainty = 4
 	// minFreedom is the number of independent observations of an image before any
 	// effect on it is known: with fewer, the noise itself is not known.
-	minFreedom = 20
+	minFreedom = 10
 )
 
 // Effect is how much a task of one image slows a task of another.
@@ -72,9 +72,9 @@
 				}
 			}
 		}
-		inverse := invert(h, n)
+		disturbance, variance := solve(h, g, n)
 		for i, c := range e.images {
-			c.disturbance, c.disturbanceVar = dot(inverse[i], g, n), inverse[i][i]
+			c.disturbance, c.disturbanceVar = disturbance[i], variance[i]
 		}
 		for _, v := range e.images {
 			precision := 1 / (sensitivitySD * sensitivitySD)
@@ -106,15 +106,15 @@
 		h[i][i] += prior
 		g[i] = v.all.xy[i]/v.noise + prior*v.sensitivity*c.disturbance
 	}
-	inverse := invert(h, n)
+	effects, variance := solve(h, g, n)
+	v.effects = effects
 	v.fitted = 0
 	for i, c := range e.images {
-		v.effects[i] = dot(inverse[i], g, n)
-		v.fitted += 1 - inverse[i][i]*prior
 		// The share of the expectation in the estimate has its own error.
-		share := inverse[i][i] * prior
+		share := variance[i] * prior
+		v.fitted += 1 - share
 		expected := v.sensitivity*v.sensitivity*c.disturbanceVar + c.disturbance*c.disturbance*v.sensitivityVar
-		v.errors[i] = math.Sqrt(inverse[i][i] + share*share*expected)
+		v.errors[i] = math.Sqrt(variance[i] + share*share*expected)
 	}
 }
 
@@ -167,6 +167,36 @@
 	return v.all.freedom >= minFreedom && v.effects[cause] >= minEffect && v.effects[cause] >= minCertainty*v.errors[cause]
 }
 
+// solve returns the solution x of a x = g with its variances. No task makes another
+// one faster: what would be negative is 0, and the rest is solved without it. That
+// separates two fillers that are throttled together, as one of them must then speed
+// up what the other one slows.
+func solve(a [maxImages][maxImages]float64, g [maxImages]float64, n int) (x, variance [maxImages]float64) {
+	for range maxImages {
+		inverse := invert(a, n)
+		negative := false
+		for i := range n {
+			x[i], variance[i] = dot(inverse[i], g, n), inverse[i][i]
+			if x[i] < -1e-9 {
+				negative = true
+				for j := range n {
+					a[i][j], a[j][i] = 0, 0
+				}
+				a[i][i], g[i] = 1, 0
+			}
+		}
+		if !negative {
+			break
+		}
+	}
+	for i := range n {
+		if x[i] <= 1e-9 {
+			x[i], variance[i] = 0, 0
+		}
+	}
+	return x, variance
+}
+
 // invert returns the inverse of the leading n rows and columns of a symmetric,
 // positive definite matrix.
 func invert(a [maxImages][maxImages]float64, n int) [maxImages][maxImages]float64 {
