scheduler: place tasks by interference and by the speed of workers

Workers that fit were ranked by distance to data and packing alone. A worker at an eighth of its speed kept its share of the starts, and tasks that slow each other shared workers while others were free.

The progress and the tails that polls list feed the estimates of internal/interference and internal/workerspeed. Among the workers that fit, below avoided workers: one where a task would end too late because the worker is slow comes last; on the critical path the expected end decides; below distance to data the cost of interference does; then packing. Fillers and serving tasks with images are placed apart. No worker that fits is left out. Gangs take slow workers only if they do not fit without.

scheduler.Options.LearnPerformance switches all of it.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -110,6 +110,10 @@
 	ImageObserved        = New(950, zapcore.InfoLevel, "runs of an image observed")
 	QueueObserved        = New(951, zapcore.InfoLevel, "runs of a queue observed")
 	SlowestWorkers       = New(952, zapcore.InfoLevel, "slowest workers observed")
+	WorkerSlow           = New(953, zapcore.WarnLevel, "worker is slow")
+	WorkerSpeedNormal    = New(954, zapcore.InfoLevel, "worker is as fast as others again")
+	InterferenceKnown    = New(955, zapcore.InfoLevel, "images slow each other")
+	StartedBesideKnown   = New(957, zapcore.InfoLevel, "task started beside a known neighbor")
 	RecoveryEnded        = New(933, zapcore.InfoLevel, "recovery ended")
 )
 
--- a/internal/scheduler/performance.go
+++ b/internal/scheduler/performance.go
@@ -14,9 +14,9 @@
 	minSampleSpan  = 200 * time.Millisecond
 	sampleFraction = 0.04
 	maxSampleSpan  = 2 * time.Second
-	// tailSpan is the time between two observations of a tail latency: workers
-	// report that of the last half second.
-	tailSpan = 500 * time.Millisecond
+	// tailSpan is the least time between two observations of a tail latency. It is
+	// that between two polls of a worker with fillers beside serving tasks.
+	tailSpan = mixedWait
 	// minEndSpan is the shortest time from the last sample to the end of a run
 	// over which progress is measured.
 	minEndSpan = 100 * time.Millisecond
@@ -28,9 +28,18 @@
 	// clockMS is the worker's clock in milliseconds, 0 before the first sample.
 	clockMS int64
 	percent float64
+	// startedMS is the worker's clock when it answered the start, and firstMS and
+	// firstPercent are the first sample.
+	startedMS, firstMS int64
+	firstPercent       float64
 }
 
-func (s *runSample) set(clockMS int64, percent float64) { s.clockMS, s.percent = clockMS, percent }
+func (s *runSample) set(clockMS int64, percent float64) {
+	s.clockMS, s.percent = clockMS, percent
+	if s.firstMS == 0 {
+		s.firstMS, s.firstPercent = clockMS, percent
+	}
+}
 
 // crowd is what a worker runs.
 type crowd struct {
@@ -73,14 +82,14 @@
 	if !e.opts.LearnPerformance || w.clockAt != now {
 		return
 	}
-	c := w.crowd()
+	c, beside := w.crowd(), w.neighbors()
 	for _, r := range w.runs {
 		if r.phase != runConfirmed || r.confirmedAt != now {
 			continue
 		}
 		o := observation{run: r, crowd: c, rate: -1, remote: r.task.step.remoteOn(w)}
 		if r.measure(&o, r.percent, w.clockMS) {
-			e.observed.add(o)
+			e.learn(o, beside, now)
 		}
 	}
 }
@@ -88,19 +97,20 @@
 // learnFromEnd observes a run that the worker has just listed as done.
 func (e *Engine) learnFromEnd(r *run, end platform.RunEnd, now time.Duration) {
 	w := r.worker
-	if !e.opts.LearnPerformance || end != platform.EndDone || w.clockAt != now || r.sampled.clockMS == 0 || r.throttledPercent != 100 {
+	if !e.opts.LearnPerformance || end != platform.EndDone || w.clockAt != now || r.throttledPercent != 100 {
 		return
 	}
 	if s := r.task.step; s.LongRunning || s.TailTarget > 0 || s.Estimate <= 0 {
 		return
 	}
+	e.learnWhole(r, now)
 	span := time.Duration(w.clockMS-r.sampled.clockMS) * time.Millisecond
-	if span < minEndSpan {
+	if r.sampled.clockMS == 0 || span < minEndSpan {
 		return
 	}
 	o := observation{run: r, crowd: w.crowd(), span: span, remote: r.task.step.remoteOn(w)}
 	o.rate = (100 - r.sampled.percent) / 100 * float64(r.task.step.Estimate) / float64(span)
-	e.observed.add(o)
+	e.learn(o, w.neighbors(), now)
 }
 
 // measure compares the run's progress in percent with the last sample and reports
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -206,6 +206,7 @@
 			continue
 		}
 		f := fitOf(t, w, size)
+		f.expected = e.expect(t, w, f.remote, now)
 		if best == nil || f.better(bestFit) {
 			best, bestFit, bestTicket = w, f, ticket
 		}
@@ -246,6 +247,7 @@
 	avoided bool
 	// remote workers are not on the rack of the task's data.
 	remote bool
+	expected
 	// beside is the number of runs that a suspect would join.
 	beside int
 	// left is the fraction of the worker's processors that would stay free.
@@ -259,9 +261,15 @@
 	if f.beside != o.beside {
 		return f.beside < o.beside
 	}
+	if by := f.compareEnd(o.expected); by != 0 {
+		return by < 0
+	}
 	if f.remote != o.remote {
 		return !f.remote
 	}
+	if f.cost != o.cost {
+		return f.cost < o.cost
+	}
 	return f.left < o.left
 }
 
@@ -288,7 +296,10 @@
 		return
 	}
 	separated := s.tasks[0].separated(open, now)
-	chosen := e.gangWorkers(s, e.withTicket(s, separated, now))
+	chosen := e.gangWorkers(s, e.withTicket(s, e.withoutSlow(separated, now), now))
+	if chosen == nil {
+		chosen = e.gangWorkers(s, e.withTicket(s, separated, now))
+	}
 	if chosen == nil && s.tasks[0].suspect() {
 		chosen = e.gangWorkers(s, e.withTicket(s, s.tasks[0].besideNoSuspect(open), now))
 	}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -35,6 +35,7 @@
 		}
 	}
 	t.runs = append(t.runs, r)
+	e.noteStart(t, w, now)
 	w.addRun(r)
 	s.job.liveRuns++
 	e.stats.Starts++
@@ -87,6 +88,7 @@
 			r.phase = runConfirmed
 		}
 		r.confirmedAt = now
+		r.sampled.startedMS = a.ClockMS
 		r.startedHere = a.ClockMS > 0 && a.ClockMS >= w.clockMS
 		w.receivedLeaseMS = max(w.receivedLeaseMS, r.deadlineMS)
 		e.begin(r.task.step.job, now)
@@ -333,6 +335,7 @@
 	t.notBefore = now + failurePause
 	t.failedAt(w)
 	e.penalize(w, t, now)
+	e.speeds.Failed(w.ID, now)
 	e.markDirty(j, true, now)
 	if t.failures >= j.maxAttempts() {
 		e.endJob(j, workload.Failed, now)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -205,7 +205,7 @@
 	handingOver bool
 	// superseded is set once a worker has seen a higher token.
 	superseded bool
-	observed   observations
+	performance
 }
 
 // Stats counts decisions and outcomes since the engine was created. It is
@@ -248,6 +248,16 @@
 	// SuspectsIsolated the starts of such tasks apart from others, and TasksGivenUp
 	// those that are not started again.
 	CrashesCounted, SuspectsIsolated, TasksGivenUp int64
+	// SlowWorkers is how many workers were slow at the last report, and
+	// SlowWorkerTrials counts the starts on such workers that test whether they
+	// still are.
+	SlowWorkers, SlowWorkerTrials int64
+	// StartsBesideKnown counts the starts beside a task that is known to disturb the
+	// started one, or to be disturbed by it: no other worker had the capacity.
+	StartsBesideKnown int64
+	// StrongestPairs lists the images that slow each other most, each pair with the
+	// factor of the slowdown by one task.
+	StrongestPairs string
 }
 
 // pool holds the workers and the waiting steps of a pool.
@@ -439,7 +449,7 @@
 		e.stopStalledRuns(now)
 		e.reportOutages(now)
 		e.reportOverdueStops(now)
-		e.reportObserved(now)
+		e.reportPerformance(now)
 		e.stats.CancelsAgeMS, e.stats.EntriesAgeMS = e.cancelsAge(now).Milliseconds(), e.EntriesAge(now).Milliseconds()
 		if e.catalog != nil && ownership != OwnershipExpired && e.mayStart(now) {
 			e.evacuate(now)
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -163,6 +163,8 @@
 	// serving tasks while fillers run unthrottled.
 	stalls      bool
 	tailLatency float64
+	// percentOf and tailOf, if set, replace percent and the load of a serving task.
+	percentOf, tailOf func(*fakeRun) float64
 	// needsTicket is the ticket that a start has to carry.
 	needsTicket string
 	// stopTakes is how long a stopped run goes on.
@@ -415,6 +417,9 @@
 
 // percent returns the progress of a run.
 func (f *fakeWorker) percent(r *fakeRun, now time.Duration) float64 {
+	if f.percentOf != nil {
+		return f.percentOf(r)
+	}
 	if f.stalls {
 		return 3
 	}
@@ -427,7 +432,10 @@
 
 // load returns the tail latency that serving tasks report, in proportion to the
 // throttle percentage of the fillers beside them.
-func (f *fakeWorker) load() float64 {
+func (f *fakeWorker) load(r *fakeRun) float64 {
+	if f.tailOf != nil {
+		return f.tailOf(r)
+	}
 	throttlePercent := 0
 	for _, r := range f.runs() {
 		throttlePercent = max(throttlePercent, r.throttlePercent)
@@ -460,7 +468,7 @@
 	}
 	f.ended = slices.DeleteFunc(f.ended, func(e platform.EndedRun) bool { return e.Number <= poll.Acknowledged })
 	for _, r := range f.runs() {
-		s.Runs = append(s.Runs, platform.RunStatus{Task: r.task, Run: r.run, Percent: f.percent(r, sim.now), Load: f.load()})
+		s.Runs = append(s.Runs, platform.RunStatus{Task: r.task, Run: r.run, Percent: f.percent(r, sim.now), Load: f.load(r)})
 	}
 	s.Ends = slices.Clone(f.ended)
 	sim.tracef("%s poll token %d deadline %d ack %d: %d runs, ends %v at clock %d", f.ID, poll.Token, poll.DeadlineMS, poll.Acknowledged, len(s.Runs), s.Ends, s.ClockMS)
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -38,6 +38,7 @@
 					zap.Float64("percent", r.percent), zap.Duration("still", now-r.progressAt))
 				r.task.failedAt(w)
 				e.penalize(w, r.task, now)
+				e.speeds.Stalled(w.ID, now)
 				e.stop(r, "no progress", now)
 			}
 		}
