--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -114,7 +114,7 @@
 	WorkerSpeedNormal    = New(954, zapcore.InfoLevel, "worker is as fast as others again")
 	InterferenceKnown    = New(955, zapcore.InfoLevel, "images slow each other")
 	ServingNearTarget    = New(956, zapcore.InfoLevel, "serving task near its target")
-	StartedBesideKnown   = New(957, zapcore.InfoLevel, "task started beside a known neighbor")
+	StartedBesideKnown   = New(957, zapcore.InfoLevel, "task started beside a known neighbour")
 	RecoveryEnded        = New(933, zapcore.InfoLevel, "recovery ended")
 )
 
--- a/internal/interference/decide.go
+++ b/internal/interference/decide.go
@@ -39,8 +39,8 @@
 }
 
 // Slowdown returns the expected logarithm of the slowdown of a task of the image
-// beside the neighbors, from known effects only.
-func (e *Estimator) Slowdown(image string, beside []Neighbor) float64 {
+// beside the neighbours, from known effects only.
+func (e *Estimator) Slowdown(image string, beside []Neighbour) float64 {
 	sum := 0.0
 	for _, n := range beside {
 		sum += e.Known(image, n.Image) * n.Share
@@ -49,9 +49,9 @@
 }
 
 // Cost returns how much slower a task of the image would run beside the
-// neighbors, and how much slower these would run, as the sum of the logarithms of
+// neighbours, and how much slower these would run, as the sum of the logarithms of
 // the slowdowns over all tasks. Only known effects count.
-func (e *Estimator) Cost(image string, beside []Neighbor) float64 {
+func (e *Estimator) Cost(image string, beside []Neighbour) float64 {
 	if !e.Active() || image == "" {
 		return 0
 	}
--- a/internal/interference/estimator.go
+++ b/internal/interference/estimator.go
@@ -5,7 +5,7 @@
 // Each image has two parameters: how much one of its tasks disturbs others, and
 // how sensitive its own tasks are (Bubble-Up, MICRO 2011). The logarithm of a
 // task's slowdown is expected to be its sensitivity times the sum of what its
-// neighbors disturb. Pairs that were seen together often enough deviate from
+// neighbours disturb. Pairs that were seen together often enough deviate from
 // that by their own data (see fit.go).
 //
 // An Estimator is not safe for concurrent use.
@@ -36,8 +36,8 @@
 	minSlowdown = 1e-3
 )
 
-// Neighbor is the tasks of one image on a worker.
-type Neighbor struct {
+// Neighbour is the tasks of one image on a worker.
+type Neighbour struct {
 	Image string
 	// Tasks is their number, and Share the sum of the shares, 0 to 1, to which they
 	// are throttled.
@@ -50,7 +50,7 @@
 	Image string
 	// Beside lists each image once, none of them empty. Of more than 19, the rest is
 	// left out.
-	Beside []Neighbor
+	Beside []Neighbour
 	// Slowdown is in any unit that is the same for all tasks of the image, such as
 	// its tail latency relative to its target, or the reciprocal of its progress
 	// relative to its estimate.
--- a/internal/interference/interference_test.go
+++ b/internal/interference/interference_test.go
@@ -15,7 +15,7 @@
 	effects map[[2]string]float64
 	noise   float64
 	// load, if set, is what all tasks of an image have in common at a time, from -1 to
-	// 1. The more there is, the more neighbors they have.
+	// 1. The more there is, the more neighbours they have.
 	load func(now time.Duration) float64
 	rng  *rand.Rand
 	now  time.Duration
@@ -37,7 +37,7 @@
 		w.now += 20 * time.Millisecond
 		w.seen++
 		image := w.images[w.rng.IntN(len(w.images))]
-		var beside []Neighbor
+		var beside []Neighbour
 		y := w.noise * w.rng.NormFloat64()
 		together := 0.5
 		if w.load != nil {
@@ -50,7 +50,7 @@
 				if w.rng.IntN(4) == 0 {
 					share /= 2 // throttled
 				}
-				beside = append(beside, Neighbor{other, count, share})
+				beside = append(beside, Neighbour{other, count, share})
 				y += w.effects[[2]string{image, other}] * share
 			}
 		}
@@ -106,9 +106,9 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	for now := time.Second; now < 20*time.Second; now += 400 * time.Millisecond {
 		for i := range 8 {
-			beside, y := []Neighbor{{"quiet", 1, 1}}, 0.1*rng.NormFloat64()
+			beside, y := []Neighbour{{"quiet", 1, 1}}, 0.1*rng.NormFloat64()
 			if i < 5 {
-				beside, y = []Neighbor{{"noisy", 1, 0.5}, {"quiet", 1, 0.5}}, y+0.55
+				beside, y = []Neighbour{{"noisy", 1, 0.5}, {"quiet", 1, 0.5}}, y+0.55
 			}
 			e.Observe(Observation{Image: "web", Beside: beside, Slowdown: math.Exp(y), Weight: 0.2}, now)
 		}
@@ -142,7 +142,7 @@
 	var e Estimator
 	for i := range 5 * maxImages {
 		name := fmt.Sprint("image", i)
-		e.Observe(Observation{Image: name, Beside: []Neighbor{{"steady", 1, 1}}, Slowdown: 1, Weight: 1}, time.Duration(i)*time.Second)
+		e.Observe(Observation{Image: name, Beside: []Neighbour{{"steady", 1, 1}}, Slowdown: 1, Weight: 1}, time.Duration(i)*time.Second)
 	}
 	if len(e.images) > maxImages || len(e.index) > maxImages {
 		t.Errorf("%d images and %d names are kept, allowed are %d", len(e.images), len(e.index), maxImages)
@@ -171,9 +171,9 @@
 // others because it is not slowed itself.
 func TestCostCountsBothDirections(t *testing.T) {
 	e := known(t)
-	slowed := e.Cost("i0", []Neighbor{{"i1", 1, 1}})
-	slows := e.Cost("i1", []Neighbor{{"i0", 2, 2}})
-	if slowed < 0.6 || math.Abs(slows-2*slowed) > 1e-9 || e.Cost("i0", []Neighbor{{"i3", 1, 1}}) != 0 {
+	slowed := e.Cost("i0", []Neighbour{{"i1", 1, 1}})
+	slows := e.Cost("i1", []Neighbour{{"i0", 2, 2}})
+	if slowed < 0.6 || math.Abs(slows-2*slowed) > 1e-9 || e.Cost("i0", []Neighbour{{"i3", 1, 1}}) != 0 {
 		t.Errorf("the cost is %.2f for the one that is slowed and %.2f for the one that slows two", slowed, slows)
 	}
 }
--- a/internal/scheduler/expected.go
+++ b/internal/scheduler/expected.go
@@ -48,7 +48,7 @@
 	if s.Image != "" {
 		cost := 0.0
 		if e.interference.Active() {
-			cost = e.interference.Cost(s.Image, w.neighbors())
+			cost = e.interference.Cost(s.Image, w.neighbours())
 		}
 		if s.mixesWith(w) {
 			cost += mixedCost
@@ -124,7 +124,7 @@
 	if image == "" || !e.interference.Active() {
 		return
 	}
-	beside := w.neighbors()
+	beside := w.neighbours()
 	cost := e.interference.Cost(image, beside)
 	if cost < costStep {
 		return
@@ -135,15 +135,15 @@
 	}
 	e.nextLog = now + observedInterval
 	event.StartedBesideKnown.Log(e.opts.Log, zap.Stringer("task", t.id()), zap.String("image", boundedName(image)), zap.String("worker", w.ID),
-		zap.Float64("cost", rounded(cost)), zap.String("neighbor", boundedName(e.worstNeighbor(image, beside))))
+		zap.Float64("cost", rounded(cost)), zap.String("neighbour", boundedName(e.worstNeighbour(image, beside))))
 }
 
-// worstNeighbor returns the image that disturbs a task of the given one most, or is
+// worstNeighbour returns the image that disturbs a task of the given one most, or is
 // disturbed most by it.
-func (e *Engine) worstNeighbor(image string, beside []interference.Neighbor) string {
+func (e *Engine) worstNeighbour(image string, beside []interference.Neighbour) string {
 	worst, name := 0.0, ""
 	for _, n := range beside {
-		if cost := e.interference.Cost(image, []interference.Neighbor{n}); cost > worst {
+		if cost := e.interference.Cost(image, []interference.Neighbour{n}); cost > worst {
 			worst, name = cost, n.Image
 		}
 	}
--- a/internal/scheduler/learn.go
+++ b/internal/scheduler/learn.go
@@ -47,13 +47,13 @@
 	// data, 0 until it was learned.
 	remote float64
 	// others is reused by learn.
-	others []interference.Neighbor
-	// nextLog is the time from which starts beside known neighbors are logged again.
+	others []interference.Neighbour
+	// nextLog is the time from which starts beside known neighbours are logged again.
 	nextLog time.Duration
 }
 
-// learn takes in an observation of a run on a worker with the given neighbors.
-func (e *Engine) learn(o observation, beside []interference.Neighbor, now time.Duration) {
+// learn takes in an observation of a run on a worker with the given neighbours.
+func (e *Engine) learn(o observation, beside []interference.Neighbour, now time.Duration) {
 	e.observed.add(o)
 	s, w := o.task.step, o.worker
 	image := s.Image
@@ -168,37 +168,37 @@
 	}
 }
 
-// neighbors returns what the worker runs by image, in the order of their names.
+// neighbours returns what the worker runs by image, in the order of their names.
 // Runs of steps without an image are left out. The list is kept until the runs or
 // their throttles change, and must not be changed.
-func (w *worker) neighbors() []interference.Neighbor {
-	if w.neighborsKnown {
-		return w.neighborList
+func (w *worker) neighbours() []interference.Neighbour {
+	if w.neighboursKnown {
+		return w.neighbourList
 	}
-	w.neighborsKnown = true
-	list := w.neighborList[:0]
+	w.neighboursKnown = true
+	list := w.neighbourList[:0]
 	for _, r := range w.runs {
 		image := r.task.step.Image
 		if image == "" {
 			continue
 		}
-		i := slices.IndexFunc(list, func(n interference.Neighbor) bool { return n.Image == image })
+		i := slices.IndexFunc(list, func(n interference.Neighbour) bool { return n.Image == image })
 		if i < 0 {
 			i = len(list)
-			list = append(list, interference.Neighbor{Image: image})
+			list = append(list, interference.Neighbour{Image: image})
 		}
 		list[i].Tasks++
 		list[i].Share += r.share()
 	}
-	slices.SortFunc(list, func(a, b interference.Neighbor) int { return cmp.Compare(a.Image, b.Image) })
-	w.neighborList = list
+	slices.SortFunc(list, func(a, b interference.Neighbour) int { return cmp.Compare(a.Image, b.Image) })
+	w.neighbourList = list
 	return list
 }
 
-// neighborhood keeps what neighbors returned.
-type neighborhood struct {
-	neighborList   []interference.Neighbor
-	neighborsKnown bool
+// neighbourhood keeps what neighbours returned.
+type neighbourhood struct {
+	neighbourList   []interference.Neighbour
+	neighboursKnown bool
 }
 
 // share returns the share, 0 to 1, to which the run is throttled.
@@ -209,8 +209,8 @@
 	return float64(r.throttledPercent) / 100
 }
 
-// without appends the neighbors of a run among what its worker runs to others.
-func without(others, list []interference.Neighbor, r *run) []interference.Neighbor {
+// without appends the neighbours of a run among what its worker runs to others.
+func without(others, list []interference.Neighbour, r *run) []interference.Neighbour {
 	others = append(others, list...)
 	image := r.task.step.Image
 	if image == "" {
--- a/internal/scheduler/performance.go
+++ b/internal/scheduler/performance.go
@@ -88,7 +88,7 @@
 	if !e.opts.LearnPerformance || w.clockAt != now {
 		return
 	}
-	c, beside := w.crowd(), w.neighbors()
+	c, beside := w.crowd(), w.neighbours()
 	for _, r := range w.runs {
 		if r.phase != runConfirmed || r.confirmedAt != now {
 			continue
@@ -116,7 +116,7 @@
 	}
 	o := observation{run: r, crowd: w.crowd(), span: span, remote: r.task.step.remoteOn(w)}
 	o.rate = (100 - r.sampled.percent) / 100 * float64(r.task.step.Estimate) / float64(span)
-	e.learn(o, w.neighbors(), now)
+	e.learn(o, w.neighbours(), now)
 }
 
 // measure compares the run's progress in percent with the last sample and reports
--- a/internal/scheduler/performance_test.go
+++ b/internal/scheduler/performance_test.go
@@ -275,7 +275,7 @@
 	_, _, off := imagePlay(t, false)
 	_, owner, on := imagePlay(t, true)
 	if on > off/2 {
-		t.Errorf("%.3f of the starts are beside a known neighbor, %.3f without learning; strongest: %s", on, off, owner.strongestPairs())
+		t.Errorf("%.3f of the starts are beside a known neighbour, %.3f without learning; strongest: %s", on, off, owner.strongestPairs())
 	}
 }
 
--- a/internal/scheduler/throttle.go
+++ b/internal/scheduler/throttle.go
@@ -94,6 +94,6 @@
 	o.run.throttling = false
 	if err == nil && a.Outcome == platform.OrderDone {
 		o.run.throttledPercent = o.Percent
-		o.run.worker.neighborsKnown = false
+		o.run.worker.neighboursKnown = false
 	}
 }
--- a/internal/scheduler/throttlecause.go
+++ b/internal/scheduler/throttlecause.go
@@ -150,7 +150,7 @@
 	r.sampled.nextLog = now + nearTargetInterval
 	image := r.task.step.Image
 	var beside []string
-	for _, n := range without(nil, r.worker.neighbors(), r) {
+	for _, n := range without(nil, r.worker.neighbours(), r) {
 		if n.Tasks > 0 && len(beside) < maxLoggedPairs {
 			beside = append(beside, fmt.Sprintf("%s tasks %d share %.2f slowdown %.2f", boundedName(n.Image), n.Tasks, n.Share, math.Exp(e.interference.Known(image, n.Image)*n.Share)))
 		}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -117,7 +117,7 @@
 	pendingEnds               []pendingEnd
 
 	health
-	neighborhood
+	neighbourhood
 }
 
 // runKey identifies a run on a worker.
@@ -358,7 +358,7 @@
 // removeRun undoes it.
 func (w *worker) addRun(r *run) {
 	w.runs[runKey{r.task.id(), r.number}] = r
-	w.neighborsKnown = false
+	w.neighboursKnown = false
 	w.used = w.used.Add(r.task.step.Requests())
 	if r.task.step.LongRunning {
 		w.longRunning = append(w.longRunning, r)
@@ -377,7 +377,7 @@
 		return
 	}
 	delete(w.runs, key)
-	w.neighborsKnown = false
+	w.neighboursKnown = false
 	w.longRunning = slices.DeleteFunc(w.longRunning, func(other *run) bool { return other == r })
 	w.suspects = slices.DeleteFunc(w.suspects, func(other *run) bool { return other == r })
 	w.releaseResources(r.task.step.Requests())
