--- a/internal/scheduler/learn.go
+++ b/internal/scheduler/learn.go
@@ -52,6 +52,27 @@
 	nextLog time.Duration
 }
 
+// PerformanceStats is the part of Stats about interference and the speed of
+// workers. All counts are since the engine was created, and 0 without
+// Options.LearnPerformance.
+type PerformanceStats struct {
+	// SlowWorkers is how many workers were slow at the last report, and
+	// SlowWorkerTrials counts the starts on such workers that test whether they
+	// still are.
+	SlowWorkers, SlowWorkerTrials int64
+	// ThrottlesKnownCause counts the throttle orders for fillers that are known to
+	// disturb a serving task beside them, ThrottlesUnknownCause those while the cause
+	// was not known, and ThrottlesOverTarget those because a tail was over its target
+	// for long. Fillers without an image count in Paces alone.
+	ThrottlesKnownCause, ThrottlesUnknownCause, ThrottlesOverTarget int64
+	// StartsBesideKnown counts the starts beside a task that is known to disturb the
+	// started one, or to be disturbed by it: no other worker had the capacity.
+	StartsBesideKnown int64
+	// StrongestPairs lists the images that slow each other most, each pair with the
+	// factor of the slowdown by one task.
+	StrongestPairs string
+}
+
 // learn takes in an observation of a run on a worker with the given neighbours.
 func (e *Engine) learn(o observation, beside []interference.Neighbour, now time.Duration) {
 	e.observed.add(o)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -248,21 +248,7 @@
 	// SuspectsIsolated the starts of such tasks apart from others, and TasksGivenUp
 	// those that are not started again.
 	CrashesCounted, SuspectsIsolated, TasksGivenUp int64
-	// SlowWorkers is how many workers were slow at the last report, and
-	// SlowWorkerTrials counts the starts on such workers that test whether they
-	// still are.
-	SlowWorkers, SlowWorkerTrials int64
-	// ThrottlesKnownCause counts the throttle orders for fillers that are known to
-	// disturb a serving task beside them, ThrottlesUnknownCause those while the cause
-	// was not known, and ThrottlesOverTarget those because a tail was over its target
-	// for long. Fillers without an image count in Paces alone.
-	ThrottlesKnownCause, ThrottlesUnknownCause, ThrottlesOverTarget int64
-	// StartsBesideKnown counts the starts beside a task that is known to disturb the
-	// started one, or to be disturbed by it: no other worker had the capacity.
-	StartsBesideKnown int64
-	// StrongestPairs lists the images that slow each other most, each pair with the
-	// factor of the slowdown by one task.
-	StrongestPairs string
+	PerformanceStats
 }
 
 // pool holds the workers and the waiting steps of a pool.
