--- a/internal/workerspeed/workerspeed.go
+++ b/internal/workerspeed/workerspeed.go
@@ -50,7 +50,7 @@
 	clearWeight = 1.0
 	// firstTrial is the time from when a worker is found slow to its first trial. It
 	// doubles with each further trial up to maxTrial.
-	firstTrial = 2 * time.Second
+	firstTrial = 4 * time.Second
 	maxTrial   = 16 * time.Second
 	// trustMemory is the number of ended runs over which reported progress is
 	// compared with the ends. Reports are ignored while they differ by distrust, the
