interference: look known effects up by image

The cost of a placement is computed for each worker that fits. It looked up both images of each pair twice; now images without a known effect cost one look-up.

--- a/internal/interference/decide.go
+++ b/internal/interference/decide.go
@@ -27,23 +27,25 @@
 // Known returns the logarithm of the slowdown of a task of an image by one task of
 // a cause, and 0 if it is not large or not certain enough to act on.
 func (e *Estimator) Known(image, cause string) float64 {
-	i, ok := e.index[image]
-	if !ok {
-		return 0
-	}
-	c, ok := e.index[cause]
-	if !ok || !e.images[i].known(c) {
-		return 0
+	sum := 0.0
+	for _, p := range e.pairs[image] {
+		if p.other == cause {
+			sum += p.slowed
+		}
 	}
-	return e.images[i].effects[c]
+	return sum
 }
 
 // Slowdown returns the expected logarithm of the slowdown of a task of the image
 // beside the neighbours, from known effects only.
 func (e *Estimator) Slowdown(image string, beside []Neighbour) float64 {
 	sum := 0.0
-	for _, n := range beside {
-		sum += e.Known(image, n.Image) * n.Share
+	for _, p := range e.pairs[image] {
+		for _, n := range beside {
+			if n.Image == p.other {
+				sum += p.slowed * n.Share
+			}
+		}
 	}
 	return sum
 }
@@ -52,12 +54,13 @@
 // neighbours, and how much slower these would run, as the sum of the logarithms of
 // the slowdowns over all tasks. Only known effects count.
 func (e *Estimator) Cost(image string, beside []Neighbour) float64 {
-	if !e.Active() || image == "" {
-		return 0
-	}
-	cost := e.Slowdown(image, beside)
-	for _, n := range beside {
-		cost += e.Known(n.Image, image) * float64(n.Tasks)
+	cost := 0.0
+	for _, p := range e.pairs[image] {
+		for _, n := range beside {
+			if n.Image == p.other {
+				cost += p.slowed*n.Share + p.slows*float64(n.Tasks)
+			}
+		}
 	}
 	return cost
 }
--- a/internal/interference/estimator.go
+++ b/internal/interference/estimator.go
@@ -67,6 +67,15 @@
 	binEnd time.Duration
 	// strongest holds the known effects, the largest first.
 	strongest []Effect
+	// pairs holds the same effects by image, for the images that have any.
+	pairs map[string][]pair
+}
+
+// pair is what is known of an image with another: by how much it is slowed by one
+// task of the other, and by how much it slows one.
+type pair struct {
+	other         string
+	slowed, slows float64
 }
 
 // image is the evidence about the tasks of one image, and its parameters.
--- a/internal/interference/fit.go
+++ b/internal/interference/fit.go
@@ -149,10 +149,13 @@
 // rankEffects lists the known effects, the largest first.
 func (e *Estimator) rankEffects() {
 	e.strongest = e.strongest[:0]
+	e.pairs = map[string][]pair{}
 	for _, v := range e.images {
 		for i, c := range e.images {
 			if v.known(i) {
 				e.strongest = append(e.strongest, Effect{v.name, c.name, v.effects[i], v.errors[i]})
+				e.pairs[v.name] = append(e.pairs[v.name], pair{other: c.name, slowed: v.effects[i]})
+				e.pairs[c.name] = append(e.pairs[c.name], pair{other: v.name, slows: v.effects[i]})
 			}
 		}
 	}
