--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -88,6 +88,8 @@
 	// keep suspects apart.
 	hasSuspects bool
 	apartSince  time.Duration
+	// groups holds the results of group.
+	groups [4]string
 	// gangRetry is the earliest time of the next start of a gang.
 	gangRetry time.Duration
 }
@@ -169,6 +171,7 @@
 	throttledPercent int
 	throttling       bool
 	throttledAt      time.Duration
+	sampled          runSample
 }
 
 // withdraw keeps the start of the run from being sent, if it was not yet.
