scheduler: long batch tasks that save their progress leave hosts of a wave

The last host was emptied from 16.0 s on and waited for one batch task of 21 s that began 5 s before. Cause: only long-running tasks move away from a worker that is being evacuated. Change: a batch task that saves its progress and still takes over 3 s moves as well, if another worker of its pool has free capacity. Its job loses a stop and a restore; gangs, copies and tasks without checkpoints stay. Ruled out: taking later hosts first; the others were done.

--- a/internal/scheduler/evacuate.go
+++ b/internal/scheduler/evacuate.go
@@ -51,6 +51,9 @@
 func (e *Engine) evacuate(now time.Duration) {
 	for _, p := range e.pools {
 		e.evacuatePool(p, now)
+		if !e.handingOver {
+			e.moveCheckpointed(p, now)
+		}
 	}
 }
 
@@ -58,7 +61,7 @@
 func (e *Engine) evacuatePool(p *pool, now time.Duration) {
 	for _, r := range e.holdCapacity(p, now) {
 		if !e.handingOver && e.mayStop(r, now) { // its step may have had another run stopped
-			reason := "worker is being evacuated"
+			reason := evacuationStop
 			if r.worker.leaving() {
 				reason = "worker leaves"
 			}
--- /dev/null
+++ b/internal/scheduler/evacuatebatch.go
@@ -0,0 +1,65 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// minRemainingToMove is how long a batch task on a worker that is being evacuated
+// must still take, and have run there, before it moves. A move takes a stop and the
+// restore of a checkpoint, up to 2 s on the platform; a shorter task ends sooner.
+const minRemainingToMove = 3 * time.Second
+
+// evacuationStop is why the run of a task that moves is stopped.
+const evacuationStop = "worker is being evacuated"
+
+// moveCheckpointed stops batch tasks that save their progress and would hold up the
+// evacuation of their workers for long, as far as other workers of the pool have
+// free capacity for them. A host of a wave waits for its last task.
+func (e *Engine) moveCheckpointed(p *pool, now time.Duration) {
+	var moving []*run
+	for _, w := range p.workers {
+		if !w.evacuating || w.failedPolls > 0 {
+			continue
+		}
+		for _, r := range w.runs {
+			if r.movable(now) || (r.phase == runStopping && r.stopReason == evacuationStop && !r.task.step.LongRunning) {
+				moving = append(moving, r)
+			}
+		}
+	}
+	if len(moving) == 0 {
+		return
+	}
+	slices.SortFunc(moving, func(a, b *run) int {
+		if a.phase != b.phase {
+			return cmp.Compare(b.phase, a.phase) // those that are being stopped need their places
+		}
+		return a.task.compare(b.task)
+	})
+	open, _ := p.openWorkers(now)
+	places := newPlaces(slices.DeleteFunc(open, func(w *worker) bool { return w.evacuating || w.holds() }))
+	for _, r := range moving {
+		if places.assign(r.task.step, r.task.step.permitted) && r.phase == runConfirmed {
+			e.stop(r, evacuationStop, now)
+		}
+	}
+}
+
+// movable reports whether the run is of a batch task that continues elsewhere from
+// its checkpoint and will take long. Gangs and tasks with a second run stay.
+func (r *run) movable(now time.Duration) bool {
+	s := r.task.step
+	return s.Checkpoints && !s.Gang && !s.LongRunning && !s.job.ended() && r.phase == runConfirmed && r.listed &&
+		len(r.task.runs) == 1 && !r.task.suspect() && now-r.sentAt > minRemainingToMove && r.remaining(now) > minRemainingToMove
+}
+
+// remaining returns how long the run still takes by its progress, or by the estimate
+// while there is none.
+func (r *run) remaining(now time.Duration) time.Duration {
+	if r.percent <= 0 {
+		return r.task.step.Estimate - (now - r.sentAt)
+	}
+	return time.Duration(float64(r.confirmedAt-r.sentAt)*(100-r.percent)/r.percent) - (now - r.confirmedAt)
+}
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -83,11 +83,8 @@
 	if r.worker.failedPolls > 0 {
 		return r.proven() || now-r.worker.silentSince >= silenceBeforeCopy
 	}
-	elapsed := r.confirmedAt - r.sentAt
 	if r.percent <= 0 {
 		return now-r.sentAt > time.Duration(copySpeedup*float64(r.task.step.Estimate))+copyStartSlack && r.listed
 	}
-	left := time.Duration(float64(elapsed) * (100 - r.percent) / r.percent)
-	left -= now - r.confirmedAt
-	return left > time.Duration(copySpeedup*float64(r.task.step.Estimate))+copyStartSlack
+	return r.remaining(now) > time.Duration(copySpeedup*float64(r.task.step.Estimate))+copyStartSlack
 }
