node: waves of an earlier release outlive the mark of moved records

An owner marks the records of earlier releases as moved before its first start, but stores waves in its own part only once it may order hosts, over 3 s later. If it ended in between, its successor forgot which hosts a wave had maintained, and would have emptied and maintained them again. The waves of both parts now count together, whatever the mark says; a takeover always reads the one more table. Red first: TestWavesOfAnEarlierReleaseOutliveTheMark, "hosts [] in maintenance".

--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -114,7 +114,7 @@
 			event.RowUnreadable.Log(o.node.Log, zap.String("key", r.Key), zap.Error(err))
 			continue
 		}
-		maintained[number] = hosts
+		maintained[number] = append(maintained[number], hosts...)
 		if r.Part == recordsPart {
 			recorded[number] = waveRecord{hosts: len(hosts), version: r.Version}
 		}
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -20,8 +20,8 @@
 	movedMark = []byte("moved to part " + recordsPart)
 )
 
-// loadRecords reads the workers in use and the waves. The records of earlier
-// releases count until they are marked as moved.
+// loadRecords reads the workers in use and the waves. The workers in use of earlier
+// releases count until they are marked as moved, their waves always.
 func (o *owner) loadRecords(ctx context.Context, l *recoveredState) error {
 	rows := o.node.Rows
 	used, _, err := rows.ReadRows(ctx, usedWorkersTable, recordsPart, "", "")
@@ -40,6 +40,12 @@
 	if len(announced) > 0 {
 		l.announced = announced[0]
 	}
+	// An owner marks the records before it has stored the waves in its own part.
+	waves, _, err := rows.ReadRows(ctx, waveTable, controlPart, "", "")
+	if err != nil {
+		return err
+	}
+	l.waves = append(l.waves, waves...)
 	earlier, _, err := rows.ReadRows(ctx, usedWorkersTable, controlPart, "", "")
 	if err != nil {
 		return err
@@ -52,15 +58,6 @@
 	l.used = slices.DeleteFunc(l.used, func(u usedWorker) bool {
 		return !slices.Contains(known, u) && slices.ContainsFunc(known, func(k usedWorker) bool { return k.ID == u.ID })
 	})
-	waves, _, err := rows.ReadRows(ctx, waveTable, controlPart, "", "")
-	if err != nil {
-		return err
-	}
-	for _, w := range waves {
-		if !slices.ContainsFunc(l.waves, func(r platform.PartRow) bool { return r.Key == w.Key }) {
-			l.waves = append(l.waves, w)
-		}
-	}
 	if len(earlier)+len(waves) > 0 {
 		event.RecordsMoved.Log(o.node.Log, zap.Int("workers", len(l.used)), zap.Int("waves", len(waves)))
 	}
--- a/internal/node/records_test.go
+++ b/internal/node/records_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -109,3 +111,29 @@
 		t.Error("an earlier release can read the record, though it is out of date")
 	}
 }
+
+// An owner that ends before it has stored the waves itself has marked the records already.
+func TestWavesOfAnEarlierReleaseOutliveTheMark(t *testing.T) {
+	rows := standin.NewRows()
+	o := testOwner(t, rows, 1)
+	for key, value := range map[platform.RowKey]string{
+		movedRow: "[]", controlRow(waveTable, "1"): `["h1"]`, controlRow(waveTable, "2"): `["h2"]`, recordsRow(waveTable, "2"): `["h3"]`,
+	} {
+		if _, err := rows.CommitRows(t.Context(), platform.RowTxn{Writes: []platform.RowWrite{{RowKey: key, Value: []byte(value)}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l := &recoveredState{}
+	if err := errors.Join(o.markMoved(t.Context()), o.loadRecords(t.Context(), l)); err != nil {
+		t.Fatal(err)
+	}
+	f := newFleetController(o, l.waves, scheduler.WorkerHosts{}, 0)
+	for wave, want := range map[int64][]string{1: {"h1"}, 2: {"h2", "h3"}} {
+		if hosts := f.planner.MaintenanceStarted(wave); !slices.Equal(hosts, want) {
+			t.Errorf("wave %d: hosts %v in maintenance, want %v", wave, hosts, want)
+		}
+	}
+	if r := f.recorded[2]; r.hosts != 1 || r.version == platform.NoVersion {
+		t.Errorf("record %+v of wave 2, want that of the records part", r)
+	}
+}
