node: an owner that does not know earlier host orders announces nothing yet

After an owner that announces no orders (an earlier release, or a row that cannot be read), the next owner waits before its first order, but stored its empty row at once. If it ended during that wait, its successor took the row for complete and could move a host within 3 s of the unknown order. The first row now waits until the unknown orders are over. Red first: TestOwnerThatWaitsForUnknownOrdersDoesNotHideThem.

--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -24,7 +24,8 @@
 
 // announcedHosts is the content of announcedRow.
 type announcedHosts struct {
-	// Epoch is that of the owner that wrote the row.
+	// Epoch is that of the owner that wrote the row. An owner that does not know the
+	// orders of its predecessors writes none before these are over.
 	Epoch int64 `json:"epoch"`
 	// Hosts holds, by name, when the latest order about a host was announced at
 	// most, in milliseconds on the store's clock.
--- a/internal/node/announce_test.go
+++ b/internal/node/announce_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/fleetplan"
 	"github.com/egretpitch/egretpitch/internal/ownership"
@@ -133,3 +135,32 @@
 		t.Error("an unreadable row counts as complete")
 	}
 }
+
+// The orders of an earlier release, which announces none, are unknown to the second owner after it as well.
+func TestOwnerThatWaitsForUnknownOrdersDoesNotHideThem(t *testing.T) {
+	rows := standin.NewRows()
+	o, _ := announcingOwner(t, rows, 2)
+	f := o.fleetController
+	reconcile := func() {
+		f.reconcile(t.Context(), o.node.Clock.Now())
+		select {
+		case fn := <-o.events:
+			fn(o.node.Clock.Now())
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	o.engine = scheduler.New(scheduler.Options{Token: 1, Epoch: 1, MaxLease: 6 * time.Second, Log: zap.NewNop()})
+	o.engine.SetCatalog(o.node.catalog.Load())
+	f.firstOrderAt = o.node.Clock.Now() + time.Hour
+	reconcile()
+	next, _ := announcingOwner(t, rows, 3)
+	if next.fleetController.announcer.complete {
+		t.Fatal("the announcements of an owner that does not know its predecessor's orders count as complete")
+	}
+	f.firstOrderAt, f.lastPlan = 0, 0
+	o.recordsFence = next.recordsFence
+	reconcile()
+	if third, _ := announcingOwner(t, rows, 3); !third.fleetController.announcer.complete {
+		t.Error("the announcements are not complete once the unknown orders are over")
+	}
+}
--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -192,11 +192,13 @@
 	}
 	f.lastPlan = now
 	o := f.owner
-	f.announcer.write(ctx, now, f.announced(ctx))
+	early := now < f.firstOrderAt
+	if f.announcer.complete || !early { // otherwise a successor would take unknown orders for none
+		f.announcer.write(ctx, now, f.announced(ctx))
+	}
 	state := fleetplan.State{Now: now, Hosts: f.hosts, HostsAt: f.hostsAt, Waves: o.node.waves.list()}
 	// Tasks that the previous owner moved must not come back, whatever is planned.
 	o.engine.SetPendingRemoval(f.planner.PendingRemoval(state))
-	early := now < f.firstOrderAt
 	if early {
 		if !f.announcer.complete || (o.engine.Recovering() && now < f.createdAt+recoveryBeforePlan) {
 			return
