fleetplan, node: an order that may not be given yet does not lengthen the pause of its host

A successor plans before it may order all hosts, and took back the orders that it may not give yet as refused. The pause after a refusal doubles up to 3.2 s: where orders are taken back for 3.5 s, the host got its order at 6.3 s in the test. Such orders now end in the least pause. Red first: TestHostWhoseOrdersArePostponedIsOrderedSoonAfterwards.

--- a/internal/fleetplan/order.go
+++ b/internal/fleetplan/order.go
@@ -66,6 +66,13 @@
 	delete(p.orders, d.Host)
 }
 
+// Postponed records that an order was not sent, since no order about its host may be
+// given yet. It is Refused without longer pauses: these would outlast that time.
+func (p *Planner) Postponed(d Decision) {
+	delete(p.refusals, d.Host)
+	p.Refused(d)
+}
+
 // pauseOrders begins a pause in the orders about a host.
 func (p *Planner) pauseOrders(host string, from time.Duration) {
 	pause := min(max(2*p.refusals[host].pause, minRefusalPause), maxRefusalPause)
--- a/internal/fleetplan/wave_test.go
+++ b/internal/fleetplan/wave_test.go
@@ -228,6 +228,32 @@
 	}
 }
 
+// A new owner may not order most hosts yet. The pauses of refused orders would outlast that time.
+func TestHostWhoseOrdersArePostponedIsOrderedSoonAfterwards(t *testing.T) {
+	p, a, spare := planned{}, Pool{Name: "a", LongRunningShortfall: 1}, Pool{Name: "spare", Standby: true}
+	for range 2 {
+		p.addHost(&a, Worker{LongRunningTasks: 1, Used: testCores})
+	}
+	p.addHost(&spare, Worker{})
+	p.pools = []Pool{a, spare}
+	planner := New(testMigration, nil, nil, nil, nil)
+	const postponed = 3500 * time.Millisecond
+	var ordered time.Duration
+	for now := tick; now < 10*time.Second && ordered == 0; now += tick {
+		for _, dec := range planner.Plan(State{Now: now, HostsAt: now, Hosts: p.hosts, Pools: p.pools}) {
+			switch {
+			case dec.Kind == Move && now < postponed:
+				planner.Postponed(dec)
+			case dec.Kind == Move:
+				ordered = now
+			}
+		}
+	}
+	if ordered == 0 || ordered > postponed+minRefusalPause+tick {
+		t.Errorf("ordered at %v, want at most %v after %v", ordered, minRefusalPause+tick, postponed)
+	}
+}
+
 func TestPoolBorrowsAnotherHostThanTheOneWhoseMoveIsRefused(t *testing.T) {
 	p, a, b := planned{}, Pool{Name: "a", LongRunningShortfall: 1}, Pool{Name: "b"}
 	for range 2 {
--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -224,7 +224,7 @@
 			go f.reportWave(ctx, dec.Wave)
 		default:
 			if early && !f.mayOrderEarly(dec, now) {
-				f.planner.Refused(dec)
+				f.planner.Postponed(dec)
 				continue
 			}
 			f.orderHost(ctx, dec, now)
