node: a team's cancellation by a public queue holds for submissions without a team

A public queue takes a submission whose key the process does not know yet, or that has none, as one without a team. The cancellation of the same caller, answered 410 with "its submission is refused" by a process that knows the key, held for the team's submissions only, so that submission was stored and ran. It now also holds for submissions without a team; any team may cancel such a job. Jobs of public queues without a team take five entries of a transaction; those of estates without public queues four as before. Red first: TestCancellationByATeamHoldsForASubmissionWithoutTeam.

--- a/internal/node/authenticate_test.go
+++ b/internal/node/authenticate_test.go
@@ -285,6 +285,33 @@
 	}
 }
 
+// The submission reaches a process that does not know its key yet, or had none.
+func TestCancellationByATeamHoldsForASubmissionWithoutTeam(t *testing.T) {
+	n, _, e := teamNode(t)
+	if got := answerTo(e, http.MethodDelete, "/open/"+testID, "ka"); got != http.StatusGone {
+		t.Fatalf("cancellation of an unknown job answered %d, want 410", got)
+	}
+	for _, c := range []struct {
+		key  string
+		want int
+	}{{noKey, http.StatusGone}, {"kx", http.StatusGone}, {"ka", http.StatusGone}, {"kb", http.StatusOK}} {
+		if got := answerTo(e, http.MethodPost, "/open/"+testID, c.key); got != c.want {
+			t.Errorf("submission with key %s answered %d, want %d", c.key, got, c.want)
+		}
+	}
+	var batch []*submission
+	for i := range maxAcceptBatch {
+		s, err := newSubmission(&workload.Job{ID: fmt.Sprintf("%016x", i), Terms: n.catalog.Load().Queues["open"]}, time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		batch = append(batch, s)
+	}
+	if first, later := splitTeams(batch); len(first) != 20 || len(later) != 5 {
+		t.Errorf("%d now and %d later, want 20 of 5 entries each and 5", len(first), len(later))
+	}
+}
+
 // storedAfterRead stores a job once its progress has been read for the first time.
 type storedAfterRead struct {
 	platform.Rows
--- a/internal/node/cancelteam.go
+++ b/internal/node/cancelteam.go
@@ -33,17 +33,23 @@
 // stored.
 func cancelRows(job *workload.Job) []platform.RowKey {
 	rows := []platform.RowKey{jobRow(cancelTable, job.ID)}
-	if job.Team != "" {
+	if job.Team != "" || job.Terms != nil && job.Terms.Public {
 		rows = append(rows, teamCancelRow(job.ID, job.Team))
 	}
 	return rows
 }
 
-// cancelUnknown cancels a job that was not stored when it was read, for a team. If
+// cancelUnknown cancels a job that was not stored when it was read, for a team. By a
+// public queue it cancels the job also if it is submitted without a team: the key may
+// not be known yet where the submission arrives, and any team may cancel such a job. If
 // it has been stored meanwhile, the progress is returned: its cancellation is not
 // recorded, and its team may be another. An error comes with its HTTP status.
-func (n *Node) cancelUnknown(ctx context.Context, id, team string) (progress *workload.Progress, status int, err error) {
-	if err := n.writeCancelRow(ctx, teamCancelRow(id, team)); err != nil {
+func (n *Node) cancelUnknown(ctx context.Context, id, team string, public bool) (progress *workload.Progress, status int, err error) {
+	rows := []platform.RowKey{teamCancelRow(id, team)}
+	if public {
+		rows = append(rows, teamCancelRow(id, ""))
+	}
+	if err := n.writeCancelRows(ctx, rows...); err != nil {
 		return nil, http.StatusGatewayTimeout, err
 	}
 	progress, err = n.readProgress(ctx, id)
--- a/internal/node/queueapi.go
+++ b/internal/node/queueapi.go
@@ -305,7 +305,7 @@
 	var status int
 	unknown := before == nil && r.caller.team != ""
 	if unknown {
-		before, status, err = h.node.cancelUnknown(ctx, r.id, r.caller.team)
+		before, status, err = h.node.cancelUnknown(ctx, r.id, r.caller.team, r.queue.Public)
 	}
 	if before != nil {
 		if a, ok := h.authorize(r, before.Team, before.Queue); !ok {
@@ -353,13 +353,16 @@
 
 // writeCancel stores the cancellation of a job.
 func (n *Node) writeCancel(ctx context.Context, id string) error {
-	return n.writeCancelRow(ctx, jobRow(cancelTable, id))
+	return n.writeCancelRows(ctx, jobRow(cancelTable, id))
 }
 
-// writeCancelRow stores a row of a cancellation. The write is idempotent, so an
+// writeCancelRows stores the rows of a cancellation, which share a part. The write is idempotent, so an
 // attempt without an answer is retried until ctx ends.
-func (n *Node) writeCancelRow(ctx context.Context, key platform.RowKey) error {
-	txn := platform.RowTxn{Writes: []platform.RowWrite{{RowKey: key, Value: []byte("{}")}}}
+func (n *Node) writeCancelRows(ctx context.Context, keys ...platform.RowKey) error {
+	var txn platform.RowTxn
+	for _, key := range keys {
+		txn.Writes = append(txn.Writes, platform.RowWrite{RowKey: key, Value: []byte("{}")})
+	}
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, acceptTimeout)
 		_, err := n.Rows.CommitRows(callCtx, txn)
