node: the configuration is confirmed while the operator keeps changing it

An answer of the feed whose last row has the newest version of the store may leave something to read and confirms nothing. Where the operator changed something in each long poll for longer than config_apply_ms, no answer confirmed the configuration, and all requests were refused with 503 although it was up to date. Once it is 1 s old and the last answer was of that kind, the whole table is read, which does confirm it: at most one read a second and process. Red first: TestConfigurationIsConfirmedWhileTheOperatorKeepsChangingIt, 2.0 s.

--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -21,6 +21,10 @@
 	confirmationWait = 500 * time.Millisecond
 	// confirmationPoll is how often such a request looks.
 	confirmationPoll = 10 * time.Millisecond
+	// unfinishedAge is the age of the configuration at which all of it is read
+	// if the feed only gives answers that may leave something to read, as it does
+	// while the operator changes something in each long poll.
+	unfinishedAge = time.Second
 	// floorDelay bounds the random delay before a process stores the version that
 	// it has adopted: all processes adopt one at the same time, and one of them
 	// suffices.
@@ -42,6 +46,8 @@
 	// unreadableSince is when an answer came whose configuration could not be
 	// decoded, 0 if a later one could be.
 	unreadableSince atomic.Int64
+	// unfinished is set if the last answer may have left something to read.
+	unfinished atomic.Bool
 }
 
 // observe records an answer to a call about the configuration. It is called by one
@@ -50,6 +56,7 @@
 	if !changes.MayHaveMore && int64(sent) > c.at.Load() {
 		c.at.Store(int64(sent))
 	}
+	c.unfinished.Store(changes.MayHaveMore)
 	switch {
 	case changes.Unreadable:
 		c.unreadableSince.CompareAndSwap(0, int64(received))
@@ -65,6 +72,12 @@
 	return max(0, now-at), at != 0
 }
 
+// needsRead reports whether only a read of the whole configuration confirms it soon.
+func (c *confirmation) needsRead(now time.Duration) bool {
+	age, _ := c.age(now)
+	return c.unfinished.Load() && age > unfinishedAge
+}
+
 // strictAge is age, and at least the time since which a configuration is stored
 // that cannot be decoded: it may withdraw any key.
 func (c *confirmation) strictAge(now time.Duration) (time.Duration, bool) {
--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -185,3 +185,31 @@
 	o.changes <- platform.OperatorChanges{} // to a call that was sent after the first answer
 	eventually(t, "an answer confirms", func() bool { return n.confirmed.at.Load() >= int64(before) })
 }
+
+// changingOperator answers each call for changes with one that may not be the last.
+type changingOperator struct{ operatorRow }
+
+func (o *changingOperator) WatchOperator(ctx context.Context, after int64, _ time.Duration) (platform.OperatorChanges, error) {
+	select {
+	case <-time.After(50 * time.Millisecond):
+		return platform.OperatorChanges{Stamp: platform.Stamp{Version: after + 1}, MayHaveMore: true}, nil
+	case <-ctx.Done():
+		return platform.OperatorChanges{}, ctx.Err()
+	}
+}
+
+// An operator that changes something before each long poll ends would keep all requests refused.
+func TestConfigurationIsConfirmedWhileTheOperatorKeepsChangingIt(t *testing.T) {
+	_, rows, _ := testNode(t)
+	o := &changingOperator{operatorRow{current: platform.OperatorChanges{Catalog: teamCatalog(5, nil, false)}}}
+	n := New(Options{Name: "n", Rows: rows, Operator: o, Log: zap.NewNop()})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = n.watchOperator(ctx) }()
+	eventually(t, "a configuration is in force", func() bool { return n.catalog.Load() != nil })
+	before := n.confirmed.at.Load()
+	time.Sleep(2 * time.Second)
+	if age, _ := n.confirmed.age(n.Clock.Now()); n.confirmed.at.Load() == before || age > 1500*time.Millisecond {
+		t.Errorf("the configuration was last known %v ago, want at most 1.5 s", age)
+	}
+}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -46,6 +46,10 @@
 		},
 		readChanges: func(ctx context.Context, after int64) (handleAnswer, error) {
 			sent := n.Clock.Now()
+			if n.confirmed.needsRead(sent) {
+				c, err := n.Operator.ReadOperator(ctx)
+				return answer(sent, c, err)
+			}
 			c, err := n.Operator.WatchOperator(ctx, after, feedLongPollWait)
 			return answer(sent, c, err)
 		},
