node: of two records of one worker in use, the newer one counts

A process of an earlier release that takes the work over replaces the mark of moved records by its own record. The next owner read both, and of a worker in both kept the entry of its own part, which is the older one then. If the worker's host had changed pools under the same id meanwhile and was silent, no task of its new pool waited for it, and one of them could run twice. Versions of rows rise over the whole store and tell which record is newer. Red first: TestNewerRecordOfAWorkerCountsThoughAnEarlierReleaseWroteIt.

--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -28,7 +28,6 @@
 	if err != nil {
 		return err
 	}
-	l.readUsedWorkers(used, o.node.Log)
 	o.used.restore(used)
 	if l.waves, _, err = rows.ReadRows(ctx, waveTable, recordsPart, "", ""); err != nil {
 		return err
@@ -51,10 +50,16 @@
 		return err
 	}
 	if o.used.moved = slices.ContainsFunc(earlier, isMoved); o.used.moved {
+		l.readUsedWorkers(used, o.node.Log)
 		return nil
 	}
+	newer, older := used, earlier
+	if newestVersion(earlier) > newestVersion(used) { // a process of an earlier release replaced the mark
+		newer, older = earlier, used
+	}
+	l.readUsedWorkers(newer, o.node.Log)
 	known := l.used
-	l.readUsedWorkers(earlier, o.node.Log)
+	l.readUsedWorkers(older, o.node.Log)
 	l.used = slices.DeleteFunc(l.used, func(u usedWorker) bool {
 		return !slices.Contains(known, u) && slices.ContainsFunc(known, func(k usedWorker) bool { return k.ID == u.ID })
 	})
@@ -64,6 +69,16 @@
 	return nil
 }
 
+// newestVersion returns the highest version of rows, NoVersion without any. Versions
+// rise over the whole store.
+func newestVersion(rows []platform.PartRow) int64 {
+	newest := platform.NoVersion
+	for _, r := range rows {
+		newest = max(newest, r.Version)
+	}
+	return newest
+}
+
 func isMoved(r platform.PartRow) bool {
 	return r.RowKey == movedRow && string(r.Value) == string(movedMark)
 }
--- a/internal/node/records_test.go
+++ b/internal/node/records_test.go
@@ -137,3 +137,25 @@
 		t.Errorf("record %+v of wave 2, want that of the records part", r)
 	}
 }
+
+// A process of an earlier release that owned the work last knows the pool in which a worker may run tasks.
+func TestNewerRecordOfAWorkerCountsThoughAnEarlierReleaseWroteIt(t *testing.T) {
+	rows := standin.NewRows()
+	o := testOwner(t, rows, 1)
+	for _, w := range []struct {
+		key  platform.RowKey
+		want string
+	}{{firstUsedWorkersRow, "old"}, {movedRow, "new"}, {firstUsedWorkersRow, "newest"}} {
+		value := []byte(`[{"id":"w1","pool":"` + w.want + `","address":"a"}]`)
+		if _, err := rows.CommitRows(t.Context(), platform.RowTxn{Writes: []platform.RowWrite{{RowKey: w.key, Value: value}}}); err != nil {
+			t.Fatal(err)
+		}
+		l := &recoveredState{}
+		if err := o.loadRecords(t.Context(), l); err != nil {
+			t.Fatal(err)
+		}
+		if len(l.used) != 1 || l.used[0].Pool != w.want {
+			t.Errorf("workers %v, want w1 in pool %s alone", l.used, w.want)
+		}
+	}
+}
