node: long polls for the configuration are shorter while the table service is slow

Just before an answer, the configuration is as old as two calls. Where a service answers long polls more than 0.7 s late, two calls took longer than the 3 s of config_apply_ms, and requests were refused with 503 in part of each cycle although the configuration was up to date. The service is now asked to hold a call for a third of the bound less that lateness. With the bound of 3 s, a process makes at most one such call a second then, and 1.25 as before while answers are in time.

--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -213,3 +213,38 @@
 		t.Errorf("the configuration was last known %v ago, want at most 1.5 s", age)
 	}
 }
+
+// slowOperator answers each call for changes that much later than its wait has ended.
+type slowOperator struct {
+	operatorRow
+	late time.Duration
+}
+
+func (o *slowOperator) WatchOperator(ctx context.Context, after int64, wait time.Duration) (platform.OperatorChanges, error) {
+	select {
+	case <-time.After(wait + o.late):
+		return platform.OperatorChanges{Stamp: platform.Stamp{Version: after}}, nil
+	case <-ctx.Done():
+		return platform.OperatorChanges{}, ctx.Err()
+	}
+}
+
+// Two long polls of a slow table service take longer than the bound on the age of the configuration.
+func TestConfigurationIsConfirmedInTimeByASlowTableService(t *testing.T) {
+	_, rows, _ := testNode(t)
+	o := &slowOperator{operatorRow{current: platform.OperatorChanges{Catalog: teamCatalog(5, nil, false)}}, 900 * time.Millisecond}
+	n := New(Options{Name: "n", Rows: rows, Operator: o, ConfigWithin: 3 * time.Second, Log: zap.NewNop()})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = n.watchOperator(ctx) }()
+	eventually(t, "a configuration is in force", func() bool { return n.catalog.Load() != nil })
+	var oldest time.Duration
+	for range 700 {
+		age, _ := n.confirmed.age(n.Clock.Now())
+		oldest = max(oldest, age)
+		time.Sleep(10 * time.Millisecond)
+	}
+	if oldest > n.ConfigWithin {
+		t.Errorf("the configuration was last known %v ago, want at most %v", oldest, n.ConfigWithin)
+	}
+}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,6 +33,7 @@
 			return c.Version, nil
 		}, err
 	}
+	var late atomic.Int64 // how much later than its wait the last long poll was answered
 	f := feed{
 		name: "operator's configuration", log: n.Log, version: unread, wait: feedLongPollWait,
 		readAll: func(ctx context.Context) (handleAnswer, error) {
@@ -50,13 +52,28 @@
 				c, err := n.Operator.ReadOperator(ctx)
 				return answer(sent, c, err)
 			}
-			c, err := n.Operator.WatchOperator(ctx, after, feedLongPollWait)
+			wait := n.configPollWait(time.Duration(late.Load()))
+			c, err := n.Operator.WatchOperator(ctx, after, wait)
+			if err == nil {
+				late.Store(int64(n.Clock.Now() - sent - wait))
+			}
 			return answer(sent, c, err)
 		},
 	}
 	return f.run(ctx)
 }
 
+// configPollWait returns how long the service is to hold a long poll for the
+// configuration, given how much later than its wait the last one was answered. The
+// configuration is as old as two long polls just before an answer, which a slow
+// service would make longer than ConfigWithin.
+func (n *Node) configPollWait(late time.Duration) time.Duration {
+	if n.ConfigWithin == 0 {
+		return feedLongPollWait
+	}
+	return min(feedLongPollWait, max(0, n.ConfigWithin/3-max(0, late)))
+}
+
 // adopt adds new waves and puts a newer catalog in force. An older catalog is
 // ignored, also if only a process that has ended had put a newer one in force.
 func (n *Node) adopt(c platform.OperatorChanges) {
