node: a process that has missed a version does not serve by an older one

The feed delivers the newest content of a row. Where the operator's row held a version for a moment and an older one was written again, processes that saw it kept it in force, while one that did not served by the older one, with keys that had been withdrawn, until the next version. A process that is given a version that is not higher than its own now reads the recorded one 1.5 s later, within config_apply_ms, and answers 503 while that is higher. One read for such a delivery. Red first: TestOlderVersionThatHidesAWithdrawalIsNotServed.

--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -29,6 +29,10 @@
 	// it has adopted: all processes adopt one at the same time, and one of them
 	// suffices.
 	floorDelay = time.Second
+	// floorRereadDelay is the delay after which a process reads the recorded version
+	// again if it is given a version that is not higher than its own: by then the
+	// processes that adopted a higher one have recorded it.
+	floorRereadDelay = floorDelay + 500*time.Millisecond
 	// floorRetryDelay is the delay after an attempt that failed.
 	floorRetryDelay = time.Second
 	// floorTimeout bounds one attempt.
@@ -107,6 +111,9 @@
 // it refuses requests until the feed answers; that happens after a pause of the
 // process, and where the feed alone is silent.
 func (n *Node) configurationUse() configurationUse {
+	if c := n.catalog.Load(); c != nil && c.Version < n.floor.version.Load() {
+		return configurationUnconfirmed // another process has put a version in force that this one has missed
+	}
 	now := n.Clock.Now()
 	age, known := n.confirmed.age(now)
 	strictAge, _ := n.confirmed.strictAge(now)
@@ -148,8 +155,10 @@
 	read atomic.Bool
 	// version is the recorded version of the configuration, and row that of the row.
 	version, row atomic.Int64
-	// adopted signals that a configuration was adopted.
-	adopted chan struct{}
+	// adopted signals that a configuration was adopted, and repeated that one was
+	// delivered that is not higher. The row may have held a higher one in between:
+	// the feed delivers the newest content of a row only.
+	adopted, repeated chan struct{}
 }
 
 // readFloor reads the recorded version. A row that cannot be decoded counts as none.
@@ -171,13 +180,24 @@
 	return nil
 }
 
-// keepFloor records each adopted version in the table service until ctx ends. A
+// keepFloor records each adopted version in the table service until ctx ends, and
+// reads the recorded one again where this process may have missed it. A
 // configuration that never had teams withdraws no keys and is not recorded. Only a
 // process that is restarted relies on the record, so adoption does not wait for it.
 func (n *Node) keepFloor(ctx context.Context) error {
+	var reread <-chan time.Time
 	for {
 		select {
 		case <-n.floor.adopted:
+		case <-n.floor.repeated:
+			if reread == nil {
+				reread = time.After(floorRereadDelay)
+			}
+			continue
+		case <-reread:
+			reread = nil
+			n.rereadFloor(ctx)
+			continue
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -217,6 +237,18 @@
 	n.floor.row.Store(stamp.Version)
 }
 
+// rereadFloor reads the recorded version, until it succeeds or ctx ends.
+func (n *Node) rereadFloor(ctx context.Context) {
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, floorTimeout)
+		err := n.readFloor(callCtx)
+		cancel()
+		if err == nil || ctxtime.Sleep(ctx, floorRetryDelay) != nil {
+			return
+		}
+	}
+}
+
 // configurationMetrics returns the version in force, 0 for none, how long ago it was
 // last known to be up to date in microseconds, -1 for never, and what it holds.
 func (n *Node) configurationMetrics() map[string]any {
--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -248,3 +248,18 @@
 		t.Errorf("the configuration was last known %v ago, want at most %v", oldest, n.ConfigWithin)
 	}
 }
+
+// The feed shows the newest row only: a process may miss a version that others put in force before an older one was written again.
+func TestOlderVersionThatHidesAWithdrawalIsNotServed(t *testing.T) {
+	_, rows, _ := testNode(t)
+	newest := &operatorRow{current: platform.OperatorChanges{Catalog: teamCatalog(5, teams{"a": {"k2"}}, false)}}
+	missed := &operatorRow{current: platform.OperatorChanges{Catalog: teamCatalog(4, teams{"a": {"k1"}}, false)}, changes: make(chan platform.OperatorChanges)}
+	n := watching(t, rows, missed)
+	eventually(t, "version 4 is in force", func() bool { return n.catalog.Load() != nil })
+	other := watching(t, rows, newest)
+	eventually(t, "version 5 is recorded", func() bool { return other.floor.row.Load() != platform.NoVersion && other.floor.version.Load() == 5 })
+	missed.changes <- platform.OperatorChanges{Catalog: teamCatalog(4, teams{"a": {"k1"}}, false)}
+	eventually(t, "version 4 is not used", func() bool { return n.configurationUse() == configurationUnconfirmed })
+	missed.changes <- platform.OperatorChanges{Catalog: teamCatalog(6, teams{"a": {"k2"}}, false)}
+	eventually(t, "version 6 is used", func() bool { return n.configurationUse() == configurationCurrent })
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,7 +106,7 @@
 	n.view.Store(&ownership.View{})
 	n.acceptor = newAcceptor(n)
 	n.newJobs = newNewJobs(n)
-	n.floor.adopted = make(chan struct{}, 1)
+	n.floor.adopted, n.floor.repeated = make(chan struct{}, 1), make(chan struct{}, 1)
 	configuration := n.configurationMetrics
 	n.metrics.configuration.Store(&configuration)
 	return n
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -79,7 +79,16 @@
 func (n *Node) adopt(c platform.OperatorChanges) {
 	n.waves.add(c.Waves)
 	old := n.catalog.Load()
-	if c.Catalog == nil || (old != nil && c.Catalog.Version == old.Version) {
+	if c.Catalog == nil {
+		return
+	}
+	if old != nil && old.RequiresKeys && c.Catalog.Version <= old.Version {
+		select {
+		case n.floor.repeated <- struct{}{}:
+		default:
+		}
+	}
+	if old != nil && c.Catalog.Version == old.Version {
 		return
 	}
 	if highest := max(n.floor.version.Load(), catalogVersion(old)); c.Catalog.Version < highest {
