node: a test that a former owner cannot change the records

The fence of the records part could be withdrawn from the writes of workers in use, announcements and waves without a test that failed. The new test fails for each of the three.

--- a/internal/node/records_test.go
+++ b/internal/node/records_test.go
@@ -10,6 +10,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/egretpitch/egretpitch/internal/estate"
+	"github.com/egretpitch/egretpitch/internal/fleetplan"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/scheduler"
 	"github.com/egretpitch/egretpitch/internal/standin"
@@ -159,3 +161,38 @@
 		}
 	}
 }
+
+// A successor that has read the records would miss what its predecessor writes later.
+func TestFormerOwnerCannotChangeTheRecords(t *testing.T) {
+	for name, write := range map[string]func(*owner){
+		"workers in use": func(o *owner) {
+			txn, err := o.usedWorkersTxn([]usedWorker{{ID: "w1", Pool: "p", Address: "a"}})
+			if err == nil {
+				_, err = o.node.Rows.CommitRows(t.Context(), txn)
+			}
+			if !errors.Is(err, platform.ErrConflict) {
+				t.Errorf("the write ends with %v, want a conflict", err)
+			}
+		},
+		"orders about hosts": func(o *owner) {
+			o.fleetController.announcer.write(t.Context(), o.node.Clock.Now(), o.fleetController.announced(t.Context()))
+			(<-o.events)(o.node.Clock.Now())
+		},
+		"hosts of a wave": func(o *owner) {
+			o.node.waves.add([]estate.Wave{{Number: 1, Hosts: []string{"h1"}}})
+			o.fleetController.planner.Done(fleetplan.Decision{Kind: fleetplan.Maintain, Host: "h1", Wave: 1}, 0)
+			o.fleetController.recordWaves(t.Context())
+			(<-o.events)(o.node.Clock.Now())
+		},
+	} {
+		rows := standin.NewRows()
+		first, _ := announcingOwner(t, rows, 1)
+		announcingOwner(t, rows, 2)
+		write(first)
+		for _, table := range []string{usedWorkersTable, announcedRow.Table, waveTable} {
+			if stored, _, err := rows.ReadRows(t.Context(), table, recordsPart, "", ""); err != nil || len(stored) != 0 {
+				t.Errorf("%s: table %s holds %v, %v; want nothing of the former owner", name, table, stored, err)
+			}
+		}
+	}
+}
