--- a/internal/node/records_test.go
+++ b/internal/node/records_test.go
@@ -196,3 +196,45 @@
 		}
 	}
 }
+
+// withoutMark refuses the mark of moved records.
+type withoutMark struct{ platform.Rows }
+
+func (r withoutMark) CommitRows(ctx context.Context, txn platform.RowTxn) (platform.Stamp, error) {
+	if txn.Writes[0].RowKey == movedRow {
+		return platform.Stamp{}, platform.ErrUnavailable
+	}
+	return r.Rows.CommitRows(ctx, txn)
+}
+
+// A process of an earlier release that takes over reads an old record, and starts the tasks of new workers again.
+func TestNoWorkerCountsAsRecordedBeforeTheRecordsAreMarked(t *testing.T) {
+	rows := standin.NewRows()
+	o := testOwner(t, rows, 1)
+	if err := o.fenceParts(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	o.engine = scheduler.New(scheduler.Options{Token: 1, Epoch: 1, MaxLease: 6 * time.Second, Log: zap.NewNop()})
+	o.engine.SetCatalog(testCatalog(1, "/q/"))
+	o.fleetController = newFleetController(o, nil, scheduler.WorkerHosts{}, 0)
+	o.engine.WorkerListed(testWorker, 0)
+	o.answerPolls(0, testWorker.StartedMS)
+	for _, marked := range []bool{false, true, true} { // the second write conflicts with the first
+		o.node.Rows = withoutMark{rows}
+		if marked {
+			o.node.Rows = rows
+		}
+		o.recordUsedWorkers(t.Context(), o.node.Clock.Now())
+		if !o.used.writing {
+			t.Fatal("the record is not written")
+		}
+		(<-o.events)(o.node.Clock.Now())
+		if !marked && len(o.used.recorded) != 0 {
+			t.Errorf("%d workers count as recorded, and an earlier release can read its old record", len(o.used.recorded))
+		}
+	}
+	earlier, _, err := rows.ReadRows(t.Context(), usedWorkersTable, controlPart, "", "")
+	if err != nil || len(earlier) != 1 || !isMoved(earlier[0]) || len(o.used.recorded) != 1 {
+		t.Errorf("rows %v, %v and %d recorded workers; want the mark and one", earlier, err, len(o.used.recorded))
+	}
+}
