--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -263,3 +263,30 @@
 	missed.changes <- platform.OperatorChanges{Catalog: teamCatalog(6, teams{"a": {"k2"}}, false)}
 	eventually(t, "version 6 is used", func() bool { return n.configurationUse() == configurationCurrent })
 }
+
+// After a pause, a failure from before it shows nothing, nor does a call that ran out of time meanwhile.
+func TestServiceIsNotUnreachableRightAfterAPause(t *testing.T) {
+	n, _, e := teamNode(t)
+	n.ConfigWithin = 3 * time.Second
+	n.confirmed.at.Store(int64(n.Clock.Now() - 10*time.Second))
+	n.reachability.observe(platform.ErrUnknown)
+	ago := time.Now().Add(-9 * time.Second).UnixNano()
+	n.reachability.failingSince.Store(ago)
+	n.reachability.lastFailure.Store(ago)
+	for range 2 {
+		if n.reachability.unreachable() || n.configurationUse() != configurationUnconfirmed {
+			t.Errorf("unreachable is %v, want the configuration unconfirmed", n.reachability.unreachable())
+		}
+		n.reachability.observe(platform.ErrUnknown)
+	}
+	if got := answerTo(e, http.MethodGet, "/q/"+testID, "ka"); got != http.StatusServiceUnavailable {
+		t.Errorf("GET with a key that may have been withdrawn: %d, want 503", got)
+	}
+	for range 8 {
+		time.Sleep(100 * time.Millisecond)
+		n.reachability.observe(platform.ErrUnknown)
+	}
+	if !n.reachability.unreachable() {
+		t.Error("the service counts as reachable after 0.8 s of failures")
+	}
+}
