node: a host that a predecessor has just announced an order about waits in any case

firstHostOrder counts 3 s from the end of the previous lease, though an order may arrive 1.2 s after it, and is 0 where the work returns to the host that held it last: a process that took over and restarted at once could order a host within 3 s of the owner before it. The announcements now hold such hosts back also after firstHostOrder, until 6.55 s after them, and at most that long after the takeover. Owners of earlier releases announce nothing; after them only firstHostOrder counts. Red first: TestAnnouncedHostIsHeldBackAfterTheFirstOrder.

--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -77,8 +77,13 @@
 // free reports whether previous owners have certainly given no order about the host
 // for so long that this one may.
 func (a *announcer) free(host string, now time.Duration) bool {
+	return a.complete && !a.pending(host, now)
+}
+
+// pending reports whether an announcement by previous owners about the host matters.
+func (a *announcer) pending(host string, now time.Duration) bool {
 	ms, ok := a.inherited[host]
-	return a.complete && (!ok || a.expired(ms, now))
+	return ok && !a.expired(ms, now)
 }
 
 func (a *announcer) expired(ms int64, now time.Duration) bool {
--- a/internal/node/announce_test.go
+++ b/internal/node/announce_test.go
@@ -177,3 +177,24 @@
 		t.Error("the host is free within the least time between the orders of two holders")
 	}
 }
+
+// A host that owned the work briefly before may order at once, also what the owner before that has just ordered.
+func TestAnnouncedHostIsHeldBackAfterTheFirstOrder(t *testing.T) {
+	rows := standin.NewRows()
+	first, _ := announcingOwner(t, rows, 1)
+	first.order(t, "h1")
+	second, _ := announcingOwner(t, rows, 2)
+	second.node.HolderLease = 3 * time.Second
+	f, now := second.fleetController, second.node.Clock.Now()
+	f.firstOrderAt = 0
+	for host, want := range map[string]bool{"h1": false, "h2": true} {
+		maintain := fleetplan.Decision{Kind: fleetplan.Maintain, Host: host, Worker: "w"}
+		if got := f.mayOrder(maintain, now); got != want {
+			t.Errorf("%s may be ordered is %v, want %v", host, got, want)
+		}
+	}
+	f.announcer.inherited["h1"] = 0 // the time is not known
+	if !f.mayOrder(fleetplan.Decision{Kind: fleetplan.Maintain, Host: "h1"}, f.createdAt+f.announcer.keptFor()) {
+		t.Error("a host whose announcement has no time is held back forever")
+	}
+}
--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -223,7 +223,7 @@
 		case fleetplan.Complete:
 			go f.reportWave(ctx, dec.Wave)
 		default:
-			if early && !f.mayOrderEarly(dec, now) {
+			if !f.mayOrder(dec, now) {
 				f.planner.Postponed(dec)
 				continue
 			}
@@ -234,6 +234,16 @@
 	f.recordWaves(ctx)
 }
 
+// mayOrder reports whether an order may be given. A host that previous owners have
+// announced an order about waits also after firstOrderAt, which does not count the
+// time that an order is in flight, and is 0 for a host that owned the work before.
+func (f *fleetController) mayOrder(dec fleetplan.Decision, now time.Duration) bool {
+	if now < f.firstOrderAt {
+		return f.mayOrderEarly(dec, now)
+	}
+	return !f.announcer.pending(dec.Host, now) || now >= f.createdAt+f.announcer.keptFor()
+}
+
 // mayOrderEarly reports whether an order may be given before firstOrderAt: it moves
 // a host that runs nothing out of a standby pool, and previous owners gave no order
 // about the host. A pool that surges while the owner changes waits for such hosts.
