--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -24,7 +24,8 @@
 
 // announcedHosts is the content of announcedRow.
 type announcedHosts struct {
-	// Epoch is that of the owner that wrote the row.
+	// Epoch is that of the owner that wrote the row. An owner that does not know the
+	// orders of its predecessors writes none before these are over.
 	Epoch int64 `json:"epoch"`
 	// Hosts holds, by name, when the latest order about a host was announced at
 	// most, in milliseconds on the store's clock.
@@ -67,17 +68,22 @@
 }
 
 // keptFor is how long an announcement matters to a successor: an order may be sent
-// until the end of its life and arrive hostOrderLife later, and the orders of two
-// holders are HolderLease apart.
+// until the end of its life and arrive hostOrderLife later, and the order of another
+// holder must arrive HolderLease after that.
 func (a *announcer) keptFor() time.Duration {
-	return announcementLife + max(a.owner.node.HolderLease, hostOrderLife) + holderSlack
+	return announcementLife + hostOrderLife + a.owner.node.HolderLease + holderSlack
 }
 
 // free reports whether previous owners have certainly given no order about the host
 // for so long that this one may.
 func (a *announcer) free(host string, now time.Duration) bool {
+	return a.complete && !a.pending(host, now)
+}
+
+// pending reports whether an announcement by previous owners about the host matters.
+func (a *announcer) pending(host string, now time.Duration) bool {
 	ms, ok := a.inherited[host]
-	return a.complete && (!ok || a.expired(ms, now))
+	return ok && !a.expired(ms, now)
 }
 
 func (a *announcer) expired(ms int64, now time.Duration) bool {
--- a/internal/node/announce_test.go
+++ b/internal/node/announce_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/fleetplan"
 	"github.com/egretpitch/egretpitch/internal/ownership"
@@ -133,3 +135,66 @@
 		t.Error("an unreadable row counts as complete")
 	}
 }
+
+// The orders of an earlier release, which announces none, are unknown to the second owner after it as well.
+func TestOwnerThatWaitsForUnknownOrdersDoesNotHideThem(t *testing.T) {
+	rows := standin.NewRows()
+	o, _ := announcingOwner(t, rows, 2)
+	f := o.fleetController
+	reconcile := func() {
+		f.reconcile(t.Context(), o.node.Clock.Now())
+		select {
+		case fn := <-o.events:
+			fn(o.node.Clock.Now())
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	o.engine = scheduler.New(scheduler.Options{Token: 1, Epoch: 1, MaxLease: 6 * time.Second, Log: zap.NewNop()})
+	o.engine.SetCatalog(o.node.catalog.Load())
+	f.firstOrderAt = o.node.Clock.Now() + time.Hour
+	reconcile()
+	next, _ := announcingOwner(t, rows, 3)
+	if next.fleetController.announcer.complete {
+		t.Fatal("the announcements of an owner that does not know its predecessor's orders count as complete")
+	}
+	f.firstOrderAt, f.lastPlan = 0, 0
+	o.recordsFence = next.recordsFence
+	reconcile()
+	if third, _ := announcingOwner(t, rows, 3); !third.fleetController.announcer.complete {
+		t.Error("the announcements are not complete once the unknown orders are over")
+	}
+}
+
+// An order that is sent at the end of its announcement's life may arrive a call later.
+func TestAnnouncedHostIsFreeAHolderLeaseAfterTheLastArrival(t *testing.T) {
+	rows := standin.NewRows()
+	first, _ := announcingOwner(t, rows, 1)
+	first.order(t, "h1")
+	lastArrival := first.fleetController.announcer.until("h1") + hostOrderLife
+	second, _ := announcingOwner(t, rows, 2)
+	second.node.HolderLease = 3 * time.Second
+	if second.fleetController.announcer.free("h1", lastArrival+second.node.HolderLease) {
+		t.Error("the host is free within the least time between the orders of two holders")
+	}
+}
+
+// A host that owned the work briefly before may order at once, also what the owner before that has just ordered.
+func TestAnnouncedHostIsHeldBackAfterTheFirstOrder(t *testing.T) {
+	rows := standin.NewRows()
+	first, _ := announcingOwner(t, rows, 1)
+	first.order(t, "h1")
+	second, _ := announcingOwner(t, rows, 2)
+	second.node.HolderLease = 3 * time.Second
+	f, now := second.fleetController, second.node.Clock.Now()
+	f.firstOrderAt = 0
+	for host, want := range map[string]bool{"h1": false, "h2": true} {
+		maintain := fleetplan.Decision{Kind: fleetplan.Maintain, Host: host, Worker: "w"}
+		if got := f.mayOrder(maintain, now); got != want {
+			t.Errorf("%s may be ordered is %v, want %v", host, got, want)
+		}
+	}
+	f.announcer.inherited["h1"] = 0 // the time is not known
+	if !f.mayOrder(fleetplan.Decision{Kind: fleetplan.Maintain, Host: "h1"}, f.createdAt+f.announcer.keptFor()) {
+		t.Error("a host whose announcement has no time is held back forever")
+	}
+}
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -21,10 +21,18 @@
 	confirmationWait = 500 * time.Millisecond
 	// confirmationPoll is how often such a request looks.
 	confirmationPoll = 10 * time.Millisecond
+	// unfinishedAge is the age of the configuration at which all of it is read
+	// if the feed only gives answers that may leave something to read, as it does
+	// while the operator changes something in each long poll.
+	unfinishedAge = time.Second
 	// floorDelay bounds the random delay before a process stores the version that
 	// it has adopted: all processes adopt one at the same time, and one of them
 	// suffices.
 	floorDelay = time.Second
+	// floorRereadDelay is the delay after which a process reads the recorded version
+	// again if it is given a version that is not higher than its own: by then the
+	// processes that adopted a higher one have recorded it.
+	floorRereadDelay = floorDelay + 500*time.Millisecond
 	// floorRetryDelay is the delay after an attempt that failed.
 	floorRetryDelay = time.Second
 	// floorTimeout bounds one attempt.
@@ -42,6 +50,8 @@
 	// unreadableSince is when an answer came whose configuration could not be
 	// decoded, 0 if a later one could be.
 	unreadableSince atomic.Int64
+	// unfinished is set if the last answer may have left something to read.
+	unfinished atomic.Bool
 }
 
 // observe records an answer to a call about the configuration. It is called by one
@@ -50,6 +60,7 @@
 	if !changes.MayHaveMore && int64(sent) > c.at.Load() {
 		c.at.Store(int64(sent))
 	}
+	c.unfinished.Store(changes.MayHaveMore)
 	switch {
 	case changes.Unreadable:
 		c.unreadableSince.CompareAndSwap(0, int64(received))
@@ -65,6 +76,12 @@
 	return max(0, now-at), at != 0
 }
 
+// needsRead reports whether only a read of the whole configuration confirms it soon.
+func (c *confirmation) needsRead(now time.Duration) bool {
+	age, _ := c.age(now)
+	return c.unfinished.Load() && age > unfinishedAge
+}
+
 // strictAge is age, and at least the time since which a configuration is stored
 // that cannot be decoded: it may withdraw any key.
 func (c *confirmation) strictAge(now time.Duration) (time.Duration, bool) {
@@ -94,6 +111,9 @@
 // it refuses requests until the feed answers; that happens after a pause of the
 // process, and where the feed alone is silent.
 func (n *Node) configurationUse() configurationUse {
+	if c := n.catalog.Load(); c != nil && c.Version < n.floor.version.Load() {
+		return configurationUnconfirmed // another process has put a version in force that this one has missed
+	}
 	now := n.Clock.Now()
 	age, known := n.confirmed.age(now)
 	strictAge, _ := n.confirmed.strictAge(now)
@@ -135,8 +155,10 @@
 	read atomic.Bool
 	// version is the recorded version of the configuration, and row that of the row.
 	version, row atomic.Int64
-	// adopted signals that a configuration was adopted.
-	adopted chan struct{}
+	// adopted signals that a configuration was adopted, and repeated that one was
+	// delivered that is not higher. The row may have held a higher one in between:
+	// the feed delivers the newest content of a row only.
+	adopted, repeated chan struct{}
 }
 
 // readFloor reads the recorded version. A row that cannot be decoded counts as none.
@@ -158,13 +180,24 @@
 	return nil
 }
 
-// keepFloor records each adopted version in the table service until ctx ends. A
+// keepFloor records each adopted version in the table service until ctx ends, and
+// reads the recorded one again where this process may have missed it. A
 // configuration that never had teams withdraws no keys and is not recorded. Only a
 // process that is restarted relies on the record, so adoption does not wait for it.
 func (n *Node) keepFloor(ctx context.Context) error {
+	var reread <-chan time.Time
 	for {
 		select {
 		case <-n.floor.adopted:
+		case <-n.floor.repeated:
+			if reread == nil {
+				reread = time.After(floorRereadDelay)
+			}
+			continue
+		case <-reread:
+			reread = nil
+			n.rereadFloor(ctx)
+			continue
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -204,6 +237,18 @@
 	n.floor.row.Store(stamp.Version)
 }
 
+// rereadFloor reads the recorded version, until it succeeds or ctx ends.
+func (n *Node) rereadFloor(ctx context.Context) {
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, floorTimeout)
+		err := n.readFloor(callCtx)
+		cancel()
+		if err == nil || ctxtime.Sleep(ctx, floorRetryDelay) != nil {
+			return
+		}
+	}
+}
+
 // configurationMetrics returns the version in force, 0 for none, how long ago it was
 // last known to be up to date in microseconds, -1 for never, and what it holds.
 func (n *Node) configurationMetrics() map[string]any {
--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -185,3 +185,108 @@
 	o.changes <- platform.OperatorChanges{} // to a call that was sent after the first answer
 	eventually(t, "an answer confirms", func() bool { return n.confirmed.at.Load() >= int64(before) })
 }
+
+// changingOperator answers each call for changes with one that may not be the last.
+type changingOperator struct{ operatorRow }
+
+func (o *changingOperator) WatchOperator(ctx context.Context, after int64, _ time.Duration) (platform.OperatorChanges, error) {
+	select {
+	case <-time.After(50 * time.Millisecond):
+		return platform.OperatorChanges{Stamp: platform.Stamp{Version: after + 1}, MayHaveMore: true}, nil
+	case <-ctx.Done():
+		return platform.OperatorChanges{}, ctx.Err()
+	}
+}
+
+// An operator that changes something before each long poll ends would keep all requests refused.
+func TestConfigurationIsConfirmedWhileTheOperatorKeepsChangingIt(t *testing.T) {
+	_, rows, _ := testNode(t)
+	o := &changingOperator{operatorRow{current: platform.OperatorChanges{Catalog: teamCatalog(5, nil, false)}}}
+	n := New(Options{Name: "n", Rows: rows, Operator: o, Log: zap.NewNop()})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = n.watchOperator(ctx) }()
+	eventually(t, "a configuration is in force", func() bool { return n.catalog.Load() != nil })
+	before := n.confirmed.at.Load()
+	time.Sleep(2 * time.Second)
+	if age, _ := n.confirmed.age(n.Clock.Now()); n.confirmed.at.Load() == before || age > 1500*time.Millisecond {
+		t.Errorf("the configuration was last known %v ago, want at most 1.5 s", age)
+	}
+}
+
+// slowOperator answers each call for changes that much later than its wait has ended.
+type slowOperator struct {
+	operatorRow
+	late time.Duration
+}
+
+func (o *slowOperator) WatchOperator(ctx context.Context, after int64, wait time.Duration) (platform.OperatorChanges, error) {
+	select {
+	case <-time.After(wait + o.late):
+		return platform.OperatorChanges{Stamp: platform.Stamp{Version: after}}, nil
+	case <-ctx.Done():
+		return platform.OperatorChanges{}, ctx.Err()
+	}
+}
+
+// Two long polls of a slow table service take longer than the bound on the age of the configuration.
+func TestConfigurationIsConfirmedInTimeByASlowTableService(t *testing.T) {
+	_, rows, _ := testNode(t)
+	o := &slowOperator{operatorRow{current: platform.OperatorChanges{Catalog: teamCatalog(5, nil, false)}}, 900 * time.Millisecond}
+	n := New(Options{Name: "n", Rows: rows, Operator: o, ConfigWithin: 3 * time.Second, Log: zap.NewNop()})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = n.watchOperator(ctx) }()
+	eventually(t, "a configuration is in force", func() bool { return n.catalog.Load() != nil })
+	var oldest time.Duration
+	for range 700 {
+		age, _ := n.confirmed.age(n.Clock.Now())
+		oldest = max(oldest, age)
+		time.Sleep(10 * time.Millisecond)
+	}
+	if oldest > n.ConfigWithin {
+		t.Errorf("the configuration was last known %v ago, want at most %v", oldest, n.ConfigWithin)
+	}
+}
+
+// The feed shows the newest row only: a process may miss a version that others put in force before an older one was written again.
+func TestOlderVersionThatHidesAWithdrawalIsNotServed(t *testing.T) {
+	_, rows, _ := testNode(t)
+	newest := &operatorRow{current: platform.OperatorChanges{Catalog: teamCatalog(5, teams{"a": {"k2"}}, false)}}
+	missed := &operatorRow{current: platform.OperatorChanges{Catalog: teamCatalog(4, teams{"a": {"k1"}}, false)}, changes: make(chan platform.OperatorChanges)}
+	n := watching(t, rows, missed)
+	eventually(t, "version 4 is in force", func() bool { return n.catalog.Load() != nil })
+	other := watching(t, rows, newest)
+	eventually(t, "version 5 is recorded", func() bool { return other.floor.row.Load() != platform.NoVersion && other.floor.version.Load() == 5 })
+	missed.changes <- platform.OperatorChanges{Catalog: teamCatalog(4, teams{"a": {"k1"}}, false)}
+	eventually(t, "version 4 is not used", func() bool { return n.configurationUse() == configurationUnconfirmed })
+	missed.changes <- platform.OperatorChanges{Catalog: teamCatalog(6, teams{"a": {"k2"}}, false)}
+	eventually(t, "version 6 is used", func() bool { return n.configurationUse() == configurationCurrent })
+}
+
+// After a pause, a failure from before it shows nothing, nor does a call that ran out of time meanwhile.
+func TestServiceIsNotUnreachableRightAfterAPause(t *testing.T) {
+	n, _, e := teamNode(t)
+	n.ConfigWithin = 3 * time.Second
+	n.confirmed.at.Store(int64(n.Clock.Now() - 10*time.Second))
+	n.reachability.observe(platform.ErrUnknown)
+	ago := time.Now().Add(-9 * time.Second).UnixNano()
+	n.reachability.failingSince.Store(ago)
+	n.reachability.lastFailure.Store(ago)
+	for range 2 {
+		if n.reachability.unreachable() || n.configurationUse() != configurationUnconfirmed {
+			t.Errorf("unreachable is %v, want the configuration unconfirmed", n.reachability.unreachable())
+		}
+		n.reachability.observe(platform.ErrUnknown)
+	}
+	if got := answerTo(e, http.MethodGet, "/q/"+testID, "ka"); got != http.StatusServiceUnavailable {
+		t.Errorf("GET with a key that may have been withdrawn: %d, want 503", got)
+	}
+	for range 8 {
+		time.Sleep(100 * time.Millisecond)
+		n.reachability.observe(platform.ErrUnknown)
+	}
+	if !n.reachability.unreachable() {
+		t.Error("the service counts as reachable after 0.8 s of failures")
+	}
+}
--- a/internal/node/fleetcontroller.go
+++ b/internal/node/fleetcontroller.go
@@ -114,7 +114,7 @@
 			event.RowUnreadable.Log(o.node.Log, zap.String("key", r.Key), zap.Error(err))
 			continue
 		}
-		maintained[number] = hosts
+		maintained[number] = append(maintained[number], hosts...)
 		if r.Part == recordsPart {
 			recorded[number] = waveRecord{hosts: len(hosts), version: r.Version}
 		}
@@ -192,11 +192,13 @@
 	}
 	f.lastPlan = now
 	o := f.owner
-	f.announcer.write(ctx, now, f.announced(ctx))
+	early := now < f.firstOrderAt
+	if f.announcer.complete || !early { // otherwise a successor would take unknown orders for none
+		f.announcer.write(ctx, now, f.announced(ctx))
+	}
 	state := fleetplan.State{Now: now, Hosts: f.hosts, HostsAt: f.hostsAt, Waves: o.node.waves.list()}
 	// Tasks that the previous owner moved must not come back, whatever is planned.
 	o.engine.SetPendingRemoval(f.planner.PendingRemoval(state))
-	early := now < f.firstOrderAt
 	if early {
 		if !f.announcer.complete || (o.engine.Recovering() && now < f.createdAt+recoveryBeforePlan) {
 			return
@@ -221,8 +223,8 @@
 		case fleetplan.Complete:
 			go f.reportWave(ctx, dec.Wave)
 		default:
-			if early && !f.mayOrderEarly(dec, now) {
-				f.planner.Refused(dec)
+			if !f.mayOrder(dec, now) {
+				f.planner.Postponed(dec)
 				continue
 			}
 			f.orderHost(ctx, dec, now)
@@ -232,6 +234,16 @@
 	f.recordWaves(ctx)
 }
 
+// mayOrder reports whether an order may be given. A host that previous owners have
+// announced an order about waits also after firstOrderAt, which does not count the
+// time that an order is in flight, and is 0 for a host that owned the work before.
+func (f *fleetController) mayOrder(dec fleetplan.Decision, now time.Duration) bool {
+	if now < f.firstOrderAt {
+		return f.mayOrderEarly(dec, now)
+	}
+	return !f.announcer.pending(dec.Host, now) || now >= f.createdAt+f.announcer.keptFor()
+}
+
 // mayOrderEarly reports whether an order may be given before firstOrderAt: it moves
 // a host that runs nothing out of a standby pool, and previous owners gave no order
 // about the host. A pool that surges while the owner changes waits for such hosts.
