test/intake: measure a node under clients that keep to no rules

Nothing bounds what clients hold of a process: bodies, headers, connections and answers that nobody reads. The tests start the process built without the race detector, connect 300 to 1,200 clients of each kind and check its memory (resident, and queued in the kernel for its listeners), its descriptors and an ordinary request afterwards, against limits.memory_mb=64 and limits.file_descriptors=600. They check no times.

--- /dev/null
+++ b/internal/testkit/process.go
@@ -0,0 +1,39 @@
+package testkit
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// BuildNode builds egretpitch-node, without the race detector, into a new
+// directory and returns the path of the binary and a function that removes the
+// directory. The working directory is two below the root of the module, as in the
+// packages of test/.
+func BuildNode() (binary string, remove func(), err error) {
+	dir, err := os.MkdirTemp("", "egretpitch")
+	if err != nil {
+		return "", nil, err
+	}
+	binary = filepath.Join(dir, "egretpitch-node")
+	build := exec.Command("go", "build", "-o", binary, "../../cmd/egretpitch-node")
+	build.Stdout, build.Stderr = os.Stdout, os.Stderr
+	if err := build.Run(); err != nil {
+		_ = os.RemoveAll(dir)
+		return "", nil, fmt.Errorf("build: %w", err)
+	}
+	return binary, func() { _ = os.RemoveAll(dir) }, nil
+}
+
+// FreePort returns a local address with a port that is free at this moment.
+func FreePort(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
--- a/test.sh
+++ b/test.sh
@@ -19,3 +19,5 @@
   fi
 fi
 go test -race -count=1 -timeout 15m "${skip[@]}" ./...
+# Measures the memory of a process: nothing runs beside it.
+go test -tags intake -count=1 -timeout 15m "${skip[@]}" ./test/intake
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -19,8 +19,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,6 +27,7 @@
 	"time"
 
 	"github.com/egretpitch/egretpitch/internal/standin"
+	"github.com/egretpitch/egretpitch/internal/testkit"
 )
 
 const (
@@ -49,19 +48,13 @@
 func TestMain(m *testing.M) { os.Exit(runTests(m)) }
 
 func runTests(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "soak")
+	path, remove, err := testkit.BuildNode()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer os.RemoveAll(dir)
-	binary = filepath.Join(dir, "egretpitch-node")
-	build := exec.Command("go", "build", "-o", binary, "../../cmd/egretpitch-node")
-	build.Stdout, build.Stderr = os.Stdout, os.Stderr
-	if err := build.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "build:", err)
-		return 1
-	}
+	defer remove()
+	binary = path
 	return m.Run()
 }
 
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
-	"net"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -20,6 +19,7 @@
 
 	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/testkit"
 	"github.com/egretpitch/egretpitch/internal/workload"
 	wire "github.com/egretpitch/egretpitch/platform"
 	"github.com/egretpitch/egretpitch/platform/standin"
@@ -145,23 +145,13 @@
 	return duration, platform.EndDone
 }
 
-// freePort returns a local address with a port that is free at this moment.
-func freePort(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // configure chooses the addresses of a node and writes its settings file, in the
 // platform's format, to dir.
 func (n *node) configure(t testing.TB, dir string) {
-	n.callerAddress, n.adminAddress = freePort(t), freePort(t)
+	n.callerAddress, n.adminAddress = testkit.FreePort(t), testkit.FreePort(t)
 	n.settingsPath, n.logPath = filepath.Join(dir, n.name+".conf"), filepath.Join(dir, n.name+".log")
 	lines := []string{
-		"node=" + n.name, "listen.front=" + n.callerAddress, "listen.ready=" + freePort(t), "listen.control=" + n.adminAddress,
+		"node=" + n.name, "listen.front=" + n.callerAddress, "listen.ready=" + testkit.FreePort(t), "listen.control=" + n.adminAddress,
 		"platform.address=" + n.storeProxy.address(), "platform.writes_per_s=800", "platform.reads_per_s=2000",
 		"cloud.address=" + n.fleetProxy.address(), "cloud.rate_per_s=64", "cloud.duty_per_s=64",
 		"bounds.max_hold_ms=6000", "bounds.stop_grace_ms=200", "bounds.lease_ms=3000", "bounds.migration_s=1.5", "bounds.grace_s=3",
