--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -137,8 +137,8 @@
 	// maxTasks bounds the tasks of one job over all its occurrences, so that
 	// one caller cannot exhaust the owner's memory.
 	maxTasks = 20000
-	// maxSteps bounds the steps of one job.
-	maxSteps = 200
+	// MaxSteps bounds the steps of one job.
+	MaxSteps = 200
 	// maxSpecBytes is the platform's limit on the size of a task's
 	// specification.
 	maxSpecBytes = 4000
@@ -165,8 +165,8 @@
 	if len(j.Spec) > maxSpecBytes {
 		return errors.Errorf("specification has %d bytes, at most %d are allowed", len(j.Spec), maxSpecBytes)
 	}
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
-		return errors.Errorf("job has %d steps, 1 to %d are allowed", len(j.Steps), maxSteps)
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return errors.Errorf("job has %d steps, 1 to %d are allowed", len(j.Steps), MaxSteps)
 	}
 	tasks := 0
 	for i := range j.Steps {
--- a/internal/workload/progress_test.go
+++ b/internal/workload/progress_test.go
@@ -33,7 +33,7 @@
 	r := rand.New(rand.NewPCG(1, 2))
 	largest := 0
 	defer func() { t.Logf("the largest row has %d bytes", largest) }()
-	for _, shape := range [][3]int{{1, 1, maxTasks}, {1, maxSteps, maxTasks / maxSteps}, {maxTasks, 1, 1}, {100, 10, 20}} {
+	for _, shape := range [][3]int{{1, 1, maxTasks}, {1, MaxSteps, maxTasks / MaxSteps}, {maxTasks, 1, 1}, {100, 10, 20}} {
 		all := shuffledTasks(shape[0], shape[1], shape[2], r)
 		for _, share := range []int{1, 10, 50, 90, 100} {
 			p := &Progress{Queue: "queue", State: Running, Done: all[:len(all)*share/100]}
