intake: bound what clients hold of a node

Each listener of egretpitch-node bounds its open connections, from the limits on memory and descriptors in the settings file, and the bytes of headers, bodies and the jobs decoded from them, from the limit on memory. When a bound is reached, the connection that has waited longest for its client gives way: it is closed, or its incomplete body answered 503 with Retry-After. A request that is served is never ended. Connections get small buffers in the kernel, which counts them towards the memory.

max_header_bytes, header_timeout_ms and idle_timeout_ms of the configuration are applied, also to open connections, by ticks instead of deadlines: a suspended process does not take unread bytes for a wait.

Ruled out: netutil.LimitListener (newcomers wait for idle connections), semaphore.Weighted (a waiter cannot end a holder), deadlines of net/http (fixed at the start).

--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -7,7 +7,6 @@
 	"context"
 	"expvar"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -17,12 +16,12 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/labstack/echo/v4"
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/egretpitch/egretpitch/internal/config"
 	"github.com/egretpitch/egretpitch/internal/event"
 	"github.com/egretpitch/egretpitch/internal/graceful"
+	"github.com/egretpitch/egretpitch/internal/intake"
 	"github.com/egretpitch/egretpitch/internal/logging"
 	"github.com/egretpitch/egretpitch/internal/node"
 	"github.com/egretpitch/egretpitch/internal/scheduler"
@@ -51,10 +50,8 @@
 	// core that it lacks.
 	takeoverCores          = 0.4
 	takeoverBackoffPerCore = 4 * time.Second
-	// headerTimeout and idleTimeout bound reading the headers of a caller's
-	// request and the idle time of its connection.
-	headerTimeout = 3 * time.Second
-	idleTimeout   = 15 * time.Second
+	// maxAdminBody bounds a request to the administration API in bytes.
+	maxAdminBody = 4 << 20
 	// arrivalTime is how long a shutdown still reads from open connections once
 	// the listeners are closed.
 	arrivalTime = 300 * time.Millisecond
@@ -193,29 +190,32 @@
 	metrics := echo.New()
 	metrics.GET("/metrics", echo.WrapHandler(expvar.Handler()))
 	node.NewJobsAPI(n).Register(metrics)
-	callersServer, err := listen(n, s.CallersAddress, callers)
+	callersServer, err := listen(n, "callers", s.CallersAddress, callers, intake.CallerBounds(s.MemoryBytes, s.FileDescriptors))
 	if err != nil {
 		return nil, err
 	}
-	if _, err := listen(n, s.ReadyAddress, ready); err != nil {
+	if _, err := listen(n, "ready", s.ReadyAddress, ready, intake.OperatorBounds()); err != nil {
 		return nil, err
 	}
-	metricsServer, err := listen(n, s.MetricsAddress, metrics)
+	metricsServer, err := listen(n, "metrics", s.MetricsAddress, intake.BufferBodies(metrics, maxAdminBody), intake.OperatorBounds())
 	return []node.Server{callersServer, metricsServer}, err
 }
 
-// listen serves a handler on an address. If the address is empty, the returned
-// server does not listen.
-func listen(n *node.Node, address string, handler http.Handler) (*graceful.Server, error) {
-	server := graceful.New(&http.Server{
-		Handler: handler, BaseContext: n.RequestContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-	}, arrivalTime)
+// listen serves a handler on an address, and bounds what the clients of that
+// listener hold. If the address is empty, the returned server does not listen.
+func listen(n *node.Node, name, address string, handler http.Handler, bounds intake.Bounds) (*graceful.Server, error) {
+	limiter := intake.New(intake.Options{
+		Listener: name, Bounds: bounds, Limits: func() intake.Limits { return intake.Limits(n.Limits()) }, Log: n.Log,
+	})
+	inner := &http.Server{Handler: handler, BaseContext: n.RequestContext}
+	limiter.Configure(inner)
+	server := graceful.New(inner, arrivalTime)
 	if address == "" {
 		return server, nil
 	}
-	l, err := net.Listen("tcp", address)
+	l, err := limiter.Listen(address)
 	if err != nil {
-		return nil, errors.Wrapf(err, "listen on %s", address)
+		return nil, err
 	}
 	go func() { _ = server.Serve(l) }() // ends with the server's Shutdown
 	return server, nil
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -147,3 +147,9 @@
 	HostEvacuation         = New(812, zapcore.InfoLevel, "host evacuation for maintenance started")
 	WaveReported           = New(811, zapcore.InfoLevel, "wave reported as completed")
 )
+
+// Events of the limits on clients (package intake).
+var (
+	IntakeLimits = New(960, zapcore.WarnLevel, "clients are limited")
+	IntakeNormal = New(961, zapcore.InfoLevel, "clients are no longer limited")
+)
--- /dev/null
+++ b/internal/intake/body.go
@@ -0,0 +1,231 @@
+package intake
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of ReadBody.
+var (
+	// ErrOverloaded means that the memory for bodies is used up.
+	ErrOverloaded = errors.New("too many bodies at once")
+	// ErrSlow means that the client did not send its body in time.
+	ErrSlow = errors.New("body did not arrive in time")
+	// ErrTooLarge means that the body is larger than the limit.
+	ErrTooLarge = errors.New("body is too large")
+)
+
+const (
+	// firstBuffer is the size of the first buffer for a body of unknown size, and
+	// firstDeclared that for one whose size is declared, in bytes.
+	firstBuffer   = 512
+	firstDeclared = 4 << 10
+	// decodedFactor is how many times its size a body takes until its job is
+	// stored: the body, the job, and its rows.
+	decodedFactor = 3
+	// bodyTimeFactor is how many idle time-outs a body may take as a whole. With the
+	// defaults that is 60 s, or 4.4 KB/s for the largest body.
+	bodyTimeFactor = 4
+)
+
+// Status returns the HTTP status for an error of ReadBody.
+func Status(err error) int {
+	switch {
+	case errors.Is(err, ErrOverloaded):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, ErrSlow):
+		return http.StatusRequestTimeout
+	case errors.Is(err, ErrTooLarge):
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusBadRequest
+}
+
+// ReadBody reads a body of at most limit bytes. Its memory, and that of the job
+// decoded from it, is held in the budget of the request's listener until the request
+// is answered. After an error the rest of the body is not read, except after
+// ErrTooLarge.
+func ReadBody(r *http.Request, limit int64) ([]byte, error) {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	if r.ContentLength > limit {
+		return nil, c.reject(refusedBody, ErrTooLarge)
+	}
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	body := bodyReader{conn: c, most: limit + 1, declared: r.ContentLength}
+	err := body.read(r.Body)
+	if err == nil && int64(len(body.data)) > limit {
+		err = c.reject(refusedBody, ErrTooLarge)
+	}
+	if err == nil {
+		err = body.hold(decodedFactor * int64(len(body.data)))
+	}
+	if err != nil {
+		c.drop(body.held, err)
+		return nil, err
+	}
+	return body.data, nil
+}
+
+// bodyReader reads a body into a buffer that grows with what has arrived.
+type bodyReader struct {
+	conn           *conn
+	data           []byte
+	held           int64
+	most, declared int64
+}
+
+// read reads until the end of a body, or until it is longer than most allows.
+func (b *bodyReader) read(from io.Reader) error {
+	began := b.conn.time()
+	for int64(len(b.data)) < b.most {
+		if len(b.data) == cap(b.data) {
+			if err := b.grow(); err != nil {
+				return err
+			}
+		}
+		n, err := from.Read(b.data[len(b.data):cap(b.data)])
+		b.data = b.data[:len(b.data)+n]
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return b.conn.cause(err)
+		}
+		if b.conn.late(began) {
+			return b.conn.reject(refusedSlow, ErrSlow)
+		}
+	}
+	return nil
+}
+
+// grow doubles the buffer, up to the declared size of the body. The bytes held are
+// those of the new buffer.
+func (b *bodyReader) grow() error {
+	size := max(2*int64(cap(b.data)), firstBuffer)
+	if b.declared > 0 {
+		size = min(max(size, firstDeclared), b.declared)
+	}
+	size = min(size, b.most)
+	if err := b.hold(size); err != nil {
+		return err
+	}
+	data := make([]byte, len(b.data), size)
+	copy(data, b.data)
+	b.data = data
+	return nil
+}
+
+// hold raises what the connection holds for the body to a number of bytes.
+func (b *bodyReader) hold(size int64) error {
+	if b.conn == nil || size <= b.held {
+		return nil
+	}
+	if !b.conn.limiter.take(b.conn, size-b.held) {
+		return b.conn.reject(refusedBytes, ErrOverloaded)
+	}
+	b.held = size
+	return nil
+}
+
+// reject counts a refused request and returns the error.
+func (c *conn) reject(why reason, err error) error {
+	if c != nil {
+		c.limiter.mu.Lock()
+		c.limiter.count(why)
+		c.limiter.mu.Unlock()
+	}
+	return err
+}
+
+// drop gives back what a connection holds for a refused body. The rest of the body
+// is not read.
+func (c *conn) drop(held int64, err error) {
+	if c == nil {
+		return
+	}
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.failure == nil && !errors.Is(err, ErrTooLarge) {
+		c.failure = err
+	}
+	l.budget.release(&c.client, held)
+	l.budget.settle(&c.client)
+	l.changed.Broadcast()
+}
+
+// cause returns why a read failed.
+func (c *conn) cause(err error) error {
+	if c == nil {
+		return err
+	}
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	if c.failure != nil {
+		return c.failure
+	}
+	return err
+}
+
+// time returns the limiter's time.
+func (c *conn) time() time.Duration {
+	if c == nil {
+		return 0
+	}
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	return c.limiter.now
+}
+
+// late reports whether a body that began to arrive at a time takes too long.
+func (c *conn) late(began time.Duration) bool {
+	return c != nil && c.time()-began > bodyTimeFactor*c.limiter.limits().IdleTimeout
+}
+
+const (
+	// maxObjects bounds the JSON objects of a request to an operators' listener: 100
+	// jobs of 200 steps and their own. objectBytes is what one may take when it is
+	// decoded, however few bytes it has.
+	maxObjects  = 24_000
+	objectBytes = 800
+)
+
+// BufferBodies returns a handler for an operators' listener that reads each body of
+// at most limit bytes, in JSON, before it calls h. A body that is not read is
+// answered with its status.
+func BufferBodies(h http.Handler, limit int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			body, err := ReadBody(r, limit)
+			if err == nil {
+				err = holdObjects(r, body)
+			}
+			if err != nil {
+				w.Header().Set("Retry-After", "1")
+				http.Error(w, err.Error(), Status(err))
+				return
+			}
+			r.Body = io.NopCloser(bytes.NewReader(body))
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// holdObjects holds what the objects of a body take.
+func holdObjects(r *http.Request, body []byte) error {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	objects := int64(bytes.Count(body, []byte("{")) + bytes.Count(body, []byte("null")))
+	if objects > maxObjects {
+		return c.reject(refusedBody, ErrTooLarge)
+	}
+	if c != nil && !c.limiter.take(c, objects*objectBytes) {
+		return c.reject(refusedBytes, ErrOverloaded)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/intake/budget.go
@@ -0,0 +1,310 @@
+package intake
+
+import (
+	"net/netip"
+	"time"
+)
+
+// phase is what a connection is doing.
+type phase uint8
+
+const (
+	// phaseNew and phaseIdle wait for the first byte of a request, the first one of
+	// the connection or a later one.
+	phaseNew phase = iota
+	phaseIdle
+	// phaseHeader and phaseBody wait for the rest of a header or a body.
+	phaseHeader
+	phaseBody
+	// phaseAnswer waits until the client reads.
+	phaseAnswer
+	// phaseServing does not wait for the client.
+	phaseServing
+)
+
+const (
+	// minAnswerWait is how long an answer is written before its connection may be
+	// closed for another one. A write that does not block takes microseconds; a
+	// process with little processor time may be suspended meanwhile.
+	minAnswerWait = time.Second
+	// smallBytes is what a request may hold to draw on the part of the budget that
+	// is kept for small ones, largePart the part for the others.
+	smallBytes = 16 << 10
+	largePart  = 0.75
+	// peerPart is the part of the budget that one address may hold.
+	peerPart = 0.875
+)
+
+// peer is what the connections from one address hold.
+type peer struct {
+	address            netip.Addr
+	connections        int
+	bytes, endingBytes int64
+}
+
+// client is a connection in a budget.
+type client struct {
+	conn  *conn
+	peer  *peer
+	phase phase
+	// since is when the connection began to wait for its client.
+	since time.Duration
+	bytes int64
+	// ending is set once the connection was told to end. It holds what it held
+	// until its goroutine has released that.
+	ending     bool
+	prev, next *client
+	waiting    bool
+}
+
+// budget decides which connections may hold what, and which is ended for another
+// one. It handles connection floods and more bodies than fit into memory. It has no
+// lock and no clock.
+type budget struct {
+	Bounds
+	peers       map[netip.Addr]*peer
+	connections int
+	ending      int
+	bytes       int64
+	endingBytes int64
+	// first and last are those that wait for their clients, the longest wait first.
+	first, last *client
+	// heavyConnections and heavyBytes are the last peers that held more than half of
+	// a bound.
+	heavyConnections, heavyBytes *peer
+}
+
+func newBudget(b Bounds) *budget { return &budget{Bounds: b, peers: map[netip.Addr]*peer{}} }
+
+// open adds a connection.
+func (b *budget) open(c *client, address netip.Addr, now time.Duration) {
+	p := b.peers[address]
+	if p == nil {
+		p = &peer{address: address}
+		b.peers[address] = p
+	}
+	c.peer = p
+	p.connections++
+	b.connections++
+	if 2*p.connections > b.Connections {
+		b.heavyConnections = p
+	}
+	b.wait(c, phaseNew, now)
+}
+
+// close removes a connection with all that it holds.
+func (b *budget) close(c *client) {
+	b.leave(c)
+	b.release(c, c.bytes)
+	b.settle(c)
+	b.connections--
+	if c.peer.connections--; c.peer.connections == 0 {
+		delete(b.peers, c.peer.address)
+	}
+}
+
+// wait lets a connection wait for its client from now on.
+func (b *budget) wait(c *client, p phase, now time.Duration) {
+	b.leave(c)
+	b.settle(c)
+	c.phase, c.since, c.waiting = p, now, true
+	if c.prev = b.last; c.prev != nil {
+		c.prev.next = c
+	} else {
+		b.first = c
+	}
+	b.last = c
+}
+
+// serve records that a connection does not wait for its client.
+func (b *budget) serve(c *client) {
+	b.leave(c)
+	c.phase = phaseServing
+}
+
+// leave takes a connection out of the list of those that wait.
+func (b *budget) leave(c *client) {
+	if !c.waiting {
+		return
+	}
+	if c.prev != nil {
+		c.prev.next = c.next
+	} else {
+		b.first = c.next
+	}
+	if c.next != nil {
+		c.next.prev = c.prev
+	} else {
+		b.last = c.prev
+	}
+	c.prev, c.next, c.waiting = nil, nil, false
+}
+
+// tellToEnd records that a connection was told to end.
+func (b *budget) tellToEnd(c *client) {
+	if !c.ending {
+		c.ending = true
+		b.ending++
+		b.endingBytes += c.bytes
+		c.peer.endingBytes += c.bytes
+	}
+	b.leave(c)
+}
+
+// settle records that a connection that was told to end goes on for a while, to
+// answer.
+func (b *budget) settle(c *client) {
+	if c.ending {
+		c.ending = false
+		b.ending--
+		b.endingBytes -= c.bytes
+		c.peer.endingBytes -= c.bytes
+	}
+}
+
+// release gives back a number of bytes.
+func (b *budget) release(c *client, n int64) {
+	c.bytes -= n
+	b.bytes -= n
+	c.peer.bytes -= n
+	if c.ending {
+		b.endingBytes -= n
+		c.peer.endingBytes -= n
+	}
+}
+
+// decision is the answer to a demand.
+type decision uint8
+
+const (
+	granted decision = iota
+	// later: what is needed is held by connections that were told to end.
+	later
+	// refused: nothing can be ended for it.
+	refused
+)
+
+// admit decides whether a connection that has been opened may be served: within the
+// bound, later, or once the returned connection has ended.
+func (b *budget) admit(c *client, now time.Duration) (decision, *client) {
+	if b.connections <= b.Connections {
+		return granted, nil
+	}
+	if b.connections-b.ending <= b.Connections {
+		return later, nil
+	}
+	heavy := b.heavyConnections
+	if heavy != nil && (2*heavy.connections <= b.Connections || b.peers[heavy.address] != heavy) {
+		heavy = nil
+	}
+	of := func(p *peer) *client {
+		return b.longestWait(func(v *client) bool { return v != c && (p == nil || v.peer == p) && v.evictable(now) })
+	}
+	if heavy != nil {
+		if v := of(heavy); v != nil {
+			return later, v
+		}
+		if c.peer == heavy && len(b.peers) > 1 {
+			return refused, nil
+		}
+	}
+	if v := of(nil); v != nil {
+		return later, v
+	}
+	return later, nil
+}
+
+// take decides whether a connection may hold n bytes more: at once, later, or once
+// the returned connection has ended.
+func (b *budget) take(c *client, n int64, now time.Duration) (decision, *client) {
+	if b.fits(c, n, false) {
+		b.bytes += n
+		c.bytes += n
+		c.peer.bytes += n
+		if 2*c.peer.bytes > b.Bytes {
+			b.heavyBytes = c.peer
+		}
+		return granted, nil
+	}
+	if b.fits(c, n, true) {
+		return later, nil
+	}
+	of := func(p *peer) *client {
+		return b.longestWait(func(v *client) bool {
+			return v != c && v.bytes > 0 && (p == nil || v.peer == p) && (v.phase == phaseHeader || v.phase == phaseBody)
+		})
+	}
+	if b.peerFull(c, n, true) {
+		if v := of(c.peer); v != nil {
+			return later, v
+		}
+		return refused, nil
+	}
+	if heavy := b.heavyBytes; heavy != nil && 2*heavy.bytes > b.Bytes {
+		if v := of(heavy); v != nil {
+			return later, v
+		}
+	}
+	if v := of(nil); v != nil {
+		return later, v
+	}
+	return refused, nil
+}
+
+// fits reports whether a connection may hold n bytes more, now or once those that
+// were told to end have ended. A request always fits if no other holds anything.
+func (b *budget) fits(c *client, n int64, ended bool) bool {
+	used := b.bytes
+	if ended {
+		used -= b.endingBytes
+	}
+	if used == c.bytes {
+		return true
+	}
+	limit := b.Bytes
+	if c.bytes+n > smallBytes {
+		limit = int64(largePart * float64(limit))
+	}
+	return used+n <= limit && !b.peerFull(c, n, ended)
+}
+
+// peerFull reports whether the address of a connection may not hold n bytes more.
+func (b *budget) peerFull(c *client, n int64, ended bool) bool {
+	used := c.peer.bytes
+	if ended {
+		used -= c.peer.endingBytes
+	}
+	return used+n > int64(peerPart*float64(b.Bytes))
+}
+
+// longestWait returns the connection that has waited longest for its client among
+// those that match, nil if none does.
+func (b *budget) longestWait(match func(*client) bool) *client {
+	for c := b.first; c != nil; c = c.next {
+		if match(c) {
+			return c
+		}
+	}
+	return nil
+}
+
+// evictable reports whether a connection may be closed for another one.
+func (c *client) evictable(now time.Duration) bool {
+	return c.phase != phaseAnswer || now-c.since >= minAnswerWait
+}
+
+// overdue returns a connection that has waited for its client longer than the limits
+// allow, nil if there is none.
+func (b *budget) overdue(l Limits, now time.Duration) *client {
+	shortest := min(l.HeaderTimeout, l.IdleTimeout)
+	for c := b.first; c != nil && now-c.since > shortest; c = c.next {
+		timeout := l.IdleTimeout
+		if c.phase == phaseNew || c.phase == phaseHeader {
+			timeout = l.HeaderTimeout
+		}
+		if now-c.since > timeout {
+			return c
+		}
+	}
+	return nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,6 +117,14 @@
 	return n.catalog.Load() != nil && !n.stopping.Load() && n.reachability.failingFor() < unreadyAfter
 }
 
+// Limits returns the configuration's limits on requests, zero before there is one.
+func (n *Node) Limits() estate.Limits {
+	if c := n.catalog.Load(); c != nil {
+		return c.Limits
+	}
+	return estate.Limits{}
+}
+
 // self returns the owner record of this process, without epoch and host order
 // holder.
 func (n *Node) self() ownership.Record {
--- a/internal/node/queueapi.go
+++ b/internal/node/queueapi.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,6 +13,7 @@
 
 	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/event"
+	"github.com/egretpitch/egretpitch/internal/intake"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
@@ -38,9 +38,6 @@
 	// it, the jobs accepted since are counted from their rows and added to the
 	// owner's count. The count in an answer may be up to 2 s old.
 	maxJobsAge = 2 * time.Second
-	// defaultMaxBody is the maximum size of a body, in bytes, if the
-	// configuration sets none.
-	defaultMaxBody = 256 << 10
 )
 
 // Codec decodes and encodes the bodies of the callers' API, and names its
@@ -167,16 +164,13 @@
 	if !workload.ValidID(r.id) {
 		return response{status: http.StatusNotFound, reason: "the path names no job"}
 	}
-	limit := int64(defaultMaxBody)
+	limit := int64(intake.Defaults.MaxBodyBytes)
 	if r.catalog.Limits.MaxBodyBytes > 0 {
 		limit = int64(r.catalog.Limits.MaxBodyBytes)
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Request().Body, limit+1))
+	body, err := intake.ReadBody(r.Request(), limit)
 	if err != nil {
-		return response{status: http.StatusBadRequest, reason: "read body: " + err.Error()}
-	}
-	if int64(len(body)) > limit {
-		return response{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
+		return response{status: intake.Status(err), reason: "read body: " + err.Error()}
 	}
 	job, err := h.codec.DecodeJob(r.id, r.queue.Name, r.queue.Pool, body)
 	if err != nil {
--- a/test/intake/intake_test.go
+++ b/test/intake/intake_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -36,7 +37,10 @@
 // overload lets clients send at once to an address and stay open, then checks the
 // process. Clients that are refused or cut off send no more.
 func overload(t *testing.T, address func(*node) string, count int, send func(net.Conn) error) {
-	n := start(t)
+	overloadNode(t, start(t), address, count, send)
+}
+
+func overloadNode(t *testing.T, n *node, address func(*node) string, count int, send func(net.Conn) error) {
 	var sending sync.WaitGroup
 	for range count {
 		sending.Go(func() {
@@ -109,6 +113,14 @@
 	overload(t, callers, clients, func(c net.Conn) error { return write(c, shortBody, 1000) })
 }
 
+// Guards against what the kernel receives for a process with little processor time.
+func TestBodiesToASuspendedProcess(t *testing.T) {
+	n := start(t)
+	_ = syscall.Kill(n.pid, syscall.SIGSTOP) // the cleanup kills it in any case
+	time.AfterFunc(loadTime, func() { _ = syscall.Kill(n.pid, syscall.SIGCONT) })
+	overloadNode(t, n, callers, 4*clients, func(c net.Conn) error { return write(c, shortBody, declared) })
+}
+
 // Guards against the same for bodies of the administration API.
 func TestBodiesOfTheAdministrationAPI(t *testing.T) {
 	head := []byte("POST /v1/jobs HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\nContent-Length: 4000000\r\n\r\n[")
--- a/test/intake/node_test.go
+++ b/test/intake/node_test.go
@@ -83,8 +83,8 @@
 	sampled                 sync.WaitGroup
 	// peakKB is the most memory and peakFiles the most descriptors that were seen.
 	// Memory is the resident set and what the kernel holds for the connections of
-	// the listeners.
-	peakKB, peakFiles int
+	// the listeners, of which peakQueuedKB.
+	peakKB, peakQueuedKB, peakFiles int
 }
 
 // start starts a platform and one process, which accepts jobs. Both end with the
@@ -163,7 +163,11 @@
 			kb, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
 			resident, _ := strconv.Atoi(kb)
 			files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.pid))
-			n.peakKB, n.peakFiles = max(n.peakKB, resident+n.queuedKB()), max(n.peakFiles, len(files))
+			queued := n.queuedKB()
+			if resident+queued > n.peakKB {
+				n.peakKB, n.peakQueuedKB = resident+queued, queued
+			}
+			n.peakFiles = max(n.peakFiles, len(files))
 		}
 	}
 }
@@ -250,7 +254,8 @@
 	close(n.stop)
 	n.sampled.Wait()
 	n.stop = make(chan struct{})
-	t.Logf("%s: %d clients, at most %d KB of %d and %d descriptors of %d", t.Name(), clients, n.peakKB, memoryMB<<10, n.peakFiles, descriptors)
+	t.Logf("%s: %d clients, at most %d KB of %d (%d in the kernel) and %d descriptors of %d",
+		t.Name(), clients, n.peakKB, memoryMB<<10, n.peakQueuedKB, n.peakFiles, descriptors)
 	if n.peakKB > memoryMB<<10 {
 		t.Errorf("%d KB of memory were used, the host has %d", n.peakKB, memoryMB<<10)
 	}
