intake: a busy process closes no connection that it has not read

A connection counted as waiting for its client though the client had sent its request and the process had not read it. With 400 clients that reconnect at once and one processor, ordinary requests were cut off or not accepted. Connections with unread bytes (FIONREAD, 32 at most for one search) are passed over, newcomers wait while there are only such ones, and from 7/8 of the bound on connections are closed ahead, so that newcomers seldom wait for the end of another one. The backlog is at least 256.

TestIncompleteBodyGivesWay now waits until the first body is awaited, not only held: while it is being read it does not wait for its client.

--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 )
@@ -31,6 +32,11 @@
 	// is kept for small ones, largePart the part for the others.
 	smallBytes = 16 << 10
 	largePart  = 0.75
+	// headroom is the inverse of the part of the connections that is kept free.
+	headroom = 8
+	// maxChecked bounds the connections of which one search looks for unread bytes, a
+	// system call each.
+	maxChecked = 32
 	// peerPart is the part of the budget that one address may hold.
 	peerPart = 0.875
 )
@@ -72,9 +78,13 @@
 	// heavyConnections and heavyBytes are the last peers that held more than half of
 	// a bound.
 	heavyConnections, heavyBytes *peer
+	// unread reports whether a connection has received bytes that were not read.
+	unread func(*client) bool
 }
 
-func newBudget(b Bounds) *budget { return &budget{Bounds: b, peers: map[netip.Addr]*peer{}} }
+func newBudget(b Bounds, unread func(*client) bool) *budget {
+	return &budget{Bounds: b, peers: map[netip.Addr]*peer{}, unread: unread}
+}
 
 // open adds a connection.
 func (b *budget) open(c *client, address netip.Addr, now time.Duration) {
@@ -184,34 +194,34 @@
 	refused
 )
 
-// admit decides whether a connection that has been opened may be served: within the
-// bound, later, or once the returned connection has ended.
+// admit decides whether a connection that has been opened may be served: at once, or
+// later. The returned connection, if any, is to be ended for it. That begins before
+// the bound is reached, so that newcomers seldom wait for the end of another one.
 func (b *budget) admit(c *client, now time.Duration) (decision, *client) {
-	if b.connections <= b.Connections {
-		return granted, nil
+	d := granted
+	if b.connections > b.Connections {
+		d = later
 	}
-	if b.connections-b.ending <= b.Connections {
-		return later, nil
+	if b.connections-b.ending <= b.Connections-b.Connections/headroom {
+		return d, nil
 	}
 	heavy := b.heavyConnections
 	if heavy != nil && (2*heavy.connections <= b.Connections || b.peers[heavy.address] != heavy) {
 		heavy = nil
 	}
 	of := func(p *peer) *client {
-		return b.longestWait(func(v *client) bool { return v != c && (p == nil || v.peer == p) && v.evictable(now) })
+		v, _ := b.longestWait(func(v *client) bool { return v != c && (p == nil || v.peer == p) && v.evictable(now) })
+		return v
 	}
 	if heavy != nil {
 		if v := of(heavy); v != nil {
-			return later, v
+			return d, v
 		}
-		if c.peer == heavy && len(b.peers) > 1 {
+		if d == later && c.peer == heavy && len(b.peers) > 1 {
 			return refused, nil
 		}
 	}
-	if v := of(nil); v != nil {
-		return later, v
-	}
-	return later, nil
+	return d, of(nil)
 }
 
 // take decides whether a connection may hold n bytes more: at once, later, or once
@@ -230,9 +240,10 @@
 		return later, nil
 	}
 	of := func(p *peer) *client {
-		return b.longestWait(func(v *client) bool {
+		v, unread := b.longestWait(func(v *client) bool {
 			return v != c && v.bytes > 0 && (p == nil || v.peer == p) && (v.phase == phaseHeader || v.phase == phaseBody)
 		})
+		return cmp.Or(v, unread)
 	}
 	if b.peerFull(c, n, true) {
 		if v := of(c.peer); v != nil {
@@ -278,14 +289,23 @@
 }
 
 // longestWait returns the connection that has waited longest for its client among
-// those that match, nil if none does.
-func (b *budget) longestWait(match func(*client) bool) *client {
-	for c := b.first; c != nil; c = c.next {
-		if match(c) {
-			return c
+// those that match, nil if none does. A connection that has received bytes which the
+// process has not read does not wait for its client: it is passed over and returned
+// second.
+func (b *budget) longestWait(match func(*client) bool) (v, unread *client) {
+	checked := 0
+	for c := b.first; c != nil && checked < maxChecked; c = c.next {
+		if !match(c) {
+			continue
+		}
+		if !b.unread(c) {
+			return c, unread
+		}
+		if checked++; unread == nil {
+			unread = c
 		}
 	}
-	return nil
+	return nil, unread
 }
 
 // evictable reports whether a connection may be closed for another one.
--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -14,7 +14,7 @@
 // served or more connections than are needed.
 func TestBudgetKeepsItsBoundsInAnyHistory(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := newBudget(Bounds{Connections: 8, Bytes: 1 << 20})
+		b := newBudget(Bounds{Connections: 8, Bytes: 1 << 20}, func(*client) bool { return false })
 		var open []*client
 		now := time.Duration(0)
 		ended := func(v *client) {
@@ -96,7 +96,7 @@
 
 // Guards against one address that holds everything while others ask.
 func TestOneAddressLeavesPartOfTheBudget(t *testing.T) {
-	b := newBudget(Bounds{Connections: 100, Bytes: 1 << 20})
+	b := newBudget(Bounds{Connections: 100, Bytes: 1 << 20}, func(*client) bool { return false })
 	a, other := netip.MustParseAddr("10.0.0.1"), netip.MustParseAddr("10.0.0.2")
 	for range 100 {
 		c := &client{}
@@ -117,12 +117,30 @@
 	}
 }
 
+// Guards against closing callers that a busy process has not got round to.
+func TestConnectionWithUnreadBytesIsNotClosedForAnother(t *testing.T) {
+	unread := map[*client]bool{}
+	b := newBudget(Bounds{Connections: 2, Bytes: 1}, func(c *client) bool { return unread[c] })
+	first, second, third := &client{}, &client{}, &client{}
+	for i, c := range []*client{first, second, third} {
+		b.open(c, netip.Addr{}, time.Duration(i))
+	}
+	unread[first] = true
+	if d, v := b.admit(third, 3); d != later || v != second {
+		t.Errorf("decision %d, ended is %+v; want the second", d, v)
+	}
+	unread[second] = true
+	if d, v := b.admit(third, 3); d != later || v != nil {
+		t.Errorf("decision %d, ended is %+v; want the third to wait", d, v)
+	}
+}
+
 func TestTimeoutsByPhase(t *testing.T) {
 	l := Limits{}.orDefaults()
 	for p, want := range map[phase]time.Duration{
 		phaseNew: l.HeaderTimeout, phaseHeader: l.HeaderTimeout, phaseIdle: l.IdleTimeout, phaseBody: l.IdleTimeout, phaseAnswer: l.IdleTimeout,
 	} {
-		b := newBudget(Bounds{Connections: 1, Bytes: 1})
+		b := newBudget(Bounds{Connections: 1, Bytes: 1}, func(*client) bool { return false })
 		c := &client{}
 		b.open(c, netip.Addr{}, 0)
 		b.wait(c, p, 0)
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -18,7 +19,7 @@
 	// minBacklog and maxBacklog bound the number of connections that the kernel keeps
 	// until they are accepted. It is the bound on connections in between, since what
 	// they have sent takes memory too.
-	minBacklog, maxBacklog = 128, 512
+	minBacklog, maxBacklog = 256, 512
 	// requestLine is what a header may have beside its fields, in bytes.
 	requestLine = 1 << 10
 	// freeHeader is the size up to which a header is part of connectionBytes: it
@@ -126,6 +127,9 @@
 	case phaseNew, phaseIdle:
 		b = b[:min(len(b), l.limits().MaxHeaderBytes+requestLine)]
 	}
+	if l.admitting {
+		l.changed.Broadcast()
+	}
 	l.mu.Unlock()
 	return b, nil
 }
@@ -149,6 +153,9 @@
 		}
 	}
 	ok := c.failure == nil
+	if l.admitting {
+		l.changed.Broadcast()
+	}
 	l.mu.Unlock()
 	if !ok || demand == 0 {
 		return ok
@@ -230,6 +237,20 @@
 	return nil
 }
 
+// unread reports whether the kernel has received bytes that were not read.
+func (c *conn) unread() bool {
+	tcp, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	n := 0
+	if err == nil {
+		err = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) }) // 0 if it fails
+	}
+	return err == nil && n > 0
+}
+
 // discardUnsent lets the close of the connection discard what the client has not
 // read, which the kernel would keep for minutes.
 func (c *conn) discardUnsent() {
--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -62,16 +62,18 @@
 	// now is the time of the last tick, as the time since the first one. After a
 	// suspension of the process it goes on by two ticks, since bytes that have
 	// arrived meanwhile are unread.
-	now      time.Duration
-	closed   bool
-	counts   map[reason]int64
-	limiting limiting
+	now    time.Duration
+	closed bool
+	// admitting is set while a connection waits to be admitted.
+	admitting bool
+	counts    map[reason]int64
+	limiting  limiting
 }
 
 // New returns a limiter for one listener. Its metrics are published under the
 // listener's name, those of the first of a name.
 func New(o Options) *Limiter {
-	l := &Limiter{Options: o, budget: newBudget(o.Bounds), counts: map[reason]int64{}}
+	l := &Limiter{Options: o, budget: newBudget(o.Bounds, func(c *client) bool { return c.phase != phaseAnswer && c.conn.unread() }), counts: map[reason]int64{}}
 	l.changed = sync.NewCond(&l.mu)
 	publish(l)
 	return l
@@ -142,6 +144,9 @@
 	l.budget.serve(&c.client)
 	for !l.closed {
 		d, victim := l.budget.admit(&c.client, l.now)
+		if victim != nil {
+			l.end(victim, closedConnections)
+		}
 		switch {
 		case d == granted:
 			l.budget.wait(&c.client, phaseNew, l.now)
@@ -151,10 +156,10 @@
 			l.budget.close(&c.client)
 			_ = inner.Close()
 			return nil
-		case victim != nil:
-			l.end(victim, closedConnections)
-		default:
+		case victim == nil:
+			l.admitting = true
 			l.changed.Wait()
+			l.admitting = false
 		}
 	}
 	l.budget.wait(&c.client, phaseNew, l.now)
--- a/internal/intake/limiter_test.go
+++ b/internal/intake/limiter_test.go
@@ -85,7 +85,9 @@
 func TestIncompleteBodyGivesWay(t *testing.T) {
 	l, address, _ := serveLimited(t, Bounds{Connections: 10, Bytes: 100 << 10}, readBody)
 	_, first := send(t, address, post(60_000, 50_000))
-	l.waitFor(t, "the first body is held", func() bool { return l.budget.bytes >= 50_000 })
+	l.waitFor(t, "the first body is awaited", func() bool {
+		return l.budget.bytes >= 50_000 && l.budget.last != nil && l.budget.last.phase == phaseBody
+	})
 	_, second := send(t, address, post(20_000, 20_000))
 	if got, _ := status(second); got != http.StatusOK {
 		t.Errorf("a body is answered %d", got)
