--- a/test/intake/intake_test.go
+++ b/test/intake/intake_test.go
@@ -249,3 +249,25 @@
 		t.Errorf("a header above a smaller maximum size is answered %d on an open connection", got)
 	}
 }
+
+// Guards against a shutdown that waits for clients beyond the grace.
+func TestShutdownBesideIncompleteBodies(t *testing.T) {
+	n := start(t)
+	for range clients {
+		c, err := net.Dial("tcp", n.callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		go func() { _ = write(c, shortBody, declared) }() // ends with the connection
+	}
+	_ = syscall.Kill(n.pid, syscall.SIGTERM) // the test fails if the process does not end
+	select {
+	case <-n.ended:
+	case <-time.After(answerTimeout):
+		t.Fatal("the process does not end")
+	}
+	if !n.exited.Success() {
+		t.Errorf("the process ended with %v", n.exited)
+	}
+}
--- a/test/intake/node_test.go
+++ b/test/intake/node_test.go
@@ -79,6 +79,7 @@
 	platform                *standin.Platform
 	pid                     int
 	ended                   chan struct{}
+	exited                  *os.ProcessState // set once ended is closed
 	stop                    chan struct{}
 	sampled                 sync.WaitGroup
 	// peakKB is the most memory and peakFiles the most descriptors that were seen.
@@ -129,6 +130,7 @@
 	n.pid = cmd.Process.Pid
 	go func() {
 		_ = cmd.Wait() // it is killed
+		n.exited = cmd.ProcessState
 		_ = out.Close()
 		close(n.ended)
 	}()
