--- a/internal/intake/limiter_test.go
+++ b/internal/intake/limiter_test.go
@@ -13,7 +13,9 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/egretpitch/egretpitch/internal/event"
 	"github.com/egretpitch/egretpitch/internal/graceful"
 )
 
@@ -237,3 +239,21 @@
 		run(b, s, func() (net.Listener, error) { return l.Listen("127.0.0.1:0") })
 	})
 }
+
+// Guards against a line in the log for each client that is refused.
+func TestChangesOfStateAreLoggedOnce(t *testing.T) {
+	core, lines := observer.New(zap.InfoLevel)
+	l := New(Options{Listener: t.Name(), Bounds: OperatorBounds(), Limits: func() Limits { return Limits{} }, Log: zap.New(core)})
+	for range 100 {
+		l.mu.Lock()
+		l.count(refusedBytes)
+		l.mu.Unlock()
+		l.advance(tick)
+	}
+	for range 10 * quietTime / tick {
+		l.advance(tick)
+	}
+	if got := lines.All(); len(got) != 2 || got[0].Message != event.IntakeLimits.Message || got[1].ContextMap()["count"] != int64(100) {
+		t.Errorf("lines %+v", got)
+	}
+}
