--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,6 +142,14 @@
 	return !c.RequiresKeys || n.configurationUse() != configurationUnconfirmed
 }
 
+// Limits returns the configuration's limits on requests, zero before there is one.
+func (n *Node) Limits() estate.Limits {
+	if c := n.catalog.Load(); c != nil {
+		return c.Limits
+	}
+	return estate.Limits{}
+}
+
 // self returns the owner record of this process, without epoch and host order
 // holder.
 func (n *Node) self() ownership.Record {
