workerspeed, scheduler: late answers and single jobs make no worker slow

Causes: a poll without an answer delays the listing of ends, and the time of the listing was taken for that of the end; and the tasks of a job share the error of its estimate, but counted as independent evidence. Change: an end counts only if a poll was waiting at the worker within 250 ms before it, and the runs of one job count as at most 1.5 observations of a worker. Red first: TestPollsWithoutAnAnswerMakeNoWorkerSlow finds a worker slow without the first, TestWrongEstimateOfAJobMakesNoWorkerSlow without the second.

--- a/internal/scheduler/learn.go
+++ b/internal/scheduler/learn.go
@@ -83,7 +83,7 @@
 	if o.rate >= 0 {
 		rate := o.rate * math.Exp(e.interference.Slowdown(image, others))
 		e.observeSpeed(workerspeed.Observation{
-			Worker: w.ID, Group: s.group(o.remote, false), Rate: rate, Weight: partWeight * min(o.span.Seconds(), 1),
+			Worker: w.ID, Job: s.job.ID, Group: s.group(o.remote, false), Rate: rate, Weight: partWeight * min(o.span.Seconds(), 1),
 		}, now)
 	}
 	if image == "" || e.speeds.SlowFactor(w.ID, now) > 1 {
@@ -113,7 +113,7 @@
 	}
 	remote := s.remoteOn(w)
 	o := workerspeed.Observation{
-		Worker: w.ID, Group: s.group(remote, true), ReportedGroup: s.group(remote, false),
+		Worker: w.ID, Job: s.job.ID, Group: s.group(remote, true), ReportedGroup: s.group(remote, false),
 		Rate: float64(s.Estimate) / float64(took), Weight: 1, Whole: true,
 	}
 	if span := r.sampled.clockMS - r.sampled.firstMS; span >= minSampleSpan.Milliseconds() {
--- a/internal/scheduler/performance.go
+++ b/internal/scheduler/performance.go
@@ -20,6 +20,9 @@
 	// minEndSpan is the shortest time from the last sample to the end of a run
 	// over which progress is measured.
 	minEndSpan = 100 * time.Millisecond
+	// maxUnpolled is the longest time without a poll at a worker for which the answer
+	// to the next one tells when the runs in it ended.
+	maxUnpolled = 250 * time.Millisecond
 )
 
 // runSample is the last sample of a run's progress from which the next
@@ -106,6 +109,9 @@
 	if !e.opts.LearnPerformance || end != platform.EndDone || w.clockAt != now || r.throttledPercent != 100 {
 		return
 	}
+	if w.unpolled > maxUnpolled {
+		return // it ended at some time since the poll before
+	}
 	if s := r.task.step; s.LongRunning || s.TailTarget > 0 || s.Estimate <= 0 {
 		return
 	}
--- a/internal/scheduler/performance_test.go
+++ b/internal/scheduler/performance_test.go
@@ -205,6 +205,21 @@
 	}
 }
 
+// Runs whose ends are listed late seem to have taken long.
+func TestPollsWithoutAnAnswerMakeNoWorkerSlow(t *testing.T) {
+	_, owner := turns(t, true, func(p *loadPlay) {
+		p.injectFault = func(o Order) orderFault {
+			_, poll := o.(*PollOrder)
+			return orderFault{lost: poll && p.rng.IntN(8) == 0}
+		}
+	}, 24*time.Second)
+	for id := range owner.workers {
+		if x := owner.speeds.Estimate(id, owner.sim.now); x.Class == workerspeed.Slow || x.Trials > 0 {
+			t.Errorf("%s is found slow: %+v", id, x)
+		}
+	}
+}
+
 // TestWantedRackMakesNoWorkerSlow guards against workers that count as slow because
 // the tasks there are far from their data.
 func TestWantedRackMakesNoWorkerSlow(t *testing.T) {
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -245,6 +245,7 @@
 	e.answeredAt = now
 	overtaken := status.ClockMS > 0 && status.ClockMS < w.clockMS // a later answer was handled before
 	if !overtaken {
+		w.unpolled = max(0, o.sentAt-w.lastContact)
 		w.recordContact(status.ClockMS, now, e)
 	}
 	w.receivedLeaseMS = max(w.receivedLeaseMS, o.DeadlineMS)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -88,6 +88,9 @@
 	nextPoll         time.Duration
 	failedPolls      int
 	lastContact      time.Duration
+	// unpolled is for how long no poll was waiting at the worker before the one that
+	// it answered last.
+	unpolled time.Duration
 	// silentSince is when the first of the failed polls failed.
 	silentSince time.Duration
 	// answeredSentAt is when the latest answered poll was sent, 0 if none was
--- a/internal/workerspeed/workerspeed.go
+++ b/internal/workerspeed/workerspeed.go
@@ -52,6 +52,10 @@
 	// doubles with each further trial up to maxTrial.
 	firstTrial = 4 * time.Second
 	maxTrial   = 16 * time.Second
+	// maxJobWeight is the weight that the runs of one job have together as evidence
+	// about one worker, and jobMemory the number of jobs for which that is kept.
+	maxJobWeight = 1.5
+	jobMemory    = 16
 	// trustMemory is the number of ended runs over which reported progress is
 	// compared with the ends. Reports are ignored while they differ by distrust, the
 	// logarithm of a factor, on average.
@@ -79,6 +83,8 @@
 // Observation is how fast a run was.
 type Observation struct {
 	Worker string
+	// Job is the job of the run. Its estimate may be wrong for all of its tasks.
+	Job string
 	// Group names the runs that are compared with each other.
 	Group string
 	// Rate is the progress relative to the estimate, 1 for as estimated.
@@ -121,8 +127,11 @@
 // worker holds the evidence about one worker.
 type worker struct {
 	weight, sum float64
-	at          time.Duration
-	slow        bool
+	// jobs holds the weights of the last jobs, in a ring.
+	jobs    [jobMemory]jobWeight
+	nextJob int
+	at      time.Duration
+	slow    bool
 	// speed is the estimate when the worker was last found slow.
 	speed float64
 	// nextTrial is when a slow worker may get a run though it is slow, and wait
@@ -181,7 +190,7 @@
 	} else if w.lies() {
 		return false
 	}
-	w.add(min(max(y-median, -maxLog), maxLog), o.Weight, now)
+	w.add(min(max(y-median, -maxLog), maxLog), w.ofJob(o.Job, o.Weight), now)
 	return e.classify(w, now)
 }
 
@@ -206,6 +215,29 @@
 	w.sum += weight * log
 }
 
+// jobWeight is the weight of the runs of one job as evidence about a worker.
+type jobWeight struct {
+	job    string
+	weight float64
+}
+
+// ofJob returns the part of a weight that the runs of a job, empty for none, may
+// still add.
+func (w *worker) ofJob(job string, weight float64) float64 {
+	if job == "" {
+		return weight
+	}
+	i := slices.IndexFunc(w.jobs[:], func(j jobWeight) bool { return j.job == job })
+	if i < 0 {
+		i = w.nextJob
+		w.nextJob = (w.nextJob + 1) % jobMemory
+		w.jobs[i] = jobWeight{job: job}
+	}
+	weight = min(weight, maxJobWeight-w.jobs[i].weight)
+	w.jobs[i].weight += weight
+	return weight
+}
+
 func (w *worker) decay(now time.Duration) {
 	by := math.Exp(-float64(now-w.at) / float64(memory))
 	w.weight *= by
--- a/internal/workerspeed/workerspeed_test.go
+++ b/internal/workerspeed/workerspeed_test.go
@@ -175,3 +175,23 @@
 		t.Errorf("a far task takes %.2f times as long, want 2.5", ratio)
 	}
 }
+
+// Eight tasks of a job whose estimate is a third of the truth run on one worker.
+func TestWrongEstimateOfAJobMakesNoWorkerSlow(t *testing.T) {
+	var e Estimator
+	for i := range 60 {
+		e.Observe(Observation{Worker: string(rune('a' + i%6)), Job: string(rune('A' + i)), Group: "g", Rate: 1, Weight: 1}, 0)
+	}
+	for range 8 {
+		e.Observe(Observation{Worker: "w", Job: "wrong", Group: "g", Rate: 0.33, Weight: 1}, time.Second)
+	}
+	if x := e.Estimate("w", time.Second); x.Class == Slow {
+		t.Errorf("one job makes the worker slow: %+v", x)
+	}
+	for i := range 4 {
+		e.Observe(Observation{Worker: "w", Job: string(rune('0' + i)), Group: "g", Rate: 0.33, Weight: 1}, time.Second)
+	}
+	if x := e.Estimate("w", time.Second); x.Class != Slow {
+		t.Errorf("five jobs do not: %+v", x)
+	}
+}
