scheduler: a team's tasks stay within its quota

Cause: a team may ask for more than max_count, and nothing bounded what its tasks hold on all workers together.

Change: internal/quota keeps what each team holds: runs from their start order to their certain end, orphans, and undiscovered runs of previous owners at their worst case. The engine asks it before each start of a task, gang or copy. Once the best ranked step of a team does not fit, no other task of the team starts in that pass. Sizes count in full, also the processors of fillers. Without teams nothing is asked and the order of decisions is unchanged.

Ruled out: counters in the table service (a write a start and a repair after each failure), and a quota divided among pools (a team gets less than it has).

--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -35,6 +35,9 @@
 	for _, r := range w.runs {
 		e.loseRun(r, reason, now)
 	}
+	for _, o := range w.orphans {
+		o.account.RemoveOrphan(o.size)
+	}
 	w.pool.remove(w)
 	w.pool.needsPass = true
 	delete(e.workers, w.ID)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -15,6 +15,8 @@
 // job is a job that has not ended, or whose end is not recorded yet.
 type job struct {
 	*workload.Job
+	// team is the team of the job, nil for none.
+	team     *team
 	progress workload.Progress
 	// version is the version of the progress row.
 	version int64
@@ -203,12 +205,13 @@
 	if _, ok := e.knownJobs[spec.ID]; ok {
 		return
 	}
-	e.knownJobs[spec.ID] = struct{}{}
+	team := e.observeTeam(spec, progress, inherited)
+	e.knownJobs[spec.ID] = team
 	if progress.State.Over() {
 		return
 	}
 	j := &job{
-		Job: spec, progress: *progress, version: version, accepted: accepted, inherited: inherited,
+		Job: spec, team: team, progress: *progress, version: version, accepted: accepted, inherited: inherited,
 		started: progress.State != workload.Queued, occurrences: map[int]*occurrence{}, queue: spec.Terms,
 	}
 	e.jobs[spec.ID] = j
--- a/internal/scheduler/orphan.go
+++ b/internal/scheduler/orphan.go
@@ -8,6 +8,7 @@
 	"github.com/egretpitch/egretpitch/internal/event"
 	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/quota"
 )
 
 // orphan is a run on a worker that no job needs. It is being stopped, and its
@@ -17,6 +18,9 @@
 	// unknown is set if the run's requests are not known: nothing starts beside
 	// it, whatever capacity its worker has by then.
 	unknown bool
+	// account counts size against the quota of the run's team.
+	account *quota.Account
+	size    placement.Resources
 	// seenAt is when a poll last listed the run.
 	seenAt time.Duration
 	// foundAt is when a poll first listed it.
@@ -39,6 +43,8 @@
 		known = &orphan{resources: resources, unknown: !ok, foundAt: now}
 		w.orphans[key] = known
 		w.used = w.used.Add(known.resources)
+		known.account, known.size = e.recordedTask(s.Task, w)
+		known.account.AddOrphan(known.size)
 		e.sendOrphanStop(w, key, known, now)
 	}
 	known.seenAt = now
@@ -81,6 +87,7 @@
 	s.stop.withdraw()
 	delete(w.orphans, key)
 	w.releaseResources(s.resources)
+	s.account.RemoveOrphan(s.size)
 	w.pool.needsPass = true
 }
 
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -31,6 +31,7 @@
 func (e *Engine) pass(p *pool, now time.Duration) {
 	p.needsPass = false
 	p.nextPass = 0
+	e.passes++
 	if e.catalog == nil || (len(p.ready) == 0 && !p.speculative()) {
 		return
 	}
@@ -71,7 +72,7 @@
 	}
 	slices.SortFunc(list, candidate.compare)
 	for _, c := range list {
-		if !mayFit(c.step) {
+		if !mayFit(c.step) || e.waitsForQuota(c.step) {
 			continue
 		}
 		started := e.stats.Starts
@@ -167,6 +168,9 @@
 			s.held = true
 			continue
 		}
+		if !e.fitsQuota(s, 1) {
+			return
+		}
 		w, ticket, apart := e.chooseWorker(t, open, now)
 		if w == nil {
 			w, ticket, _ = e.chooseWorker(t, t.lastResort(lastResort, now), now)
@@ -284,6 +288,9 @@
 	if s.idle < s.left || now < s.gangRetry || e.waitsForRecord(s.tasks[0]) || slices.ContainsFunc(s.tasks, e.blockedByRecovery) {
 		return // members of an earlier start still run, or may
 	}
+	if !e.fitsQuota(s, len(s.tasks)) {
+		return
+	}
 	if !e.ensureTickets(s, open, now) {
 		return
 	}
--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -144,6 +144,7 @@
 			e.givenUp++
 		}
 	}
+	e.countUndiscovered()
 	for p, b := range before {
 		p.needsPass = p.needsPass || p.undiscovered.workers != b.workers || p.undiscovered.leased != b.leased
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -17,6 +17,7 @@
 
 	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/quota"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
@@ -150,9 +151,9 @@
 	// nextOverdueCheck is the time of the next check for runs that should have been
 	// stopped long ago.
 	nextOverdueCheck time.Duration
-	// knownJobs holds the ids of all jobs that were ever added: a feed may
+	// knownJobs holds the teams of all jobs that were ever added, by id: a feed may
 	// repeat a job that has ended and was dropped.
-	knownJobs map[string]struct{}
+	knownJobs map[string]*team
 	// jobsVersion is the version up to which all jobs were added. cancelledFirst
 	// holds, by job, the versions of later cancellations that were read before the
 	// job.
@@ -163,6 +164,11 @@
 	added int64
 	pools map[string]*pool
 	stats Stats
+	// teams holds the teams of jobs by name, and quotas what they hold. passes
+	// numbers the passes.
+	teams  map[string]*team
+	quotas *quota.Tracker
+	passes uint64
 
 	// orders are returned by the next Decide. Events between two decisions add
 	// to them.
@@ -269,6 +275,9 @@
 	// undiscovered is what previous owners may have left on workers that have not
 	// answered a poll yet, as of the last sweep.
 	undiscovered undiscovered
+	// inheritedWork holds the teams of the jobs that previous owners may have started
+	// in the pool.
+	inheritedWork map[*team]inheritedWork
 	// recoveredAt is when the last of these workers had answered or was given up,
 	// and lastUnread its id.
 	recoveredAt time.Duration
@@ -290,7 +299,7 @@
 // New returns an engine without jobs and workers.
 func New(opts Options) *Engine {
 	return &Engine{
-		opts: opts, jobs: map[string]*job{}, knownJobs: map[string]struct{}{}, cancelledFirst: map[string]int64{}, workers: map[string]*worker{}, pools: map[string]*pool{},
+		opts: opts, jobs: map[string]*job{}, knownJobs: map[string]*team{}, teams: map[string]*team{}, quotas: quota.New(), cancelledFirst: map[string]int64{}, workers: map[string]*worker{}, pools: map[string]*pool{},
 		dirty: map[*job]struct{}{}, presumed: map[string][]presumedCrash{}, committing: make([]*Commit, opts.Parts), retryAt: make([]time.Duration, opts.Parts),
 	}
 }
@@ -302,6 +311,7 @@
 		return
 	}
 	e.catalog = c
+	e.quotas.SetTeams(c.Teams)
 	for _, j := range e.jobs {
 		e.updateQueue(j)
 	}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -68,6 +68,7 @@
 	crashed map[workload.TaskID]int
 	// trace lists the events so far, for the report of a violation.
 	trace []string
+	simTeams
 }
 
 func (sim *simulation) tracef(format string, args ...any) {
@@ -374,6 +375,7 @@
 	if at, ok := j.doneAt[o.Task]; ok {
 		sim.violate("task %v run %d starts on %s at %v, though its end was acknowledged at %v", o.Task, o.Run, f.ID, sim.now, at)
 	}
+	sim.checkQuota(f, o)
 	j.starts[o.Task] = append(j.starts[o.Task], startRecord{o.Run, f.ID, sim.nextMoment()})
 	if j.spec.Steps[o.Task.Step].Speculative {
 		return
@@ -525,11 +527,13 @@
 	if len(sim.poolOf) > 0 {
 		pools = append(pools, &estate.Pool{Name: "other", RejectsOverload: true})
 	}
-	return estate.NewCatalog(sim.catalogVersion, []*estate.Queue{
+	c := estate.NewCatalog(sim.catalogVersion, []*estate.Queue{
 		{Name: "q", Host: "h", PathPrefix: "/q/", Pool: pool("q"), MaxAttempts: 2, Stretch: 1.6, LatencyTarget: 600 * time.Millisecond},
 		{Name: "r", Host: "h", PathPrefix: "/r/", Pool: pool("r"), Priority: 1, MaxAttempts: 2, Stretch: 1.6, LatencyTarget: 600 * time.Millisecond},
 		{Name: "advised", Host: "h", PathPrefix: "/a/", Pool: "p", MaxAttempts: 2, Stretch: 1.6, Recommendation: &estate.Recommendation{}},
 	}, pools, estate.Limits{})
+	c.Teams = sim.teams
+	return c
 }
 
 // newOwner creates an owner, which takes over what is stored.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -357,6 +357,7 @@
 func (w *worker) addRun(r *run) {
 	w.runs[runKey{r.task.id(), r.number}] = r
 	w.used = w.used.Add(r.task.step.Requests())
+	r.task.step.job.team.held().AddRun(r.task.step.Size, r.task.step.LongRunning)
 	if r.task.step.LongRunning {
 		w.longRunning = append(w.longRunning, r)
 	}
@@ -377,6 +378,7 @@
 	w.longRunning = slices.DeleteFunc(w.longRunning, func(other *run) bool { return other == r })
 	w.suspects = slices.DeleteFunc(w.suspects, func(other *run) bool { return other == r })
 	w.releaseResources(r.task.step.Requests())
+	r.task.step.job.team.held().RemoveRun(r.task.step.Size, r.task.step.LongRunning)
 	if r.task.step.Speculative {
 		w.speculative--
 	}
