scheduler: waiting work of a team counts up to its quota

Cause: work that its team's quota keeps waiting asked for workers, held capacity of other teams' tasks for long-running ones, and grew pools for nothing.

Change: Pools counts the part of a team's waiting work that fits its quota, the same part in all pools. Long-running tasks beyond the quota neither hold capacity nor ask for further workers. Arrivals still count in full.

Measured: with either rule withdrawn, TestPoolsCountWaitingWorkUpToTheQuota (40 cores wait of a team with a quota of 4) or TestNoCapacityIsHeldBeyondTheQuota (8 cores held, none of the other jobs runs) fails.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -217,3 +217,18 @@
 	}
 	return true
 }
+
+// Share returns the fraction, 0 to 1, of waiting work that fits the quota beside
+// the known and orphaned runs. wanted is what the work requests in all.
+func (a *Account) Share(wanted placement.Resources) float64 {
+	if a == nil || !a.limited {
+		return 1
+	}
+	held, share := a.runs.add(1, a.orphans), 1.0
+	for i, x := range amountOf(wanted) {
+		if limit := a.quota[i]; limit > 0 && x > 0 {
+			share = min(share, float64(max(0, limit-held[i]))/float64(x))
+		}
+	}
+	return share
+}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -78,7 +78,7 @@
 	}
 	var none *Account
 	none.AddRun(two, true)
-	if !none.Fits(1000, two, two) {
+	if !none.Fits(1000, two, two) || none.Share(two) != 1 {
 		t.Error("jobs without a team have a quota")
 	}
 }
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -19,6 +19,7 @@
 	}
 	slices.Sort(names)
 	list := make([]fleetplan.Pool, 0, len(names))
+	e.countShares(func(s *step) bool { return s.LongRunning || s.job.timeliness(s.occ, now) == onTime })
 	for _, name := range names {
 		p := e.pool(name)
 		out := fleetplan.Pool{Name: name, Standby: e.standby(name), Arrived: p.arrived, Jobs: p.arrivedJobs}
@@ -39,7 +40,7 @@
 			})
 		}
 		for s := range p.ready {
-			cores := float64(s.idle) * s.Requests().Processors
+			cores := s.countedCores()
 			switch {
 			case s.LongRunning:
 				out.Waiting += cores
--- a/internal/scheduler/places.go
+++ b/internal/scheduler/places.go
@@ -109,7 +109,8 @@
 }
 
 // tasksToPlace returns the long-running tasks of a pool that need a place: those
-// without a run, and those whose only run is displaced. Large tasks come first.
+// without a run that fit the quotas of their teams, and those whose only run is
+// displaced. Large tasks come first.
 func (p *pool) tasksToPlace(displaced func(*run) bool) []*task {
 	var list []*task
 	if p.readyLongRunning > 0 { // sweeps come often, and in a surge a thousand steps are ready
@@ -136,7 +137,7 @@
 		x, y := a.step.Requests(), b.step.Requests()
 		return cmp.Or(-cmp.Compare(x.Processors, y.Processors), -cmp.Compare(x.MemoryMB, y.MemoryMB), a.compare(b))
 	})
-	return list
+	return withinQuotas(list)
 }
 
 // displaced reports whether the run is being stopped or its worker has left or
--- a/internal/scheduler/quota_test.go
+++ b/internal/scheduler/quota_test.go
@@ -30,6 +30,9 @@
 	}
 }
 
+// holding returns a worker's capacity that is held for long-running tasks.
+func (owner *testOwner) holding(id string) placement.Resources { return owner.workers[id].held }
+
 func TestTeamAtItsQuotaWaitsWithoutBlockingOthers(t *testing.T) {
 	sim := newQuotaSimulation(t, "w1", "w2")
 	owner := sim.newOwner()
@@ -270,3 +273,42 @@
 		}
 	}
 }
+
+func TestPoolsCountWaitingWorkUpToTheQuota(t *testing.T) {
+	sim := newSimulation(t)
+	sim.setTeams(map[string]placement.Resources{"a": cores(4)})
+	owner := sim.newOwner()
+	sim.submit(owner, jobOfTeam("a", 1, 20, 2))
+	if got := owner.load("p").Waiting; got != 4 {
+		t.Errorf("%v cores wait of a team with a quota of 4", got)
+	}
+	sim.submit(owner, jobOf(2, 5, 2))
+	if got := owner.load("p").Waiting; got != 14 {
+		t.Errorf("%v cores wait, want 4 of the team and 10 without a team", got)
+	}
+	lasting := longRunningJob(3, 5, 2)
+	lasting.Team = "b"
+	sim.setTeams(map[string]placement.Resources{"a": cores(4), "b": cores(4)}, owner)
+	sim.submit(owner, lasting)
+	if got := owner.load("p"); got.LongRunningCores != 4 {
+		t.Errorf("long-running tasks hold or wait for %v cores, want the quota of 4", got.LongRunningCores)
+	}
+}
+
+// The capacity would be kept free for tasks that cannot start.
+func TestNoCapacityIsHeldBeyondTheQuota(t *testing.T) {
+	sim := newQuotaSimulation(t, "w1", "w2")
+	sim.workers["w1"].duration, sim.workers["w2"].duration = forever, forever
+	owner := sim.newOwner()
+	job := jobOfTeam("a", 1, 6, 2)
+	job.Steps[0].LongRunning = true
+	sim.submit(owner, job)
+	sim.run(time.Second, owner)
+	sim.submit(owner, jobOf(2, 4, 2))
+	sim.run(time.Second, owner)
+	sim.wantHeld(t, "a", 4, "long-running")
+	sim.wantHeld(t, "", 8, "without a team")
+	if got := owner.holding("w1").Add(owner.holding("w2")); got != (placement.Resources{}) {
+		t.Errorf("%+v are held", got)
+	}
+}
--- a/internal/scheduler/team.go
+++ b/internal/scheduler/team.go
@@ -15,6 +15,9 @@
 	// blockedIn is the number of the last pass in which a task of the team did not
 	// fit its quota.
 	blockedIn uint64
+	// countedShare is the part of its waiting work that fits its quota, as of the
+	// last call of Pools.
+	countedShare float64
 }
 
 // team returns the team with the given name, nil if the name is empty.
@@ -76,3 +79,59 @@
 	t := s.job.team
 	return t != nil && t.blockedIn == e.passes
 }
+
+// withinQuotas leaves out the waiting tasks that do not fit the quotas of their
+// teams beside those before them.
+func withinQuotas(list []*task) []*task {
+	var planned map[*team]placement.Resources
+	within := list[:0]
+	for _, t := range list {
+		if of := t.step.job.team; of != nil && t.startable() {
+			if !of.account.Fits(1, t.step.Size, planned[of]) {
+				continue
+			}
+			if planned == nil {
+				planned = map[*team]placement.Resources{}
+			}
+			planned[of] = planned[of].Add(t.step.Size)
+		}
+		within = append(within, t)
+	}
+	return within
+}
+
+// countShares sets the countedShare of each team.
+func (e *Engine) countShares(counts func(*step) bool) {
+	if !e.quotas.Limited() {
+		for _, t := range e.teams {
+			t.countedShare = 1
+		}
+		return
+	}
+	wanted := map[*team]placement.Resources{}
+	for _, p := range e.pools {
+		for s := range p.ready {
+			if t := s.job.team; t != nil && counts(s) {
+				wanted[t] = wanted[t].Add(times(s.idle, s.Size))
+			}
+		}
+	}
+	for _, t := range e.teams {
+		t.countedShare = t.account.Share(wanted[t])
+	}
+}
+
+// times returns n times the resources.
+func times(n int, r placement.Resources) placement.Resources {
+	return placement.Resources{Processors: float64(n) * r.Processors, MemoryMB: n * r.MemoryMB, Accelerators: n * r.Accelerators}
+}
+
+// countedCores returns how many cores the waiting tasks of a step request, as far
+// as they fit the quota of their team.
+func (s *step) countedCores() float64 {
+	cores := float64(s.idle) * s.Requests().Processors
+	if t := s.job.team; t != nil {
+		cores *= t.countedShare
+	}
+	return cores
+}
