scheduler: teams share a full pool by weight

Cause: a team that submits many times its usual load took the capacity of all teams: the oldest jobs are served first, whoever submits them.

Change: internal/fairshare measures the dominant share of each team in a pool over some seconds. In a full pool, jobs in time are placed in the order of the shares for their weights; jobs that a team submits beyond its weight in jobs a second go after the others of their class. The order of the classes and that within a team are unchanged, and so is every decision without teams.

Ruled out: a share before timeliness (capacity for jobs that are of no use), direct comparison of steps with and without a team (it has cycles), and fixed marks of the jobs beyond the weight (a job of higher value would wait behind an older one of its team).

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -9,6 +9,7 @@
 
 	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/event"
+	"github.com/egretpitch/egretpitch/internal/fairshare"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
@@ -16,7 +17,11 @@
 type job struct {
 	*workload.Job
 	// team is the team of the job, nil for none.
-	team     *team
+	team *team
+	// share is the share of the team in the pool, nil without a team, and excess is
+	// set if the team has submitted more jobs than its weight.
+	share    *fairshare.Member
+	excess   bool
 	progress workload.Progress
 	// version is the version of the progress row.
 	version int64
@@ -208,6 +213,7 @@
 	team := e.observeTeam(spec, progress, inherited)
 	e.knownJobs[spec.ID] = team
 	if progress.State.Over() {
+		e.submitted(team, spec.ID, accepted, nil)
 		return
 	}
 	j := &job{
@@ -215,6 +221,7 @@
 		started: progress.State != workload.Queued, occurrences: map[int]*occurrence{}, queue: spec.Terms,
 	}
 	e.jobs[spec.ID] = j
+	e.submitted(team, spec.ID, accepted, j)
 	e.updateQueue(j)
 	p := e.pool(spec.Pool)
 	p.observeJob(spec)
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -70,8 +70,8 @@
 			list = append(list, candidate{s, e.rank(s, now)})
 		}
 	}
-	slices.SortFunc(list, candidate.compare)
-	for _, c := range list {
+	order := e.inOrder(p, list, open, now)
+	for c, ok := order.take(mayFit); ok; c, ok = order.take(mayFit) {
 		if !mayFit(c.step) || e.waitsForQuota(c.step) {
 			continue
 		}
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -46,20 +46,27 @@
 }
 
 func (r rank) compare(o rank) int {
-	if r.longRunning != o.longRunning {
-		if r.longRunning {
-			return -1
-		}
-		return 1
+	if by := r.compareClass(o); by != 0 {
+		return by
 	}
 	return cmp.Or(
-		cmp.Compare(r.timeliness, o.timeliness),
 		cmp.Compare(r.priority, o.priority),
 		-cmp.Compare(r.value, o.value),
 		cmp.Compare(r.accepted, o.accepted),
 	)
 }
 
+// compareClass orders the classes of steps.
+func (r rank) compareClass(o rank) int {
+	if r.longRunning != o.longRunning {
+		if r.longRunning {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(r.timeliness, o.timeliness)
+}
+
 // rank returns the rank of a step.
 func (e *Engine) rank(s *step, now time.Duration) rank {
 	j := s.job
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/egretpitch/egretpitch/internal/estate"
+	"github.com/egretpitch/egretpitch/internal/fairshare"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/quota"
 	"github.com/egretpitch/egretpitch/internal/workload"
@@ -169,6 +170,8 @@
 	teams  map[string]*team
 	quotas *quota.Tracker
 	passes uint64
+	// submissions are the jobs of teams that classifySubmissions has not seen yet.
+	submissions []submission
 
 	// orders are returned by the next Decide. Events between two decisions add
 	// to them.
@@ -278,6 +281,8 @@
 	// inheritedWork holds the teams of the jobs that previous owners may have started
 	// in the pool.
 	inheritedWork map[*team]inheritedWork
+	// shares holds what teams have had of the pool in the last seconds.
+	shares fairshare.Pool
 	// recoveredAt is when the last of these workers had answered or was given up,
 	// and lastUnread its id.
 	recoveredAt time.Duration
@@ -434,6 +439,7 @@
 // ownership is OwnershipExpired.
 func (e *Engine) Decide(now time.Duration, ownership OwnershipState) []Order {
 	e.ownership = ownership
+	e.classifySubmissions()
 	sweep := now >= e.nextSweep
 	if sweep {
 		e.nextSweep = now + sweepInterval
--- a/internal/scheduler/team.go
+++ b/internal/scheduler/team.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 
+	"github.com/egretpitch/egretpitch/internal/fairshare"
 	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/quota"
 	"github.com/egretpitch/egretpitch/internal/workload"
@@ -18,6 +19,10 @@
 	// countedShare is the part of its waiting work that fits its quota, as of the
 	// last call of Pools.
 	countedShare float64
+	// entitlement counts the jobs of the team against its weight, and line holds its
+	// candidates while those of a pass are ordered.
+	entitlement fairshare.Bucket
+	line        *line
 }
 
 // team returns the team with the given name, nil if the name is empty.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -358,6 +358,7 @@
 	w.runs[runKey{r.task.id(), r.number}] = r
 	w.used = w.used.Add(r.task.step.Requests())
 	r.task.step.job.team.held().AddRun(r.task.step.Size, r.task.step.LongRunning)
+	r.task.step.job.share.Add(r.task.step.Requests())
 	if r.task.step.LongRunning {
 		w.longRunning = append(w.longRunning, r)
 	}
@@ -379,6 +380,7 @@
 	w.suspects = slices.DeleteFunc(w.suspects, func(other *run) bool { return other == r })
 	w.releaseResources(r.task.step.Requests())
 	r.task.step.job.team.held().RemoveRun(r.task.step.Size, r.task.step.LongRunning)
+	r.task.step.job.share.Remove(r.task.step.Requests())
 	if r.task.step.Speculative {
 		w.speculative--
 	}
