scheduler, node: metrics by team and the wait for a quota

Cause: an operator could not see why a team's tasks wait.

Change: each second the engine sums up running and waiting tasks, what is held and unread, quota, share and jobs beyond the weight for the 32 teams with the most tasks and for all others together; expvar publishes them as egretpitch_node_teams. Events 980 and 981 tell when a team begins to wait for its quota and stops, at most one line a team and second.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -107,6 +107,8 @@
 	TaskRestarted        = New(947, zapcore.InfoLevel, "long-running task starts again")
 	CancelledRunsEnded   = New(948, zapcore.InfoLevel, "last run of a cancelled job ended")
 	StopOverdue          = New(949, zapcore.WarnLevel, "run is still there long after its job was cancelled")
+	TeamWaits            = New(980, zapcore.InfoLevel, "team waits for its quota")
+	TeamWaitEnded        = New(981, zapcore.InfoLevel, "team no longer waits for its quota")
 	RecoveryEnded        = New(933, zapcore.InfoLevel, "recovery ended")
 )
 
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -66,6 +66,9 @@
 	return m
 }
 
+// Find returns the member for a team, nil if there is none.
+func (p *Pool) Find(team string) *Member { return p.members[team] }
+
 // Advance brings the averages up to the given time, as if what teams hold had not
 // changed since the last call, and sets the capacity of the pool.
 func (p *Pool) Advance(now time.Duration, capacity placement.Resources) {
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -111,5 +111,5 @@
 	o.surges, o.waves = o.fleetController.surges(), storeTimes(&o.node.Clock, planner.WavesFirstSeen())
 	o.evacuations = storeTimes(&o.node.Clock, planner.EvacuatingSince())
 	o.pendingMu.Unlock()
-	o.node.metrics.setEngineStats(o.engine.Stats())
+	o.node.metrics.setEngineStats(o.engine.Stats(), o.engine.TeamStats())
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -20,6 +20,7 @@
 	cancelled  *cancelledRuns
 	mu         sync.Mutex
 	stats      scheduler.Stats
+	teams      []scheduler.TeamStats
 }
 
 // histogram is a latency histogram that is safe for concurrent use.
@@ -83,6 +84,11 @@
 			defer m.mu.Unlock()
 			return m.stats
 		}))
+		expvar.Publish("egretpitch_node_teams", expvar.Func(func() any {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			return m.teams
+		}))
 	})
 	return m
 }
@@ -134,8 +140,8 @@
 }
 
 // setEngineStats publishes the counters of the control work.
-func (m *metrics) setEngineStats(s scheduler.Stats) {
+func (m *metrics) setEngineStats(s scheduler.Stats, teams []scheduler.TeamStats) {
 	m.mu.Lock()
-	m.stats = s
+	m.stats, m.teams = s, teams
 	m.mu.Unlock()
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -184,6 +184,10 @@
 // Held returns what known and orphaned runs of the team hold.
 func (a *Account) Held() placement.Resources { return a.runs.add(1, a.orphans).resources() }
 
+// Undiscovered returns what undiscovered runs of the team may hold at most, as far as
+// it is bounded.
+func (a *Account) Undiscovered() placement.Resources { return a.undiscovered.resources() }
+
 // Quota returns the quota. It reports false if the team has none.
 func (a *Account) Quota() (placement.Resources, bool) { return a.quota.resources(), a.limited }
 
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -168,7 +168,7 @@
 			s.held = true
 			continue
 		}
-		if !e.fitsQuota(s, 1) {
+		if !e.fitsQuota(s, 1, now) {
 			return
 		}
 		w, ticket, apart := e.chooseWorker(t, open, now)
@@ -288,7 +288,7 @@
 	if s.idle < s.left || now < s.gangRetry || e.waitsForRecord(s.tasks[0]) || slices.ContainsFunc(s.tasks, e.blockedByRecovery) {
 		return // members of an earlier start still run, or may
 	}
-	if !e.fitsQuota(s, len(s.tasks)) {
+	if !e.fitsQuota(s, len(s.tasks), now) {
 		return
 	}
 	if !e.ensureTickets(s, open, now) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -172,6 +172,10 @@
 	passes uint64
 	// submissions are the jobs of teams that classifySubmissions has not seen yet.
 	submissions []submission
+	// teamStats are the teams at the last report, and nextTeamsReport is the time of
+	// the next one.
+	teamStats       []TeamStats
+	nextTeamsReport time.Duration
 
 	// orders are returned by the next Decide. Events between two decisions add
 	// to them.
@@ -451,6 +455,7 @@
 		e.stopStalledRuns(now)
 		e.reportOutages(now)
 		e.reportOverdueStops(now)
+		e.reportTeams(now)
 		e.stats.CancelsAgeMS, e.stats.EntriesAgeMS = e.cancelsAge(now).Milliseconds(), e.EntriesAge(now).Milliseconds()
 		if e.catalog != nil && ownership != OwnershipExpired && e.mayStart(now) {
 			e.evacuate(now)
--- a/internal/scheduler/shares.go
+++ b/internal/scheduler/shares.go
@@ -42,6 +42,9 @@
 		if s.job != nil {
 			s.job.excess = !within
 		}
+		if !within {
+			s.team.beyond++
+		}
 	}
 	e.submissions = nil
 }
--- a/internal/scheduler/team.go
+++ b/internal/scheduler/team.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"time"
 
 	"github.com/egretpitch/egretpitch/internal/fairshare"
 	"github.com/egretpitch/egretpitch/internal/placement"
@@ -16,6 +17,14 @@
 	// blockedIn is the number of the last pass in which a task of the team did not
 	// fit its quota.
 	blockedIn uint64
+	// blockedAt is when a task last did not fit, and blockedTask that task; tooLarge
+	// is set if it cannot fit before long-running tasks of the team end. waitsSince is
+	// since when the team waits for its quota, 0 if it does not.
+	blockedAt, waitsSince time.Duration
+	blockedTask           *task
+	tooLarge              bool
+	// beyond counts the jobs that the team submitted beyond its weight.
+	beyond int64
 	// countedShare is the part of its waiting work that fits its quota, as of the
 	// last call of Pools.
 	countedShare float64
@@ -65,11 +74,13 @@
 // team. If they have to wait for it, no other task of the team starts in this pass,
 // so that small tasks do not keep a large one waiting. Tasks that cannot fit before
 // the team's long-running ones are cancelled keep no others waiting.
-func (e *Engine) fitsQuota(s *step, n int) bool {
+func (e *Engine) fitsQuota(s *step, n int, now time.Duration) bool {
 	if s.fitsQuota(n) {
 		return true
 	}
-	if t := s.job.team; t.account.MayFit(n, s.Size) {
+	t := s.job.team
+	t.blockedAt, t.blockedTask, t.tooLarge = now, s.tasks[0], !t.account.MayFit(n, s.Size)
+	if !t.tooLarge {
 		t.blockedIn = e.passes
 	}
 	return false
