scheduler: pools take turns where teams have quotas

Cause: a quota holds over all pools, so the pass of one pool may take what is left of it from the next. The order of a map decided which, and a history with teams could not be repeated from its seed.

Change: where a team has a quota, pools are passed in the order of their names, and each is first in turn. Without quotas the loop is as before.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -10,6 +10,9 @@
 package scheduler
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -162,9 +165,10 @@
 	cancelledFirst map[string]int64
 	workers        map[string]*worker
 	// added counts the incarnations of workers that were added.
-	added int64
-	pools map[string]*pool
-	stats Stats
+	added       int64
+	pools       map[string]*pool
+	poolsByName []*pool
+	stats       Stats
 	// teams holds the teams of jobs by name, and quotas what they hold. passes
 	// numbers the passes.
 	teams  map[string]*team
@@ -344,6 +348,7 @@
 	if p == nil {
 		p = &pool{name: name, ready: map[*step]struct{}{}, queues: map[string]*queueStats{}, overcommits: e.overcommits(name), capacityValidity: e.capacityValidity(name)}
 		e.pools[name] = p
+		e.poolsByName = slices.SortedFunc(maps.Values(e.pools), func(a, b *pool) int { return cmp.Compare(a.name, b.name) })
 	}
 	return p
 }
@@ -462,11 +467,7 @@
 		}
 	}
 	if e.mayStart(now) && ownership != OwnershipExpired {
-		for _, p := range e.pools {
-			if p.needsPass || (p.nextPass > 0 && now >= p.nextPass) {
-				e.pass(p, now)
-			}
-		}
+		e.passPools(now)
 	}
 	e.pollWorkers(now, sweep)
 	e.commit(now)
--- a/internal/scheduler/team.go
+++ b/internal/scheduler/team.go
@@ -70,6 +70,27 @@
 	return t.account
 }
 
+// passPools makes the passes that are due. Where teams have quotas, the pass of one
+// pool may take what is left of a quota from the next: each pool is first in turn.
+func (e *Engine) passPools(now time.Duration) {
+	if !e.quotas.Limited() || len(e.poolsByName) == 0 {
+		for _, p := range e.pools {
+			e.passIfDue(p, now)
+		}
+		return
+	}
+	first := int(e.passes % uint64(len(e.poolsByName)))
+	for i := range e.poolsByName {
+		e.passIfDue(e.poolsByName[(first+i)%len(e.poolsByName)], now)
+	}
+}
+
+func (e *Engine) passIfDue(p *pool, now time.Duration) {
+	if p.needsPass || (p.nextPass > 0 && now >= p.nextPass) {
+		e.pass(p, now)
+	}
+}
+
 // fitsQuota reports whether n tasks of a step may start by the quota of their
 // team. If they have to wait for it, no other task of the team starts in this pass,
 // so that small tasks do not keep a large one waiting. Tasks that cannot fit before
