scheduler: random histories with teams and quotas

Cause: the quota was checked in single histories only.

An estate history gives the batch jobs of surges to teams.

--- a/internal/scheduler/estate_simulation_test.go
+++ b/internal/scheduler/estate_simulation_test.go
@@ -523,6 +523,9 @@
 	s.jobCount++
 	spec := jobOf(s.jobCount, step.Count, 0)
 	spec.Queue, spec.Pool, spec.Steps = "q"+pool, pool, []workload.Step{step}
+	if !step.LongRunning && len(s.teams) > 0 {
+		spec.Team = []string{"a", "b", ""}[s.jobCount%3]
+	}
 	s.submit(s.owner, spec)
 	if step.LongRunning {
 		for i := range step.Count {
--- a/internal/scheduler/liveness_test.go
+++ b/internal/scheduler/liveness_test.go
@@ -396,6 +396,11 @@
 
 // playEstate plays a random history to its end or to the first violation.
 func playEstate(t *rapid.T, faults bool, standby int) *estateSimulation {
+	return playEstateWith(t, faults, standby, func(*estateSimulation) {})
+}
+
+// playEstateWith is playEstate for an estate that is changed before it starts.
+func playEstateWith(t *rapid.T, faults bool, standby int, change func(*estateSimulation)) *estateSimulation {
 	sizes := map[string]int{standbyPool: uniform(t, 0, 6, "standby hosts")}
 	if standby != drawnStandby {
 		sizes[standbyPool] = standby
@@ -406,6 +411,7 @@
 		hosts += sizes[pool]
 	}
 	s := newEstate(t, rapid.Uint64().Draw(t, "seed"), sizes)
+	change(s)
 	s.setStopTakes(uniformMillis(t, 0, 250, "stop takes ms"))
 	s.discoveryDelay = uniformMillis(t, 50, 900, "discovery ms")
 	s.advance(time.Second)
