fairshare: averages advance without the capacity of the pool

Change: the capacity is summed up only where shares are compared or reported, and the members of a pool are kept in a list.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -37,6 +37,7 @@
 // Pool keeps the shares of the teams in one pool. The zero value has none.
 type Pool struct {
 	members  map[string]*Member
+	list     []*Member
 	at       time.Duration
 	capacity vector
 }
@@ -62,6 +63,7 @@
 		}
 		m = &Member{pool: p}
 		p.members[team] = m
+		p.list = append(p.list, m)
 	}
 	return m
 }
@@ -70,19 +72,21 @@
 func (p *Pool) Find(team string) *Member { return p.members[team] }
 
 // Advance brings the averages up to the given time, as if what teams hold had not
-// changed since the last call, and sets the capacity of the pool.
-func (p *Pool) Advance(now time.Duration, capacity placement.Resources) {
-	p.capacity = vectorOf(capacity)
+// changed since the last call.
+func (p *Pool) Advance(now time.Duration) {
 	if now <= p.at {
 		return
 	}
 	kept := math.Exp(-(now - p.at).Seconds() / window.Seconds())
 	p.at = now
-	for _, m := range p.members {
+	for _, m := range p.list {
 		m.mean = m.mean.towards(m.held, 1-kept)
 	}
 }
 
+// SetCapacity sets the capacity of the pool that shares refer to.
+func (p *Pool) SetCapacity(capacity placement.Resources) { p.capacity = vectorOf(capacity) }
+
 func (v vector) towards(o vector, part float64) vector {
 	for i := range v {
 		v[i] += part * (o[i] - v[i])
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -19,7 +19,8 @@
 	for range 2 {
 		cpu.Add(placement.Resources{Processors: 3, MemoryMB: 1})
 	}
-	p.Advance(time.Minute, capacity)
+	p.SetCapacity(capacity)
+	p.Advance(time.Minute)
 	for name, m := range map[string]*Member{"cpu": cpu, "memory": memory} {
 		if got := m.Share(); math.Abs(got-2.0/3) > 1e-6 {
 			t.Errorf("share of %s is %v, want 2/3", name, got)
@@ -38,18 +39,19 @@
 	capacity := placement.Resources{Processors: 2}
 	first.Add(one)
 	first.Add(one)
-	p.Advance(10*time.Second, capacity)
+	p.SetCapacity(capacity)
+	p.Advance(10 * time.Second)
 	first.Remove(one)
 	second.Add(one)
 	if first.Share() <= second.Share() {
 		t.Errorf("shares are %v and %v", first.Share(), second.Share())
 	}
-	p.Advance(40*time.Second, capacity)
+	p.Advance(40 * time.Second)
 	if math.Abs(first.Share()-second.Share()) > 0.01 {
 		t.Errorf("shares are %v and %v after 30 s of equal use", first.Share(), second.Share())
 	}
 	first.Remove(one)
-	p.Advance(time.Hour, capacity)
+	p.Advance(time.Hour)
 	if first.Share() > 1e-9 {
 		t.Errorf("share is %v long after the last run", first.Share())
 	}
--- a/internal/scheduler/shares.go
+++ b/internal/scheduler/shares.go
@@ -76,8 +76,9 @@
 // teams share the pool.
 func (e *Engine) inOrder(p *pool, list []candidate, open []*worker, now time.Duration) order {
 	if len(e.catalog.Teams) > 0 {
-		p.shares.Advance(now, p.capacity())
-		if p.isFull(list, open) {
+		p.shares.Advance(now)
+		if len(list) > 0 && p.isFull(list, open) {
+			p.shares.SetCapacity(p.capacity())
 			return e.byShares(list)
 		}
 	}
--- a/internal/scheduler/shares_test.go
+++ b/internal/scheduler/shares_test.go
@@ -18,7 +18,8 @@
 		e := fullEngine(1, 1, 0)
 		e.catalog.Teams = map[string]*estate.Team{"a": {Name: "a", Weight: 2}, "b": {Name: "b", Weight: 1}}
 		p := e.pools["p0"]
-		p.shares.Advance(time.Second, placement.Resources{Processors: 10})
+		p.shares.Advance(time.Second)
+		p.shares.SetCapacity(placement.Resources{Processors: 10})
 		p.shares.Member("a").Add(placement.Resources{Processors: rapid.Float64Range(0, 5).Draw(t, "held")})
 		var list []candidate
 		for i := range rapid.IntRange(0, 30).Draw(t, "steps") {
--- a/internal/scheduler/teamstats.go
+++ b/internal/scheduler/teamstats.go
@@ -61,6 +61,7 @@
 				waiting[t] += s.idle
 			}
 		}
+		p.shares.SetCapacity(p.capacity())
 		for _, t := range e.teams {
 			if m := p.shares.Find(t.name); m != nil {
 				shares[t] = max(shares[t], m.Share())
