scheduler: tests of recorded tasks and unreadable records

The two other parts of the worst case of undiscovered runs had no test: the tasks that the record of a silent worker names, and the workers of a record that could not be read. quota: the code says long-running, as WORDING.md asks.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -60,10 +60,10 @@
 	// quota is the team's quota if limited is set. 0 does not bound a resource.
 	quota   amount
 	limited bool
-	// runs is what the known runs hold and lasting the part that ends only with a
+	// runs is what the known runs hold and longRunning the part that ends only with a
 	// cancellation. orphans is what orphaned runs hold, and undiscovered what runs
 	// of previous owners that nobody has read yet may hold at most.
-	runs, lasting, orphans, undiscovered amount
+	runs, longRunning, orphans, undiscovered amount
 	// unbounded is set while nothing bounds the undiscovered runs.
 	unbounded bool
 	tasks     int
@@ -124,21 +124,23 @@
 // team declares.
 func (a *Account) Largest() placement.Resources { return a.largest.resources() }
 
-// AddRun counts a run from its start order on. lasting is set for one that runs
+// AddRun counts a run from its start order on. longRunning is set for one that runs
 // until its job is cancelled.
-func (a *Account) AddRun(size placement.Resources, lasting bool) { a.addRun(1, size, lasting) }
+func (a *Account) AddRun(size placement.Resources, longRunning bool) { a.addRun(1, size, longRunning) }
 
 // RemoveRun undoes AddRun once the run has certainly ended.
-func (a *Account) RemoveRun(size placement.Resources, lasting bool) { a.addRun(-1, size, lasting) }
+func (a *Account) RemoveRun(size placement.Resources, longRunning bool) {
+	a.addRun(-1, size, longRunning)
+}
 
-func (a *Account) addRun(n int64, size placement.Resources, lasting bool) {
+func (a *Account) addRun(n int64, size placement.Resources, longRunning bool) {
 	if a == nil {
 		return
 	}
 	a.tasks += int(n)
 	a.runs = a.runs.add(n, amountOf(size))
-	if lasting {
-		a.lasting = a.lasting.add(n, amountOf(size))
+	if longRunning {
+		a.longRunning = a.longRunning.add(n, amountOf(size))
 	}
 }
 
@@ -206,10 +208,10 @@
 	return a.fitsBeside(held.add(1, amountOf(planned)), n, size)
 }
 
-// MayFit reports whether n tasks of a size fit the quota once all runs have ended
-// that do not last until their job is cancelled.
+// MayFit reports whether n tasks of a size fit the quota once all runs but those of
+// long-running tasks have ended.
 func (a *Account) MayFit(n int, size placement.Resources) bool {
-	return a == nil || !a.limited || a.fitsBeside(a.lasting, n, size)
+	return a == nil || !a.limited || a.fitsBeside(a.longRunning, n, size)
 }
 
 func (a *Account) fitsBeside(held amount, n int, size placement.Resources) bool {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -67,14 +67,14 @@
 	}
 }
 
-func TestTasksThatLastDecideWhetherOthersEverFit(t *testing.T) {
+func TestLongRunningTasksDecideWhetherOthersEverFit(t *testing.T) {
 	tracker := New()
 	tracker.SetTeams(map[string]*estate.Team{"a": {Quota: placement.Resources{Processors: 4}}})
 	a, two := tracker.Account("a"), placement.Resources{Processors: 2}
 	a.AddRun(two, false)
 	a.AddRun(two, true)
 	if !a.MayFit(1, two) || a.MayFit(2, two) {
-		t.Error("beside a task of 2 cores that lasts, one more may fit a quota of 4 cores, and not two")
+		t.Error("beside a long-running task of 2 cores, one more may fit a quota of 4 cores, and not two")
 	}
 	var none *Account
 	none.AddRun(two, true)
--- a/internal/scheduler/quota_test.go
+++ b/internal/scheduler/quota_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/workload"
@@ -286,10 +287,10 @@
 	if got := owner.load("p").Waiting; got != 14 {
 		t.Errorf("%v cores wait, want 4 of the team and 10 without a team", got)
 	}
-	lasting := longRunningJob(3, 5, 2)
-	lasting.Team = "b"
+	longRunning := longRunningJob(3, 5, 2)
+	longRunning.Team = "b"
 	sim.setTeams(map[string]placement.Resources{"a": cores(4), "b": cores(4)}, owner)
-	sim.submit(owner, lasting)
+	sim.submit(owner, longRunning)
 	if got := owner.load("p"); got.LongRunningCores != 4 {
 		t.Errorf("long-running tasks hold or wait for %v cores, want the quota of 4", got.LongRunningCores)
 	}
@@ -312,3 +313,34 @@
 		t.Errorf("%+v are held", got)
 	}
 }
+
+// The record of the workers in use names the only task of the silent worker.
+func TestRecordedTasksCountInsteadOfTheWholeWorker(t *testing.T) {
+	sim := newQuotaSimulation(t, "w1", "w2")
+	sim.workers["w1"].duration = lasting(time.Minute)
+	owner := sim.newOwner()
+	sim.submit(owner, jobOfTeam("a", 1, 1, 2))
+	sim.run(500*time.Millisecond, owner)
+	sim.workers["w1"].reachable = false
+	sim.run(1500*time.Millisecond, owner)
+	owner.expired = true
+	successor := sim.newOwner()
+	sim.submit(successor, jobOfTeam("a", 2, 4, 2))
+	sim.run(500*time.Millisecond, owner, successor)
+	sim.wantHeld(t, "a", 4, "beside the silent worker")
+}
+
+// The row could not be read: any number of workers may run tasks of the team.
+func TestUnreadableRecordLeavesNothingOfAQuota(t *testing.T) {
+	sim := newQuotaSimulation(t, "w1", "w2")
+	sim.submit(nil, jobOfTeam("a", 1, 1, 1))
+	sim.inUse["unreadable"] = UsedWorker{Worker: estate.Worker{ID: "unreadable", Pool: "p"}}
+	owner := sim.newOwner()
+	sim.submit(owner, jobOfTeam("a", 2, 1, 1))
+	sim.submit(owner, jobOfTeam("b", 3, 1, 1))
+	sim.run(2*time.Second, owner)
+	sim.wantHeld(t, "a", 0, "before the leases have expired")
+	sim.wantHeld(t, "b", 1, "without a job of a previous owner")
+	sim.run(6*time.Second, owner)
+	sim.wantHeld(t, "a", 2, "once they have expired")
+}
