--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -31,6 +31,7 @@
 func (e *Engine) pass(p *pool, now time.Duration) {
 	p.needsPass = false
 	p.nextPass = 0
+	e.passes++
 	if e.catalog == nil || (len(p.ready) == 0 && !p.speculative()) {
 		return
 	}
@@ -69,9 +70,9 @@
 			list = append(list, candidate{s, e.rank(s, now)})
 		}
 	}
-	slices.SortFunc(list, candidate.compare)
-	for _, c := range list {
-		if !mayFit(c.step) {
+	order := e.inOrder(p, list, open, now)
+	for c, ok := order.take(mayFit); ok; c, ok = order.take(mayFit) {
+		if !mayFit(c.step) || e.waitsForQuota(c.step) {
 			continue
 		}
 		started := e.stats.Starts
@@ -167,6 +168,9 @@
 			s.held = true
 			continue
 		}
+		if !e.fitsQuota(s, 1, now) {
+			return
+		}
 		w, ticket, apart := e.chooseWorker(t, open, now)
 		if w == nil {
 			w, ticket, _ = e.chooseWorker(t, t.lastResort(lastResort, now), now)
@@ -292,6 +296,9 @@
 	if s.idle < s.left || now < s.gangRetry || e.waitsForRecord(s.tasks[0]) || slices.ContainsFunc(s.tasks, e.blockedByRecovery) {
 		return // members of an earlier start still run, or may
 	}
+	if !e.fitsQuota(s, len(s.tasks), now) {
+		return
+	}
 	if !e.ensureTickets(s, open, now) {
 		return
 	}
--- /dev/null
+++ b/internal/scheduler/team.go
@@ -0,0 +1,174 @@
+package scheduler
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/egretpitch/egretpitch/internal/fairshare"
+	"github.com/egretpitch/egretpitch/internal/placement"
+	"github.com/egretpitch/egretpitch/internal/quota"
+	"github.com/egretpitch/egretpitch/internal/workload"
+)
+
+// team is what the engine knows of a team. Jobs without a team have a nil one.
+type team struct {
+	name    string
+	account *quota.Account
+	// blockedIn is the number of the last pass in which a task of the team did not
+	// fit its quota.
+	blockedIn uint64
+	// blockedAt is when a task last did not fit, and blockedTask that task; tooLarge
+	// is set if it cannot fit before long-running tasks of the team end. waitsSince is
+	// since when the team waits for its quota, 0 if it does not.
+	blockedAt, waitsSince time.Duration
+	blockedTask           *task
+	tooLarge              bool
+	// beyond counts the jobs that the team submitted beyond its weight.
+	beyond int64
+	// countedShare is the part of its waiting work that fits its quota, as of the
+	// last call of Pools.
+	countedShare float64
+	// entitlement counts the jobs of the team against its weight, and line holds its
+	// candidates while those of a pass are ordered.
+	entitlement fairshare.Bucket
+	line        *line
+}
+
+// team returns the team with the given name, nil if the name is empty.
+func (e *Engine) team(name string) *team {
+	if name == "" {
+		return nil
+	}
+	t := e.teams[name]
+	if t == nil {
+		t = &team{name: name, account: e.quotas.Account(name)}
+		e.teams[name] = t
+	}
+	return t
+}
+
+// observeTeam returns the team of a job and records the sizes of its tasks.
+func (e *Engine) observeTeam(spec *workload.Job, progress *workload.Progress, inherited bool) *team {
+	t := e.team(cmp.Or(spec.Team, progress.Team))
+	if t == nil {
+		return nil
+	}
+	for i := range spec.Steps {
+		t.account.Observe(spec.Steps[i].Size)
+	}
+	if inherited {
+		e.pool(spec.Pool).observeInherited(t, spec, progress)
+	}
+	return t
+}
+
+// held returns the account of the team, nil without a team.
+func (t *team) held() *quota.Account {
+	if t == nil {
+		return nil
+	}
+	return t.account
+}
+
+// passPools makes the passes that are due. Where teams have quotas, the pass of one
+// pool may take what is left of a quota from the next: each pool is first in turn.
+func (e *Engine) passPools(now time.Duration) {
+	if !e.quotas.Limited() || len(e.poolsByName) == 0 {
+		for _, p := range e.pools {
+			e.passIfDue(p, now)
+		}
+		return
+	}
+	first := int(e.passes % uint64(len(e.poolsByName)))
+	for i := range e.poolsByName {
+		e.passIfDue(e.poolsByName[(first+i)%len(e.poolsByName)], now)
+	}
+}
+
+func (e *Engine) passIfDue(p *pool, now time.Duration) {
+	if p.needsPass || (p.nextPass > 0 && now >= p.nextPass) {
+		e.pass(p, now)
+	}
+}
+
+// fitsQuota reports whether n tasks of a step may start by the quota of their
+// team. If they have to wait for it, no other task of the team starts in this pass,
+// so that small tasks do not keep a large one waiting. Tasks that cannot fit before
+// the team's long-running ones are cancelled keep no others waiting.
+func (e *Engine) fitsQuota(s *step, n int, now time.Duration) bool {
+	if s.fitsQuota(n) {
+		return true
+	}
+	t := s.job.team
+	t.blockedAt, t.blockedTask, t.tooLarge = now, s.tasks[0], !t.account.MayFit(n, s.Size)
+	if !t.tooLarge {
+		t.blockedIn = e.passes
+	}
+	return false
+}
+
+// fitsQuota reports whether n more tasks of the step fit the quota of their team.
+func (s *step) fitsQuota(n int) bool { return s.job.team.held().Fits(n, s.Size, placement.Resources{}) }
+
+// waitsForQuota reports whether a better task of the step's team did not fit its
+// quota in this pass.
+func (e *Engine) waitsForQuota(s *step) bool {
+	t := s.job.team
+	return t != nil && t.blockedIn == e.passes
+}
+
+// withinQuotas leaves out the waiting tasks that do not fit the quotas of their
+// teams beside those before them.
+func withinQuotas(list []*task) []*task {
+	var planned map[*team]placement.Resources
+	within := list[:0]
+	for _, t := range list {
+		if of := t.step.job.team; of != nil && t.startable() {
+			if !of.account.Fits(1, t.step.Size, planned[of]) {
+				continue
+			}
+			if planned == nil {
+				planned = map[*team]placement.Resources{}
+			}
+			planned[of] = planned[of].Add(t.step.Size)
+		}
+		within = append(within, t)
+	}
+	return within
+}
+
+// countShares sets the countedShare of each team.
+func (e *Engine) countShares(counts func(*step) bool) {
+	if !e.quotas.Limited() {
+		for _, t := range e.teams {
+			t.countedShare = 1
+		}
+		return
+	}
+	wanted := map[*team]placement.Resources{}
+	for _, p := range e.pools {
+		for s := range p.ready {
+			if t := s.job.team; t != nil && counts(s) {
+				wanted[t] = wanted[t].Add(times(s.idle, s.Size))
+			}
+		}
+	}
+	for _, t := range e.teams {
+		t.countedShare = t.account.Share(wanted[t])
+	}
+}
+
+// times returns n times the resources.
+func times(n int, r placement.Resources) placement.Resources {
+	return placement.Resources{Processors: float64(n) * r.Processors, MemoryMB: n * r.MemoryMB, Accelerators: n * r.Accelerators}
+}
+
+// countedCores returns how many cores the waiting tasks of a step request, as far
+// as they fit the quota of their team.
+func (s *step) countedCores() float64 {
+	cores := float64(s.idle) * s.Requests().Processors
+	if t := s.job.team; t != nil {
+		cores *= t.countedShare
+	}
+	return cores
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -363,6 +363,8 @@
 	w.runs[runKey{r.task.id(), r.number}] = r
 	w.neighboursKnown = false
 	w.used = w.used.Add(r.task.step.Requests())
+	r.task.step.job.team.held().AddRun(r.task.step.Size, r.task.step.LongRunning)
+	r.task.step.job.share.Add(r.task.step.Requests())
 	if r.task.step.LongRunning {
 		w.longRunning = append(w.longRunning, r)
 	}
@@ -384,6 +386,8 @@
 	w.longRunning = slices.DeleteFunc(w.longRunning, func(other *run) bool { return other == r })
 	w.suspects = slices.DeleteFunc(w.suspects, func(other *run) bool { return other == r })
 	w.releaseResources(r.task.step.Requests())
+	r.task.step.job.team.held().RemoveRun(r.task.step.Size, r.task.step.LongRunning)
+	r.task.step.job.share.Remove(r.task.step.Requests())
 	if r.task.step.Speculative {
 		w.speculative--
 	}
