--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -9,12 +9,19 @@
 
 	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/event"
+	"github.com/egretpitch/egretpitch/internal/fairshare"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
 // job is a job that has not ended, or whose end is not recorded yet.
 type job struct {
 	*workload.Job
+	// team is the team of the job, nil for none.
+	team *team
+	// share is the share of the team in the pool, nil without a team, and excess is
+	// set if the team has submitted more jobs than its weight.
+	share    *fairshare.Member
+	excess   bool
 	progress workload.Progress
 	// version is the version of the progress row.
 	version int64
@@ -206,15 +213,18 @@
 	if _, ok := e.knownJobs[spec.ID]; ok {
 		return
 	}
-	e.knownJobs[spec.ID] = struct{}{}
+	team := e.observeTeam(spec, progress, inherited)
+	e.knownJobs[spec.ID] = team
 	if progress.State.Over() {
+		e.submitted(team, spec.ID, accepted, nil)
 		return
 	}
 	j := &job{
-		Job: spec, progress: *progress, version: version, accepted: accepted, inherited: inherited,
+		Job: spec, team: team, progress: *progress, version: version, accepted: accepted, inherited: inherited,
 		started: progress.State != workload.Queued, occurrences: map[int]*occurrence{}, queue: spec.Terms,
 	}
 	e.jobs[spec.ID] = j
+	e.submitted(team, spec.ID, accepted, j)
 	e.updateQueue(j)
 	p := e.pool(spec.Pool)
 	p.observeJob(spec)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -10,13 +10,18 @@
 package scheduler
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/egretpitch/egretpitch/internal/estate"
+	"github.com/egretpitch/egretpitch/internal/fairshare"
 	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/quota"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
@@ -153,9 +158,9 @@
 	// nextOverdueCheck is the time of the next check for runs that should have been
 	// stopped long ago.
 	nextOverdueCheck time.Duration
-	// knownJobs holds the ids of all jobs that were ever added: a feed may
+	// knownJobs holds the teams of all jobs that were ever added, by id: a feed may
 	// repeat a job that has ended and was dropped.
-	knownJobs map[string]struct{}
+	knownJobs map[string]*team
 	// jobsVersion is the version up to which all jobs were added. cancelledFirst
 	// holds, by job, the versions of later cancellations that were read before the
 	// job.
@@ -163,9 +168,21 @@
 	cancelledFirst map[string]int64
 	workers        map[string]*worker
 	// added counts the incarnations of workers that were added.
-	added int64
-	pools map[string]*pool
-	stats Stats
+	added       int64
+	pools       map[string]*pool
+	poolsByName []*pool
+	stats       Stats
+	// teams holds the teams of jobs by name, and quotas what they hold. passes
+	// numbers the passes.
+	teams  map[string]*team
+	quotas *quota.Tracker
+	passes uint64
+	// submissions are the jobs of teams that classifySubmissions has not seen yet.
+	submissions []submission
+	// teamStats are the teams at the last report, and nextTeamsReport is the time of
+	// the next one.
+	teamStats       []TeamStats
+	nextTeamsReport time.Duration
 
 	// orders are returned by the next Decide. Events between two decisions add
 	// to them.
@@ -274,6 +291,11 @@
 	// undiscovered is what previous owners may have left on workers that have not
 	// answered a poll yet, as of the last sweep.
 	undiscovered undiscovered
+	// inheritedWork holds the teams of the jobs that previous owners may have started
+	// in the pool.
+	inheritedWork map[*team]inheritedWork
+	// shares holds what teams have had of the pool in the last seconds.
+	shares fairshare.Pool
 	// recoveredAt is when the last of these workers had answered or was given up,
 	// and lastUnread its id.
 	recoveredAt time.Duration
@@ -299,7 +321,7 @@
 // New returns an engine without jobs and workers.
 func New(opts Options) *Engine {
 	return &Engine{
-		opts: opts, jobs: map[string]*job{}, knownJobs: map[string]struct{}{}, cancelledFirst: map[string]int64{}, workers: map[string]*worker{}, pools: map[string]*pool{},
+		opts: opts, jobs: map[string]*job{}, knownJobs: map[string]*team{}, teams: map[string]*team{}, quotas: quota.New(), cancelledFirst: map[string]int64{}, workers: map[string]*worker{}, pools: map[string]*pool{},
 		dirty: map[*job]struct{}{}, presumed: map[string][]presumedCrash{}, committing: make([]*Commit, opts.Parts), retryAt: make([]time.Duration, opts.Parts),
 	}
 }
@@ -311,6 +333,7 @@
 		return
 	}
 	e.catalog = c
+	e.quotas.SetTeams(c.Teams)
 	for _, j := range e.jobs {
 		e.updateQueue(j)
 	}
@@ -334,6 +357,7 @@
 	if p == nil {
 		p = &pool{name: name, ready: map[*step]struct{}{}, queues: map[string]*queueStats{}, overcommits: e.overcommits(name), capacityValidity: e.capacityValidity(name)}
 		e.pools[name] = p
+		e.poolsByName = slices.SortedFunc(maps.Values(e.pools), func(a, b *pool) int { return cmp.Compare(a.name, b.name) })
 	}
 	return p
 }
@@ -433,6 +457,7 @@
 // ownership is OwnershipExpired.
 func (e *Engine) Decide(now time.Duration, ownership OwnershipState) []Order {
 	e.ownership = ownership
+	e.classifySubmissions()
 	sweep := now >= e.nextSweep
 	if sweep {
 		e.nextSweep = now + sweepInterval
@@ -445,17 +470,14 @@
 		e.reportOutages(now)
 		e.reportOverdueStops(now)
 		e.reportPerformance(now)
+		e.reportTeams(now)
 		e.stats.CancelsAgeMS, e.stats.EntriesAgeMS = e.cancelsAge(now).Milliseconds(), e.EntriesAge(now).Milliseconds()
 		if e.catalog != nil && ownership != OwnershipExpired && e.mayStart(now) {
 			e.evacuate(now)
 		}
 	}
 	if e.mayStart(now) && ownership != OwnershipExpired {
-		for _, p := range e.pools {
-			if p.needsPass || (p.nextPass > 0 && now >= p.nextPass) {
-				e.pass(p, now)
-			}
-		}
+		e.passPools(now)
 	}
 	e.pollWorkers(now, sweep)
 	e.commit(now)
