scheduler: a quota that is released serves all pools that wait for it

The pool in which a run ended was passed alone and took what the run had held. The first pool of a round also kept step with the number of passes.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -177,6 +177,8 @@
 	teams  map[string]*team
 	quotas *quota.Tracker
 	passes uint64
+	// rounds counts the calls of passPools that chose the pool to pass first.
+	rounds uint64
 	// submissions are the jobs of teams that classifySubmissions has not seen yet.
 	submissions []submission
 	// teamStats are the teams at the last report, and nextTeamsReport is the time of
--- a/internal/scheduler/team.go
+++ b/internal/scheduler/team.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/egretpitch/egretpitch/internal/fairshare"
@@ -15,8 +16,10 @@
 	name    string
 	account *quota.Account
 	// blockedIn is the number of the last pass in which a task of the team did not
-	// fit its quota.
-	blockedIn uint64
+	// fit its quota, and blockedPools the pools with such a task since a run of the
+	// team last ended.
+	blockedIn    uint64
+	blockedPools []*pool
 	// blockedAt is when a task last did not fit, and blockedTask that task; tooLarge
 	// is set if it cannot fit before long-running tasks of the team end. waitsSince is
 	// since when the team waits for its quota, 0 if it does not.
@@ -71,7 +74,8 @@
 }
 
 // passPools makes the passes that are due. Where teams have quotas, the pass of one
-// pool may take what is left of a quota from the next: each pool is first in turn.
+// pool may take what is left of a quota from the next. Which one is first varies
+// without a period, since tasks of equal length would keep step with a fixed turn.
 func (e *Engine) passPools(now time.Duration) {
 	if !e.quotas.Limited() || len(e.poolsByName) == 0 {
 		for _, p := range e.pools {
@@ -79,12 +83,32 @@
 		}
 		return
 	}
-	first := int(e.passes % uint64(len(e.poolsByName)))
+	e.rounds++
+	first := int(mix(e.rounds) % uint64(len(e.poolsByName)))
 	for i := range e.poolsByName {
 		e.passIfDue(e.poolsByName[(first+i)%len(e.poolsByName)], now)
 	}
 }
 
+// mix spreads consecutive numbers over all values (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x = (x + 0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// quotaReleased has the pools whose tasks wait for the quota of the team passed at
+// once. Otherwise the pool in which a run of the team ended would take what it held.
+func (t *team) quotaReleased() {
+	if t == nil {
+		return
+	}
+	for _, p := range t.blockedPools {
+		p.needsPass = true
+	}
+	t.blockedPools = t.blockedPools[:0]
+}
+
 func (e *Engine) passIfDue(p *pool, now time.Duration) {
 	if p.needsPass || (p.nextPass > 0 && now >= p.nextPass) {
 		e.pass(p, now)
@@ -103,6 +127,9 @@
 	t.blockedAt, t.blockedTask, t.tooLarge = now, s.tasks[0], !t.account.MayFit(n, s.Size)
 	if !t.tooLarge {
 		t.blockedIn = e.passes
+		if p := e.pool(s.job.Pool); !slices.Contains(t.blockedPools, p) {
+			t.blockedPools = append(t.blockedPools, p)
+		}
 	}
 	return false
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -384,6 +384,7 @@
 	w.suspects = slices.DeleteFunc(w.suspects, func(other *run) bool { return other == r })
 	w.releaseResources(r.task.step.Requests())
 	r.task.step.job.team.held().RemoveRun(r.task.step.Size, r.task.step.LongRunning)
+	r.task.step.job.team.quotaReleased()
 	r.task.step.job.share.Remove(r.task.step.Requests())
 	if r.task.step.Speculative {
 		w.speculative--
