--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -77,7 +77,7 @@
 		}
 		started := e.stats.Starts
 		if c.Gang {
-			e.placeGang(c.step, open, now)
+			e.placeGang(c.step, open, lastResort, now)
 		} else {
 			e.placeStep(c.step, open, lastResort, now)
 		}
@@ -168,7 +168,7 @@
 			s.held = true
 			continue
 		}
-		if !e.fitsQuota(s, 1, now) {
+		if !e.fitsQuota(s, 1, now, open, lastResort) {
 			return
 		}
 		w, ticket, apart := e.chooseWorker(t, open, now)
@@ -292,11 +292,11 @@
 }
 
 // placeGang starts all tasks of a step together, or none.
-func (e *Engine) placeGang(s *step, open []*worker, now time.Duration) {
+func (e *Engine) placeGang(s *step, open, lastResort []*worker, now time.Duration) {
 	if s.idle < s.left || now < s.gangRetry || e.waitsForRecord(s.tasks[0]) || slices.ContainsFunc(s.tasks, e.blockedByRecovery) {
 		return // members of an earlier start still run, or may
 	}
-	if !e.fitsQuota(s, len(s.tasks), now) {
+	if !e.fitsQuota(s, len(s.tasks), now, open, lastResort) {
 		return
 	}
 	if !e.ensureTickets(s, open, now) {
--- a/internal/scheduler/team.go
+++ b/internal/scheduler/team.go
@@ -118,14 +118,15 @@
 // fitsQuota reports whether n tasks of a step may start by the quota of their
 // team. If they have to wait for it, no other task of the team starts in this pass,
 // so that small tasks do not keep a large one waiting. Tasks that cannot fit before
-// the team's long-running ones are cancelled keep no others waiting.
-func (e *Engine) fitsQuota(s *step, n int, now time.Duration) bool {
+// the team's long-running ones are cancelled keep no others waiting, nor do those for
+// which the workers would have no room if they were empty.
+func (e *Engine) fitsQuota(s *step, n int, now time.Duration, workers ...[]*worker) bool {
 	if s.fitsQuota(n) {
 		return true
 	}
 	t := s.job.team
 	t.blockedAt, t.blockedTask, t.tooLarge = now, s.tasks[0], !t.account.MayFit(n, s.Size)
-	if !t.tooLarge {
+	if !t.tooLarge && s.hasRoomFor(n, workers...) {
 		t.blockedIn = e.passes
 		if p := e.pool(s.job.Pool); !slices.Contains(t.blockedPools, p) {
 			t.blockedPools = append(t.blockedPools, p)
@@ -134,6 +135,24 @@
 	return false
 }
 
+// hasRoomFor reports whether the workers would have room for n tasks of the step if
+// they were empty.
+func (s *step) hasRoomFor(n int, workers ...[]*worker) bool {
+	for _, w := range slices.Concat(workers...) {
+		if !s.hasLabel(w) {
+			continue
+		}
+		left := w.Capacity
+		for on := 0; s.Requests().Fits(left) && (s.MaxPerWorker == 0 || on < s.MaxPerWorker); on++ {
+			if n--; n == 0 {
+				return true
+			}
+			left = left.Sub(s.Requests())
+		}
+	}
+	return false
+}
+
 // fitsQuota reports whether n more tasks of the step fit the quota of their team.
 func (s *step) fitsQuota(n int) bool { return s.job.team.held().Fits(n, s.Size, placement.Resources{}) }
 
