--- a/internal/scheduler/team.go
+++ b/internal/scheduler/team.go
@@ -90,9 +90,10 @@
 	}
 }
 
-// mix spreads consecutive numbers over all values (the finalizer of SplitMix64).
+// mix spreads consecutive numbers over all values, as SplitMix64 does.
 func mix(x uint64) uint64 {
-	x = (x + 0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
