node: transactions that wait in a slow part are not given up

A part that takes half a second for a transaction answers reads meanwhile. These were taken for answers to later calls, so each transaction that waited for 0.9 s was given up, and its retry took another place in the queue of the part.

--- a/internal/node/storehealth.go
+++ b/internal/node/storehealth.go
@@ -27,6 +27,9 @@
 	// recentAnswer is the age of the last answer of a part up to which a job is sent
 	// without a read before it.
 	recentAnswer = 150 * time.Millisecond
+	// recentRefusal is how long after a refused transaction those sent before or after
+	// it may wait behind others.
+	recentRefusal = 2 * time.Second
 	// maxTickGap is the time between two ticks above which the process was paused or
 	// lacks processor time: then it has not read answers, and calls without one say
 	// nothing.
@@ -47,6 +50,9 @@
 	parts map[string]*partHealth
 	// latency is the recent largest latency of an answered call.
 	latency time.Duration
+	// commitLatency is that of answered transactions alone: a part applies one at a
+	// time, and answers reads meanwhile.
+	commitLatency time.Duration
 	// ticked is the time of the last tick.
 	ticked time.Time
 }
@@ -62,6 +68,8 @@
 	// firstLost and lastLost are the earliest and the latest time of calls that
 	// ended without an answer since, zero for none.
 	firstLost, lastLost time.Time
+	// refusedAt is when a transaction was last refused.
+	refusedAt time.Time
 }
 
 // storeCall is a call in flight.
@@ -70,8 +78,8 @@
 	part      *partHealth
 	ctx       context.Context
 	sent, due time.Time
-	// overtaken is called once the call has no answer for acceptTimeout and a later
-	// one to the part was answered, if set.
+	// overtaken is set for transactions. It is called once the answer is due (see
+	// commitBound) and a later call to the part was answered.
 	overtaken func()
 }
 
@@ -93,11 +101,17 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(p.waiting, c)
+	if c.overtaken != nil && errors.Is(err, platform.ErrUnavailable) {
+		p.refusedAt = now
+	}
 	switch {
 	case err == nil, errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrHistoryGone):
 		p.answer(c.sent)
 		p.answeredAt = now
 		h.latency = max(now.Sub(c.due), time.Duration(latencyDecay*float64(h.latency)))
+		if c.overtaken != nil {
+			h.commitLatency = max(now.Sub(c.due), time.Duration(latencyDecay*float64(h.commitLatency)))
+		}
 	case errors.Is(err, platform.ErrUnavailable), c.ctx.Err() == context.Canceled, c.ctx.Err() != nil && now.Sub(c.due) < h.bound():
 	default:
 		p.lose(c.due)
@@ -167,7 +181,7 @@
 			if paused && c.due.Before(now) {
 				c.due = now
 			}
-			if c.overtaken != nil && now.Sub(c.due) > acceptTimeout && p.answered.After(c.sent) {
+			if c.overtaken != nil && now.Sub(c.due) > h.commitBound(p) && p.answered.After(c.sent) {
 				c.overtaken()
 			}
 		}
@@ -175,6 +189,16 @@
 	h.ticked = now
 }
 
+// commitBound returns the time from which the answer of a transaction is lost if a
+// later call to the part was answered. A part that has just refused a transaction may
+// have others waiting for a second: it answers reads before those.
+func (h *storeHealth) commitBound(p *partHealth) time.Duration {
+	if time.Since(p.refusedAt) < recentRefusal {
+		return maxAcceptTimeout
+	}
+	return max(acceptTimeout, unansweredFactor*h.commitLatency)
+}
+
 // unresponsive reports whether a call to the part, or to another one since the last
 // answer of this part, is unanswered: the service may have stopped answering, and a
 // transaction may be applied late or never.
