scheduler: undiscovered runs count in the pool in which their worker was recorded

A start of a previous owner may arrive at a worker that has restarted in another pool. Tasks of the former pool then started beside it, above the team's quota.

--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -66,6 +66,7 @@
 	next.full = w.full
 	next.leaseFrozen = w.leaseFrozen
 	next.inherited = w.inherited // starts of a previous owner may arrive until this incarnation has seen a higher token
+	next.inheritedPool = w.inheritedPool
 	next.inheritedTasks, next.inheritedTasksKnown = w.inheritedTasks, w.inheritedTasksKnown
 	if next.inherited || len(open) > 0 {
 		next.inheritedLeaseEnd = max(w.inheritedLeaseEnd, now+maxOrderDelay+atSlowClock(e.opts.MaxLease)) // a late start brings a lease
--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -60,7 +60,7 @@
 		if w == nil {
 			w = e.addWorker(u.Worker, now)
 		}
-		w.inherited = true
+		w.inherited, w.inheritedPool = true, e.pool(u.Pool)
 		w.leaseFrozen = u.LeaseEnd > 0
 		w.inheritedLeaseEnd = leasesEnd
 		if w.leaseFrozen {
@@ -77,6 +77,15 @@
 	return w.inherited && now < max(w.inheritedLeaseEnd, e.firstPollsEnd)
 }
 
+// inheritedPools returns the pools of whose jobs the inherited worker may have
+// undiscovered runs.
+func (w *worker) inheritedPools() []*pool {
+	if w.inheritedPool == w.pool {
+		return []*pool{w.pool}
+	}
+	return []*pool{w.inheritedPool, w.pool}
+}
+
 // undiscovered are the tasks of a pool that may have undiscovered runs or ends of
 // previous owners.
 type undiscovered struct {
@@ -137,8 +146,10 @@
 		switch {
 		case e.mayHaveInheritedRuns(w, now):
 			unpolled++
-			w.pool.undiscovered.add(w, now)
-			w.pool.recoveredAt, w.pool.lastUnread = now, w.ID
+			for _, p := range w.inheritedPools() {
+				p.undiscovered.add(w, now)
+				p.recoveredAt, p.lastUnread = now, w.ID
+			}
 		case w.inherited:
 			w.inherited = false
 			e.givenUp++
--- a/internal/scheduler/undiscovered.go
+++ b/internal/scheduler/undiscovered.go
@@ -30,32 +30,34 @@
 
 // countUndiscovered counts the undiscovered runs of previous owners against the
 // quotas of teams, at their worst case: the tasks in the record of a worker, or its
-// whole capacity for each team of which an inherited job is known in its pool.
+// whole capacity for each team of which an inherited job is known in its pools.
 // Every job that a previous owner can have started was read before.
 func (e *Engine) countUndiscovered() {
 	if len(e.teams) == 0 {
 		return
 	}
 	e.quotas.ClearUndiscovered()
-	for _, p := range e.pools {
-		var capacity placement.Resources
-		unknown, unbounded := false, false
-		for _, w := range p.workers {
-			switch {
-			case !w.inherited:
-			case w.inheritedTasksKnown:
-				for _, id := range w.inheritedTasks {
-					account, size := e.recordedTask(id, w)
-					account.AddUndiscovered(size)
-				}
-			default:
-				unknown = true
-				unbounded = unbounded || w.Address == "" // it stands for the workers of an unreadable record
-				capacity = capacity.Add(e.mostCapacity(w))
+	workers := map[*pool][]*worker{}
+	for _, w := range e.workers {
+		switch {
+		case !w.inherited:
+		case w.inheritedTasksKnown:
+			for _, id := range w.inheritedTasks {
+				account, size := e.recordedTask(id, w)
+				account.AddUndiscovered(size)
+			}
+		default:
+			for _, p := range w.inheritedPools() {
+				workers[p] = append(workers[p], w)
 			}
 		}
-		if !unknown {
-			continue
+	}
+	for p, list := range workers {
+		var capacity placement.Resources
+		unbounded := false
+		for _, w := range list {
+			unbounded = unbounded || w.Address == "" // it stands for the workers of an unreadable record
+			capacity = capacity.Add(e.mostCapacity(w))
 		}
 		for t, work := range p.inheritedWork {
 			t.account.AddUndiscovered(capacity)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -46,6 +46,9 @@
 	// inherited is set while the worker may have undiscovered runs of a
 	// previous owner.
 	inherited bool
+	// inheritedPool is the pool in which previous owners have used the worker, if it is
+	// inherited. It may have restarted in another one since.
+	inheritedPool *pool
 	// leavesAt is the earliest time at which a draining worker ends, 0 if it
 	// has not announced one.
 	leavesAt time.Duration
@@ -414,6 +417,9 @@
 		inUse := w.inherited || w.occupied() || len(w.pendingEnds) > 0 || w.toRecord(e)
 		if inUse {
 			u := UsedWorker{Worker: w.Worker}
+			if w.inherited {
+				u.Pool = w.inheritedPool.name
+			}
 			if w.leaseFrozen {
 				u.LeaseEnd = w.leaseEnd()
 				u.Tasks, u.TasksKnown = w.possibleTasks()
