node, admission: jobs that are not stored do not count as admitted

Jobs that the table service refused were counted for all entries until the next heartbeat, and led to 429 for jobs that could still be of use.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -20,6 +20,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -162,6 +163,14 @@
 	return d
 }
 
+// Withdraw undoes the admission of a job that was not stored, which was decided at the
+// given time.
+func (g *Gate) Withdraw(j Job, at time.Duration) {
+	if i := slices.Index(g.admitted, admission{at, j}); i >= 0 {
+		g.admitted = slices.Delete(g.admitted, i, i+1)
+	}
+}
+
 // since returns the work that this entry has admitted since the state and that stays
 // ahead of a job until its last timely and its last useful start, in core-seconds.
 func (g *Gate) since(j *Job, timely, useful, now time.Duration) (untilTimely, untilUseful float64) {
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -52,10 +52,16 @@
 	}
 	age := max(0, time.Duration(n.Clock.StoreMS(now)-heartbeat.JobsMS)*time.Millisecond)
 	state := admission.View{State: heartbeat.Admission, Version: view.HeartbeatVersion, AsOf: now - age}
+	job := admissionJob(j, c, state.State)
 	n.admission.mu.Lock()
-	d := n.admission.gate.Decide(state, admissionJob(j, c, state.State), now)
+	d := n.admission.gate.Decide(state, job, now)
 	n.admission.mu.Unlock()
 	if !d.Refused {
+		r.notStored = func() {
+			n.admission.mu.Lock()
+			defer n.admission.mu.Unlock()
+			n.admission.gate.Withdraw(job, now)
+		}
 		return response{}, false
 	}
 	ctx, cancel := context.WithDeadline(r.Request().Context(), r.deadline)
--- a/internal/node/admission_test.go
+++ b/internal/node/admission_test.go
@@ -113,3 +113,36 @@
 		}
 	}
 }
+
+// TestJobsThatAreNotStoredDoNotCountAsAdmitted guards against 429 because of jobs that the table service refused.
+func TestJobsThatAreNotStoredDoNotCountAsAdmitted(t *testing.T) {
+	n, _, e := testNode(t)
+	n.Pressure = true
+	n.catalog.Store(estate.NewCatalog(1, []*estate.Queue{
+		{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", Priority: 1, Stretch: 2, LatencyTarget: time.Second},
+		{Name: "r", Host: "h", PathPrefix: "/r/", Pool: "p", Stretch: 2, LatencyTarget: time.Minute},
+	}, []*estate.Pool{{Name: "p"}}, estate.Limits{}))
+	showFullPool(n, 0)
+	state := n.view.Load().Heartbeat.Admission
+	state.Entries, state.Pools[0].Teams[0].Ahead[0].Work = 42, 7 // 8 core-seconds may be ahead
+	submit := func(path string) int {
+		w := httptest.NewRecorder()
+		e.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader(`[{"Count":1,"Estimate":1000000000,"Size":{"Processors":1}}]`)))
+		return w.Code
+	}
+	n.reachability.failingSince.Store(time.Now().Add(-time.Second).UnixNano())
+	n.reachability.lastFailure.Store(time.Now().UnixNano())
+	if code := submit("/r/00000000000000b0"); code != http.StatusServiceUnavailable {
+		t.Fatalf("answer %d while the service is away, want 503", code)
+	}
+	n.reachability.observe(nil)
+	if code := submit("/q/00000000000000b1"); code != http.StatusOK {
+		t.Errorf("answer %d, want 200", code)
+	}
+	if code := submit("/r/00000000000000b2"); code != http.StatusOK {
+		t.Errorf("answer %d for the better job, want 200", code)
+	}
+	if code := submit("/q/00000000000000b3"); code != http.StatusTooManyRequests {
+		t.Errorf("answer %d after a better job was stored, want 429", code)
+	}
+}
--- a/internal/node/queueapi.go
+++ b/internal/node/queueapi.go
@@ -85,6 +85,8 @@
 	caller   caller
 	// use is what the request may rely on the catalog for.
 	use configurationUse
+	// notStored is called if the job of a submission is not stored, if set.
+	notStored func()
 }
 
 // response is the answer to a request. reason is logged, and sent as the error
@@ -195,6 +197,9 @@
 		return refusal
 	}
 	outcome, existing := h.node.acceptor.submitChecked(r.Request().Context(), job, r.deadline)
+	if r.notStored != nil && outcome != submitStored && outcome != submitUnknown {
+		r.notStored()
+	}
 	switch outcome {
 	case submitStored:
 		if a, ok := h.authorizeStored(r, existing); !ok {
