scheduler: a long-running task gets its team's quota before tasks of other pools

Tasks of another pool took what was released, so that a long-running task larger than one of them stayed without a run as long as they had a backlog.

--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -72,7 +72,7 @@
 	}
 	order := e.inOrder(p, list, open, now)
 	for c, ok := order.take(mayFit); ok; c, ok = order.take(mayFit) {
-		if !mayFit(c.step) || e.waitsForQuota(c.step) {
+		if !mayFit(c.step) || e.waitsForQuota(c.step, now) {
 			continue
 		}
 		started := e.stats.Starts
--- a/internal/scheduler/quotapools_test.go
+++ b/internal/scheduler/quotapools_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
@@ -31,3 +32,25 @@
 		})
 	}
 }
+
+// A backlog in another pool must not keep a long-running task of the team without a run.
+func TestLongRunningTaskGetsTheQuotaOfOtherPools(t *testing.T) {
+	sim := newQuotaSimulation(t)
+	sim.addWorker("wp", "p", 6).duration = func(id workload.TaskID) (time.Duration, platform.RunEnd) {
+		return time.Duration(1000+370*(id.Index%4)) * time.Millisecond, platform.EndDone
+	}
+	sim.addWorker("wq", "q", 6).duration = lasting(time.Minute)
+	owner := sim.newOwner()
+	sim.submit(owner, jobOfTeam("a", 1, 200, 1))
+	sim.run(2*time.Second, owner)
+	service := jobOfTeam("a", 2, 1, 3)
+	service.Pool, service.Steps[0].LongRunning = "q", true
+	sim.submit(owner, service)
+	sim.run(4*time.Second, owner)
+	sim.check()
+	if !sim.hasRun(service) {
+		t.Error("the long-running task has no run after 4 s")
+	}
+	sim.run(2*time.Second, owner)
+	sim.wantHeld(t, "a", 4, "beside the long-running task")
+}
--- a/internal/scheduler/team.go
+++ b/internal/scheduler/team.go
@@ -20,6 +20,8 @@
 	// team last ended.
 	blockedIn    uint64
 	blockedPools []*pool
+	// longRunningAt is when a long-running task last did not fit and had to wait.
+	longRunningAt time.Duration
 	// blockedAt is when a task last did not fit, and blockedTask that task; tooLarge
 	// is set if it cannot fit before long-running tasks of the team end. waitsSince is
 	// since when the team waits for its quota, 0 if it does not.
@@ -129,6 +131,9 @@
 	t.blockedAt, t.blockedTask, t.tooLarge = now, s.tasks[0], !t.account.MayFit(n, s.Size)
 	if !t.tooLarge && s.hasRoomFor(n, workers...) {
 		t.blockedIn = e.passes
+		if s.LongRunning {
+			t.longRunningAt = now
+		}
 		if p := e.pool(s.job.Pool); !slices.Contains(t.blockedPools, p) {
 			t.blockedPools = append(t.blockedPools, p)
 		}
@@ -158,10 +163,14 @@
 func (s *step) fitsQuota(n int) bool { return s.job.team.held().Fits(n, s.Size, placement.Resources{}) }
 
 // waitsForQuota reports whether a better task of the step's team did not fit its
-// quota in this pass.
-func (e *Engine) waitsForQuota(s *step) bool {
+// quota in this pass, or a long-running one in the last pass of another pool.
+func (e *Engine) waitsForQuota(s *step, now time.Duration) bool {
 	t := s.job.team
-	return t != nil && t.blockedIn == e.passes
+	if t == nil {
+		return false
+	}
+	recent := t.longRunningAt > 0 && now-t.longRunningAt <= 2*passInterval
+	return t.blockedIn == e.passes || (recent && !s.LongRunning)
 }
 
 // withinQuotas leaves out the waiting tasks that do not fit the quotas of their
