--- a/internal/scheduler/evacuatebatch.go
+++ b/internal/scheduler/evacuatebatch.go
@@ -42,6 +42,7 @@
 	places := newPlaces(slices.DeleteFunc(open, func(w *worker) bool { return w.evacuating || w.holds() }))
 	for _, r := range moving {
 		if places.assign(r.task.step, r.task.step.permitted) && r.phase == runConfirmed {
+			r.task.moved, r.task.movedPercent = true, r.percent
 			e.stop(r, evacuationStop, now)
 		}
 	}
@@ -52,7 +53,18 @@
 func (r *run) movable(now time.Duration) bool {
 	s := r.task.step
 	return s.Checkpoints && !s.Gang && !s.LongRunning && !s.job.ended() && r.phase == runConfirmed && r.listed &&
-		len(r.task.runs) == 1 && !r.task.suspect() && now-r.sentAt > minRemainingToMove && r.remaining(now) > minRemainingToMove
+		len(r.task.runs) == 1 && !r.task.suspect() && now-r.sentAt > minRemainingToMove && r.remaining(now) > minRemainingToMove &&
+		(!r.task.moved || r.gained() > minRemainingToMove)
+}
+
+// gained returns how much longer the run has worked than it took to get as far as the
+// task was when it last moved, at least. A task may lose much of its progress when it
+// moves, and must get on before it is moved again.
+func (r *run) gained() time.Duration {
+	if r.percent <= r.task.movedPercent {
+		return 0
+	}
+	return time.Duration(float64(r.confirmedAt-r.sentAt) * (r.percent - r.task.movedPercent) / r.percent)
 }
 
 // remaining returns how long the run still takes by its progress, or by the estimate
--- a/internal/scheduler/evacuatebatch_test.go
+++ b/internal/scheduler/evacuatebatch_test.go
@@ -42,3 +42,23 @@
 		}
 	}
 }
+
+// A task whose checkpoints are rare must not lose its work to one wave after the other.
+func TestBatchTaskThatLosesItsProgressIsNotMovedAgainAndAgain(t *testing.T) {
+	sim := newSimulation(t)
+	names := []string{"w1", "w2"}
+	for _, name := range names {
+		sim.addWorker(name, "p", 4).duration = lasting(16 * time.Second)
+	}
+	owner := sim.newOwner()
+	job := jobOf(1, 1, 2)
+	job.Steps[0].Checkpoints, job.Steps[0].Estimate = true, 16*time.Second
+	sim.submit(owner, job)
+	sim.run(time.Second, owner)
+	for i := range 16 {
+		sim.evacuateFor(4*time.Second, owner, names[i%2])
+	}
+	if state := sim.state(job.ID); state != workload.Completed {
+		t.Errorf("the task of 16 s is %s after 65 s and %d starts", state, owner.Stats().Starts)
+	}
+}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -121,6 +121,10 @@
 	// settledRuns are the numbers of the runs that have ended or were given up.
 	settledRuns []int
 	checkpoint  string
+	// moved is set once the task was stopped to move to another worker, and
+	// movedPercent was its progress then.
+	moved        bool
+	movedPercent float64
 	// notBefore is the earliest time of the next start.
 	notBefore time.Duration
 	// crashes are the workers that ended under the task, and crashSeq numbers the
