fairshare: jobs from before the owner's clock began are counted by their times

The clock of an owner begins with its host. After a restart of the host all older jobs counted as one burst, and those still waiting as beyond the weight of their team.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -137,13 +137,19 @@
 type Bucket struct {
 	used float64
 	at   time.Duration
+	// counted is set once a job was counted, at at. Jobs from before the owner's clock
+	// began have negative times.
+	counted bool
 }
 
 // Take counts a job that was accepted at the given time. It reports whether the
 // job is within weight jobs a second, with a burst of one second and at least one
 // job. Jobs are counted in the order of their acceptance.
 func (b *Bucket) Take(weight float64, at time.Duration) bool {
-	if at > b.at {
+	switch {
+	case !b.counted:
+		b.at, b.counted = at, true
+	case at > b.at:
 		b.used = max(0, b.used-weight*(at-b.at).Seconds())
 		b.at = at
 	}
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -74,3 +74,13 @@
 		}
 	}
 }
+
+// Jobs that were accepted before the owner's clock began must not use up the weight.
+func TestJobsFromBeforeTheClockAreCountedByTheirTimes(t *testing.T) {
+	var b Bucket
+	for at := -100 * time.Second; at < 100*time.Second; at += time.Second {
+		if !b.Take(1, at) {
+			t.Errorf("a job at %v is beyond the weight, though one comes each second", at)
+		}
+	}
+}
