--- a/internal/scheduler/team.go
+++ b/internal/scheduler/team.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/egretpitch/egretpitch/internal/fairshare"
@@ -15,8 +16,12 @@
 	name    string
 	account *quota.Account
 	// blockedIn is the number of the last pass in which a task of the team did not
-	// fit its quota.
-	blockedIn uint64
+	// fit its quota, and blockedPools the pools with such a task since a run of the
+	// team last ended.
+	blockedIn    uint64
+	blockedPools []*pool
+	// longRunningAt is when a long-running task last did not fit and had to wait.
+	longRunningAt time.Duration
 	// blockedAt is when a task last did not fit, and blockedTask that task; tooLarge
 	// is set if it cannot fit before long-running tasks of the team end. waitsSince is
 	// since when the team waits for its quota, 0 if it does not.
@@ -71,7 +76,8 @@
 }
 
 // passPools makes the passes that are due. Where teams have quotas, the pass of one
-// pool may take what is left of a quota from the next: each pool is first in turn.
+// pool may take what is left of a quota from the next. Which one is first varies
+// without a period, since tasks of equal length would keep step with a fixed turn.
 func (e *Engine) passPools(now time.Duration) {
 	if !e.quotas.Limited() || len(e.poolsByName) == 0 {
 		for _, p := range e.pools {
@@ -79,12 +85,33 @@
 		}
 		return
 	}
-	first := int(e.passes % uint64(len(e.poolsByName)))
+	e.rounds++
+	first := int(mix(e.rounds) % uint64(len(e.poolsByName)))
 	for i := range e.poolsByName {
 		e.passIfDue(e.poolsByName[(first+i)%len(e.poolsByName)], now)
 	}
 }
 
+// mix spreads consecutive numbers over all values, as SplitMix64 does.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// quotaReleased has the pools whose tasks wait for the quota of the team passed at
+// once. Otherwise the pool in which a run of the team ended would take what it held.
+func (t *team) quotaReleased() {
+	if t == nil {
+		return
+	}
+	for _, p := range t.blockedPools {
+		p.needsPass = true
+	}
+	t.blockedPools = t.blockedPools[:0]
+}
+
 func (e *Engine) passIfDue(p *pool, now time.Duration) {
 	if p.needsPass || (p.nextPass > 0 && now >= p.nextPass) {
 		e.pass(p, now)
@@ -94,15 +121,40 @@
 // fitsQuota reports whether n tasks of a step may start by the quota of their
 // team. If they have to wait for it, no other task of the team starts in this pass,
 // so that small tasks do not keep a large one waiting. Tasks that cannot fit before
-// the team's long-running ones are cancelled keep no others waiting.
-func (e *Engine) fitsQuota(s *step, n int, now time.Duration) bool {
+// the team's long-running ones are cancelled keep no others waiting, nor do those for
+// which the workers would have no room if they were empty.
+func (e *Engine) fitsQuota(s *step, n int, now time.Duration, workers ...[]*worker) bool {
 	if s.fitsQuota(n) {
 		return true
 	}
 	t := s.job.team
 	t.blockedAt, t.blockedTask, t.tooLarge = now, s.tasks[0], !t.account.MayFit(n, s.Size)
-	if !t.tooLarge {
+	if !t.tooLarge && s.hasRoomFor(n, workers...) {
 		t.blockedIn = e.passes
+		if s.LongRunning {
+			t.longRunningAt = now
+		}
+		if p := e.pool(s.job.Pool); !slices.Contains(t.blockedPools, p) {
+			t.blockedPools = append(t.blockedPools, p)
+		}
+	}
+	return false
+}
+
+// hasRoomFor reports whether the workers would have room for n tasks of the step if
+// they were empty.
+func (s *step) hasRoomFor(n int, workers ...[]*worker) bool {
+	for _, w := range slices.Concat(workers...) {
+		if !s.hasLabel(w) {
+			continue
+		}
+		left := w.Capacity
+		for on := 0; s.Requests().Fits(left) && (s.MaxPerWorker == 0 || on < s.MaxPerWorker); on++ {
+			if n--; n == 0 {
+				return true
+			}
+			left = left.Sub(s.Requests())
+		}
 	}
 	return false
 }
@@ -111,10 +163,14 @@
 func (s *step) fitsQuota(n int) bool { return s.job.team.held().Fits(n, s.Size, placement.Resources{}) }
 
 // waitsForQuota reports whether a better task of the step's team did not fit its
-// quota in this pass.
-func (e *Engine) waitsForQuota(s *step) bool {
+// quota in this pass, or a long-running one in the last pass of another pool.
+func (e *Engine) waitsForQuota(s *step, now time.Duration) bool {
 	t := s.job.team
-	return t != nil && t.blockedIn == e.passes
+	if t == nil {
+		return false
+	}
+	recent := t.longRunningAt > 0 && now-t.longRunningAt <= 2*passInterval
+	return t.blockedIn == e.passes || (recent && !s.LongRunning)
 }
 
 // withinQuotas leaves out the waiting tasks that do not fit the quotas of their
