--- a/internal/scheduler/cancelsage.go
+++ b/internal/scheduler/cancelsage.go
@@ -46,12 +46,15 @@
 	return until
 }
 
+// startsTooOld reports whether what starts rely on is too old for them.
+func (e *Engine) startsTooOld(now time.Duration) bool { return e.startsUntil() < now+minStartWindow }
+
 // mayStart reports whether the known cancellations and entries of workers are
 // recent enough for starts. A start that is decided on older ones could reach its
 // worker too late after the cancellation of its job, or after the worker began to
 // drain.
 func (e *Engine) mayStart(now time.Duration) bool {
-	held := e.startsUntil() < now+minStartWindow
+	held := e.startsTooOld(now)
 	switch {
 	case held && !e.startsHeld:
 		e.heldSince = now
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -293,18 +293,9 @@
 // createOccurrence creates the steps of the next occurrence and applies the
 // recorded progress.
 func (e *Engine) createOccurrence(j *job, due, now time.Duration) {
-	o := &occurrence{number: j.nextOccurrence, due: due, left: len(j.Steps)}
+	o := j.newOccurrence(j.nextOccurrence, due, now)
 	j.nextOccurrence++
 	j.occurrences[o.number] = o
-	for i := range j.Steps {
-		spec := &j.Steps[i]
-		s := &step{Step: spec, job: j, occ: o, index: i, waitsFor: len(slices.Compact(slices.Sorted(slices.Values(spec.After)))), left: spec.Count}
-		for n := range spec.Count {
-			s.tasks = append(s.tasks, &task{step: s, index: n, listedAt: now})
-		}
-		s.idle = spec.Count
-		o.steps = append(o.steps, s)
-	}
 	j.criticalPath = o.estimateCriticalPaths()
 	for _, d := range j.progress.Done {
 		if t := j.find(d[0], d[1], d[2]); t != nil && d[0] == o.number {
@@ -323,6 +314,21 @@
 	}
 }
 
+// newOccurrence returns an occurrence with its steps and tasks, none of them done.
+func (j *job) newOccurrence(number int, due, now time.Duration) *occurrence {
+	o := &occurrence{number: number, due: due, left: len(j.Steps)}
+	for i := range j.Steps {
+		spec := &j.Steps[i]
+		s := &step{Step: spec, job: j, occ: o, index: i, waitsFor: len(slices.Compact(slices.Sorted(slices.Values(spec.After)))), left: spec.Count}
+		for n := range spec.Count {
+			s.tasks = append(s.tasks, &task{step: s, index: n, listedAt: now})
+		}
+		s.idle = spec.Count
+		o.steps = append(o.steps, s)
+	}
+	return o
+}
+
 // estimateCriticalPaths sets the critical path of each step and returns the
 // longest.
 func (o *occurrence) estimateCriticalPaths() time.Duration {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -296,14 +296,7 @@
 		return
 	}
 	separated := s.tasks[0].separated(open, now)
-	fast := e.withoutSlow(separated, now)
-	chosen := e.gangWorkers(s, e.withTicket(s, fast, now))
-	if chosen == nil && len(fast) < len(separated) {
-		chosen = e.gangWorkers(s, e.withTicket(s, separated, now))
-	}
-	if chosen == nil && s.tasks[0].suspect() {
-		chosen = e.gangWorkers(s, e.withTicket(s, s.tasks[0].besideNoSuspect(open), now))
-	}
+	chosen := e.separateGang(s, open, separated, now)
 	if chosen == nil && len(separated) < len(open) {
 		anywhere := e.gangWorkers(s, e.withTicket(s, open, now))
 		if s.apartForLong(now) {
@@ -328,6 +321,21 @@
 	}
 }
 
+// separateGang returns a worker for each task of a gang without bringing a suspect
+// together with other tasks, nil if the gang does not fit. separated are the open
+// workers that may take its tasks so. A suspect gang may join tasks that are none.
+func (e *Engine) separateGang(s *step, open, separated []*worker, now time.Duration) []*worker {
+	fast := e.withoutSlow(separated, now)
+	chosen := e.gangWorkers(s, e.withTicket(s, fast, now))
+	if chosen == nil && len(fast) < len(separated) {
+		chosen = e.gangWorkers(s, e.withTicket(s, separated, now))
+	}
+	if chosen == nil && s.tasks[0].suspect() {
+		chosen = e.gangWorkers(s, e.withTicket(s, s.tasks[0].besideNoSuspect(open), now))
+	}
+	return chosen
+}
+
 // gangWorkers returns a worker for each task of a gang, all on one rack if the
 // step requests it and one rack has the capacity. It returns nil if the gang
 // does not fit.
