node: answer /v1/explain on the administration address

A process can tell by its own view where a request or a job would go, but nothing asked it.

POST /v1/explain answers with the version of the configuration and its age, queue or why none, team and fingerprint of the key, what admission would decide with its inputs, and the owner of the control work. Admission is asked on a copy of the gate (Gate.Preview). Requests hold the digest of the key, which no answer, error or log line shows; the key itself is not sent.

Nothing is written, counted or sent to workers.

--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -194,6 +194,7 @@
 	metrics.GET("/metrics", echo.WrapHandler(expvar.Handler()))
 	node.NewJobsAPI(n).Register(metrics)
 	node.NewTeamsAPI(n).Register(metrics)
+	node.NewExplainAPI(n).Register(metrics)
 	callersServer, err := listen(n, "callers", s.CallersAddress, callers, intake.CallerBounds(s.MemoryBytes, s.FileDescriptors))
 	if err != nil {
 		return nil, err
--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -113,6 +113,11 @@
 	return get[Teams](ctx, c, PathTeams)
 }
 
+// Explain returns where a request or a job would go now, and why. It changes nothing.
+func (c *Client) Explain(ctx context.Context, req *ExplainRequest) (*Explanation, error) {
+	return call[Explanation](ctx, c, http.MethodPost, PathExplain, req)
+}
+
 // SubmitJobs submits jobs. It may be repeated, because a job whose ID exists
 // already is left unchanged.
 func (c *Client) SubmitJobs(ctx context.Context, jobs []JobSpec) (*JobsReply, error) {
--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -30,6 +30,9 @@
 	PathStatus = "/v1/status"
 	// PathTeams answers GET with Teams. Only egretpitch-node serves it.
 	PathTeams = "/v1/teams"
+	// PathExplain answers POST of an ExplainRequest with an Explanation. Only
+	// egretpitch-node serves it.
+	PathExplain = "/v1/explain"
 )
 
 // Media types of the report.
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -19,7 +19,9 @@
 package admission
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -130,6 +132,12 @@
 	return d
 }
 
+// Preview returns what Decide would, and leaves the gate as it is.
+func (g *Gate) Preview(v View, j Job, now time.Duration) Decision {
+	c := &Gate{version: g.version, admitted: slices.Clone(g.admitted), lines: maps.Clone(g.lines)}
+	return c.Decide(v, j, now)
+}
+
 // forget drops what a state covers, and lines that have ended.
 func (g *Gate) forget(v View, now time.Duration) {
 	if v.Version == g.version {
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -45,13 +45,11 @@
 	if !n.limitsLoad(c) {
 		return response{}, false
 	}
-	view, now := n.view.Load(), n.Clock.Now()
-	heartbeat := &view.Heartbeat
-	if heartbeat.Admission == nil || heartbeat.Incarnation != view.Record.Incarnation {
+	now := n.Clock.Now()
+	state, known := n.admissionView(now)
+	if !known {
 		return response{}, false
 	}
-	age := max(0, time.Duration(n.Clock.StoreMS(now)-heartbeat.JobsMS)*time.Millisecond)
-	state := admission.View{State: heartbeat.Admission, Version: view.HeartbeatVersion, AsOf: now - age}
 	n.admission.mu.Lock()
 	d := n.admission.gate.Decide(state, admissionJob(j, c, state.State), now)
 	n.admission.mu.Unlock()
@@ -70,6 +68,18 @@
 	return response{status: http.StatusTooManyRequests, reason: "not stored: the pool is full", retryAfter: d.RetryAfter}, true
 }
 
+// admissionView returns the load that the owner's last heartbeat published. It returns
+// false if that has none, or is of a previous owner.
+func (n *Node) admissionView(now time.Duration) (admission.View, bool) {
+	view := n.view.Load()
+	heartbeat := &view.Heartbeat
+	if heartbeat.Admission == nil || heartbeat.Incarnation != view.Record.Incarnation {
+		return admission.View{}, false
+	}
+	age := max(0, time.Duration(n.Clock.StoreMS(now)-heartbeat.JobsMS)*time.Millisecond)
+	return admission.View{State: heartbeat.Admission, Version: view.HeartbeatVersion, AsOf: now - age}, true
+}
+
 // retryAfterHeader returns the value of Retry-After of a refusal, in whole seconds.
 func (a *response) retryAfterHeader() string {
 	if a.retryAfter == 0 {
--- a/internal/node/authenticate.go
+++ b/internal/node/authenticate.go
@@ -91,13 +91,9 @@
 	r.caller.lacks = refusedKeyMissing
 	switch {
 	case key != "":
-		digest := estate.DigestOf(key)
-		r.caller.fingerprint = digest.Fingerprint()
-		if t := r.catalog.TeamOf(digest); t != nil {
-			r.caller.team = t.Name
+		if r.caller = callerWith(r.catalog, estate.DigestOf(key)); r.caller.team != "" {
 			return response{}, true
 		}
-		r.caller.lacks = refusedKeyUnknown
 	case present:
 		r.caller.lacks = refusedKeyMalformed
 	}
@@ -107,6 +103,15 @@
 	return h.refuse(r, http.StatusUnauthorized, r.caller.lacks), false
 }
 
+// callerWith returns the caller that has the key with the given digest.
+func callerWith(c *estate.Catalog, digest estate.KeyDigest) caller {
+	who := caller{fingerprint: digest.Fingerprint(), lacks: refusedKeyUnknown}
+	if t := c.TeamOf(digest); t != nil {
+		who.team = t.Name
+	}
+	return who
+}
+
 // authorize decides whether a request may see or change a job of a team that was
 // submitted to a queue. Any team may if the job has none. It returns false and the
 // answer if the request may not.
