--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -41,6 +41,7 @@
 	Report(ctx context.Context, media string) ([]byte, error)
 	Status(ctx context.Context) (*adminapi.Status, error)
 	Teams(ctx context.Context) (*adminapi.Teams, error)
+	Explain(ctx context.Context, req *adminapi.ExplainRequest) (*adminapi.Explanation, error)
 }
 
 // Environment holds the outputs and the API connection of a run of the command
@@ -147,6 +148,10 @@
 	if err != nil {
 		return err
 	}
+	explain, err := parser.AddCommand("explain", "Show where a request or a job would go, and why", explainHelp, &struct{}{})
+	if err != nil {
+		return err
+	}
 	for _, c := range []struct {
 		parent      *flags.Command
 		name, short string
@@ -166,6 +171,8 @@
 		{jobs, "start", "Submit a job of several tasks from a file", jobsStartHelp, &jobsStartCommand{app: a}},
 		{jobs, "pending", "Count pending jobs by queue", jobsPendingHelp, &jobsPendingCommand{app: a}},
 		{jobs, "cancel", "Cancel jobs", jobsCancelHelp, &jobsCancelCommand{app: a}},
+		{explain, "route", "Show where a request would go", explainRouteHelp, &explainRouteCommand{explainOptions: explainOptions{app: a}}},
+		{explain, "job", "Show where a job would go", explainJobHelp, &explainJobCommand{explainOptions: explainOptions{app: a}}},
 		{parser.Command, "report", "Show the capacity report", reportHelp, &reportCommand{app: a}},
 	} {
 		if _, err := c.parent.AddCommand(c.name, c.short, c.help, c.data); err != nil {
--- a/internal/command/teams.go
+++ b/internal/command/teams.go
@@ -44,21 +44,30 @@
 
 // teamsSummary returns the text above the list of teams.
 func teamsSummary(all *adminapi.Teams) string {
-	age := "never known to be the newest"
-	if all.AgeMS >= 0 {
-		age = "known to be the newest " + (time.Duration(all.AgeMS) * time.Millisecond).String() + " ago"
-	}
 	keys := "no keys required"
 	if all.KeysRequired {
 		keys = "keys required, public queues: " + orDash(strings.Join(all.PublicQueues, ", "))
 	}
-	lines := []string{"configuration version " + strconv.FormatInt(all.Version, 10) + ", " + age + ", " + keys}
+	lines := []string{configurationText(all.Version, all.AgeMS) + ", " + keys}
 	for _, p := range all.Problems {
 		lines = append(lines, "problem: "+p)
 	}
 	return strings.Join(append(lines, ""), "\n")
 }
 
+// configurationText returns the text for a version of the configuration that was last
+// known to be the newest ageMS milliseconds ago, -1 for never.
+func configurationText(version, ageMS int64) string {
+	age := "never known to be the newest"
+	if ageMS >= 0 {
+		age = "known to be the newest " + msText(ageMS) + " ago"
+	}
+	return "configuration version " + strconv.FormatInt(version, 10) + ", " + age
+}
+
+// msText returns the text for a number of milliseconds.
+func msText(ms int64) string { return (time.Duration(ms) * time.Millisecond).String() }
+
 // boundText returns the text for a bound, a dash for none.
 func boundText(bound float64) string {
 	if bound == 0 {
