--- a/internal/scheduler/explain_test.go
+++ b/internal/scheduler/explain_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/egretpitch/egretpitch/internal/estate"
+	"github.com/egretpitch/egretpitch/internal/fleetplan"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
@@ -37,6 +38,23 @@
 	if diff := cmp.Diff(want, x.Steps); diff != "" || x.Held != "" || x.Workers != 5 || x.Explained != 5 {
 		t.Errorf("%+v; steps (-want +got):\n%s", x, diff)
 	}
+	job.Steps, job.Steps[0].Requires, job.Steps[0].LongRunning = job.Steps[:1], "", true
+	owner.workers["w3"].reservation = fleetplan.Emptying
+	owner.workers["w4"].Draining, owner.workers["w5"].Draining = true, true
+	last := StepExplanation{Chosen: []string{"w3"}, Reasons: []ReasonCount{
+		{"no capacity", 1, []string{"w1"}}, {"draining", 3, []string{"w2", "w4", "w5"}}, {"last resort only: emptying", 1, []string{"w3"}},
+	}}
+	if diff := cmp.Diff([]StepExplanation{last}, owner.Explain("p", job, sim.now).Steps); diff != "" {
+		t.Errorf("long-running step (-want +got):\n%s", diff)
+	}
+	owner.workers["w3"].reservation, owner.workers["w4"].Draining, owner.workers["w5"].Draining = fleetplan.Unreserved, false, false
+	job.Queue, job.Terms = "tickets", &estate.Queue{Name: "tickets", Recommendation: &estate.Recommendation{}}
+	last = StepExplanation{Reasons: []ReasonCount{
+		{"no capacity", 1, []string{"w1"}}, {"draining", 1, []string{"w2"}}, {"no ticket", 3, []string{"w3", "w4", "w5"}},
+	}}
+	if diff := cmp.Diff([]StepExplanation{last}, owner.Explain("p", job, sim.now).Steps); diff != "" {
+		t.Errorf("step that needs tickets (-want +got):\n%s", diff)
+	}
 	if x := owner.Explain("p", nil, sim.now); !cmp.Equal(x.Steps, []StepExplanation{{Reasons: []ReasonCount{
 		{"", 4, []string{"w1", "w3", "w4", "w5"}}, {"draining", 1, []string{"w2"}},
 	}}}) {
