--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -71,7 +71,7 @@
 		x.Steps = []StepExplanation{step}
 		return x
 	}
-	j := &job{Job: spec, accepted: now, occurrences: map[int]*occurrence{}, queue: spec.Terms}
+	j := &job{Job: spec, team: e.teams[spec.Team], accepted: now, occurrences: map[int]*occurrence{}, queue: spec.Terms}
 	e.updateQueue(j)
 	o := j.newOccurrence(0, now, now)
 	j.occurrences[0] = o
@@ -112,6 +112,8 @@
 		return reason
 	}
 	switch {
+	case !t.step.fitsQuota(t.step.startsTogether()):
+		return "quota of its team"
 	case !t.step.fitsOn(w):
 		return "capacity held for long-running tasks"
 	case !t.separate(w, now):
@@ -123,10 +125,21 @@
 	return ""
 }
 
+// startsTogether returns how many tasks of the step start at once.
+func (s *step) startsTogether() int {
+	if s.Gang {
+		return len(s.tasks)
+	}
+	return 1
+}
+
 // wouldChoose returns the worker that placeStep would choose for the first task of a
 // step, or those that placeGang would choose for all of its tasks.
 func (e *Engine) wouldChoose(s *step, open, lastResort []*worker, now time.Duration) []*worker {
 	t := s.tasks[0]
+	if !s.fitsQuota(s.startsTogether()) {
+		return nil
+	}
 	if s.Gang {
 		return e.separateGang(s, open, t.separated(open, now), now)
 	}
