--- a/internal/scheduler/shares.go
+++ b/internal/scheduler/shares.go
@@ -113,8 +113,6 @@
 	return !wanted.Fits(free)
 }
 
-const shareTolerance = 1.0
-
 // line holds the candidates of one team, or those without a team, by rank.
 type line struct {
 	list []candidate
@@ -123,9 +121,8 @@
 
 	member *fairshare.Member
 	weight float64
-	// weighted is the share of the team for each unit of its weight, and totalWeight
-	// the weight of all teams.
-	weighted, totalWeight float64
+	// weighted is the share of the team for each unit of its weight.
+	weighted float64
 	// entitled holds, by class, how many of the next candidates are within the weight
 	// of the team.
 	entitled [2 * classes]int
@@ -227,10 +224,6 @@
 // lines groups candidates by team, and those without a team, each by rank.
 func (e *Engine) lines(list []candidate) (lines []*line, without *line) {
 	without = &line{}
-	total := 0.0
-	for _, t := range e.catalog.Teams {
-		total += t.Weight
-	}
 	of := func(c candidate) *line {
 		if t := c.job.team; t != nil {
 			return t.line
@@ -239,7 +232,7 @@
 	}
 	for _, c := range list {
 		if t := c.job.team; t != nil && t.line == nil {
-			t.line = &line{member: c.job.share, weight: e.weightOf(t), totalWeight: total}
+			t.line = &line{member: c.job.share, weight: e.weightOf(t)}
 			t.line.weighted = t.line.member.Weighted(t.line.weight)
 			lines = append(lines, t.line)
 		}
@@ -278,19 +271,13 @@
 		return -1
 	}
 	if a.rank.timeliness == onTime {
-		if x, y := l.over(), o.over(); x != y {
-			if x {
-				return 1
-			}
-			return -1
+		if by := cmp.Compare(l.weighted, o.weighted); by != 0 {
+			return by
 		}
 	}
 	return a.compare(*b)
 }
 
-// over reports whether the team has had more than its share of the pool.
-func (l *line) over() bool { return l.weighted*l.totalWeight > shareTolerance }
-
 // before reports whether the next candidate of a team comes before one without a
 // team.
 func (l *line) before(without *candidate) bool {
