--- a/internal/scheduler/observed.go
+++ b/internal/scheduler/observed.go
@@ -108,7 +108,7 @@
 	if o.remote {
 		k.remote.add(o)
 	}
-	others, fillers := o.crowd.runs-1, o.crowd.fillers
+	others, fillers := o.occupancy.runs-1, o.occupancy.fillers
 	if o.task.step.Filler {
 		fillers--
 	}
@@ -117,7 +117,7 @@
 		beside = 1
 	}
 	k.others[beside][otherRange(others)].add(o)
-	k.full[beside][fullRange(o.crowd.full)].add(o)
+	k.full[beside][fullRange(o.occupancy.full)].add(o)
 }
 
 // add counts an observation.
--- a/internal/scheduler/performance.go
+++ b/internal/scheduler/performance.go
@@ -50,16 +50,16 @@
 	}
 }
 
-// crowd is what a worker runs.
-type crowd struct {
+// occupancy is how much a worker runs.
+type occupancy struct {
 	runs, fillers int
 	// full is the fraction of the worker's processors that its runs request.
 	full float64
 }
 
-// crowd returns what the worker runs at present.
-func (w *worker) crowd() crowd {
-	c := crowd{runs: len(w.runs)}
+// occupancy returns how much the worker runs at present.
+func (w *worker) occupancy() occupancy {
+	c := occupancy{runs: len(w.runs)}
 	for _, r := range w.runs {
 		if r.task.step.Filler {
 			c.fillers++
@@ -74,8 +74,8 @@
 // observation is what was measured of a run since its last sample.
 type observation struct {
 	*run
-	crowd crowd
-	span  time.Duration
+	occupancy occupancy
+	span      time.Duration
 	// rate is the progress relative to the estimate, 1 for a run that takes as long
 	// as estimated. It is negative if it was not measured.
 	rate float64
@@ -91,12 +91,12 @@
 	if !e.opts.LearnPerformance || w.clockAt != now {
 		return
 	}
-	c, beside := w.crowd(), w.neighbours()
+	c, beside := w.occupancy(), w.neighbours()
 	for _, r := range w.runs {
 		if r.phase != runConfirmed || r.confirmedAt != now {
 			continue
 		}
-		o := observation{run: r, crowd: c, rate: -1, remote: r.task.step.remoteOn(w)}
+		o := observation{run: r, occupancy: c, rate: -1, remote: r.task.step.remoteOn(w)}
 		if r.measure(&o, r.percent, w.clockMS) {
 			e.learn(o, beside, now)
 		}
@@ -120,7 +120,7 @@
 	if r.sampled.clockMS == 0 || span < minEndSpan {
 		return
 	}
-	o := observation{run: r, crowd: w.crowd(), span: span, remote: r.task.step.remoteOn(w)}
+	o := observation{run: r, occupancy: w.occupancy(), span: span, remote: r.task.step.remoteOn(w)}
 	o.rate = (100 - r.sampled.percent) / 100 * float64(r.task.step.Estimate) / float64(span)
 	e.learn(o, w.neighbours(), now)
 }
