testkit: ports of restarted nodes are not given to other processes

Cause: FreePort chose a port of the range from which the kernel serves port 0 and outgoing connections, and released it. While the test restarted a node, another test's server took the port and answered for the node.

--- a/internal/testkit/process.go
+++ b/internal/testkit/process.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"testing"
 )
 
 // BuildNode builds egretpitch-node, without the race detector, into a new
@@ -27,13 +25,3 @@
 	}
 	return binary, func() { _ = os.RemoveAll(dir) }, nil
 }
-
-// FreePort returns a local address with a port that is free at this moment.
-func FreePort(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
