node, platform: a 429 of the table service is not taken for no response

Callers saw jobs refused 503 while the service would have stored them: it limits reads apart from transactions, and 0.6 s of 429 to the reads of an idle process made it count the service as unreachable. The read before a job was answered 429 as well, and the job was not sent. A process whose calls were answered 429 for longer than config_apply_ms also continued with its last configuration, as if it could not reach the service, and accepted keys that had been withdrawn.

The cause: the platform's client returned the same error for a 429, a 503 and a connection that could not be set up.

A 429 is now platform.ErrLimited, which still matches ErrUnavailable: nothing was written. It ends the time without a response in reachability, and in storeHealth the call counts as answered, but not for the latency estimate; a transaction in flight gets maxAcceptTimeout, as after a refused transaction. Readiness is as before: a process all of whose calls fail for 1 s sends its callers to others.

--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -264,6 +265,30 @@
 	eventually(t, "version 6 is used", func() bool { return n.configurationUse() == configurationCurrent })
 }
 
+// The bound on the age of the configuration holds where the service answers this process, also that it makes too many calls.
+func TestProcessThatTheServiceLimitsDoesNotKeepItsLastConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(Options{Name: "n", ConfigWithin: 3 * time.Second, Log: zap.NewNop()})
+		n.adopt(platform.OperatorChanges{Catalog: teamCatalog(2, teams{"a": {"ka"}}, false)})
+		n.confirmed.at.Store(int64(n.Clock.Now() - 4*time.Second))
+		for range 15 {
+			n.reachability.observe(platform.ErrLimited)
+			time.Sleep(100 * time.Millisecond)
+		}
+		if use := n.configurationUse(); use != configurationUnconfirmed || n.reachability.unreachable() {
+			t.Errorf("use %d, unreachable %v; want unconfirmed (%d) and reachable", use, n.reachability.unreachable(), configurationUnconfirmed)
+		}
+		n.adopt(platform.OperatorChanges{Catalog: testCatalog(3, "/q/")})
+		if n.Ready() {
+			t.Error("a process whose calls were all refused for 1.5 s is ready, want that callers are sent to others")
+		}
+		n.reachability.observe(nil)
+		if !n.Ready() {
+			t.Error("not ready after a call that was carried out")
+		}
+	})
+}
+
 // After a pause, a failure from before it shows nothing, nor does a call that ran out of time meanwhile.
 func TestServiceIsNotUnreachableRightAfterAPause(t *testing.T) {
 	n, _, e := teamNode(t)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -132,11 +132,11 @@
 }
 
 // Ready reports whether the process can serve callers: it has a configuration by
-// which it may serve, is not shutting down and has not failed to reach the table
-// service for unreadyAfter.
+// which it may serve, is not shutting down, and calls to the table service have not
+// all failed for unreadyAfter.
 func (n *Node) Ready() bool {
 	c := n.catalog.Load()
-	if c == nil || n.stopping.Load() || n.reachability.failingFor() >= unreadyAfter {
+	if c == nil || n.stopping.Load() || n.reachability.refusing() {
 		return false
 	}
 	return !c.RequiresKeys || n.configurationUse() != configurationUnconfirmed
--- a/internal/node/reachability.go
+++ b/internal/node/reachability.go
@@ -27,8 +27,17 @@
 // processes may reach it while this one cannot, so a caller that is refused at
 // once can retry at another process. The zero value means reachable.
 type reachability struct {
-	// failingSince is the Unix time in nanoseconds of the first failure since
-	// the last success, 0 if the last call succeeded.
+	// failures are the calls without a response, or that the service could not carry out.
+	failures
+	// limited are the calls to which the service responded that there are too many.
+	// They show that it is reachable.
+	limited failures
+}
+
+// failures tracks the calls of one kind that failed since the last one that
+// did not.
+type failures struct {
+	// failingSince is the Unix time in nanoseconds of the first of them, 0 for none.
 	failingSince atomic.Int64
 	// lastFailure is the Unix time in nanoseconds of the last failure.
 	lastFailure atomic.Int64
@@ -39,33 +48,50 @@
 func (r *reachability) observe(err error) {
 	switch {
 	case err == nil, errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrHistoryGone):
-		r.failingSince.Store(0)
+		r.failures.end()
+		r.limited.end()
+	case errors.Is(err, platform.ErrLimited):
+		r.failures.end()
+		r.limited.add()
 	default:
-		now := time.Now()
-		if r.outdated(now) {
-			r.failingSince.Store(0)
-		}
-		r.failingSince.CompareAndSwap(0, now.UnixNano())
-		r.lastFailure.Store(now.UnixNano())
+		r.failures.add()
+	}
+}
+
+// refusing reports whether the service has carried out no call of this process for
+// longer than unreadyAfter.
+func (r *reachability) refusing() bool {
+	return r.failingFor() >= unreadyAfter || r.limited.failingFor() >= unreadyAfter
+}
+
+// add records a failure.
+func (f *failures) add() {
+	now := time.Now()
+	if f.outdated(now) {
+		f.end()
 	}
+	f.failingSince.CompareAndSwap(0, now.UnixNano())
+	f.lastFailure.Store(now.UnixNano())
 }
 
+// end records a call that did not fail.
+func (f *failures) end() { f.failingSince.Store(0) }
+
 // outdated reports whether the last failure was more than failureGap ago.
-func (r *reachability) outdated(now time.Time) bool {
-	last := r.lastFailure.Load()
+func (f *failures) outdated(now time.Time) bool {
+	last := f.lastFailure.Load()
 	return last != 0 && now.Sub(time.Unix(0, last)) > failureGap
 }
 
-// failingFor returns how long every call has failed, 0 if the last one
-// succeeded.
-func (r *reachability) failingFor() time.Duration {
-	since, now := r.failingSince.Load(), time.Now()
-	if since == 0 || r.outdated(now) {
+// failingFor returns how long calls have failed, 0 if the last one did not.
+func (f *failures) failingFor() time.Duration {
+	since, now := f.failingSince.Load(), time.Now()
+	if since == 0 || f.outdated(now) {
 		return 0
 	}
 	return now.Sub(time.Unix(0, since))
 }
 
 // unreachable reports whether every call has failed for longer than
-// unreachableAfter.
+// unreachableAfter, none of them for the number of calls.
 func (r *reachability) unreachable() bool { return r.failingFor() > unreachableAfter }
--- a/internal/node/slowstore_test.go
+++ b/internal/node/slowstore_test.go
@@ -19,6 +19,8 @@
 type slowRows struct {
 	*standin.Rows
 	reads time.Duration
+	// refusal is the error of a transaction that is refused.
+	refusal error
 
 	mu    sync.Mutex
 	until map[string]time.Time
@@ -40,7 +42,7 @@
 		r.refused++
 		r.mu.Unlock()
 		time.Sleep(8 * time.Millisecond)
-		return platform.Stamp{}, platform.ErrUnavailable
+		return platform.Stamp{}, r.refusal
 	}
 	r.until[part] = r.until[part].Add(slowCommit)
 	done := r.until[part]
@@ -80,10 +82,16 @@
 
 // TestSlowPartsAreUsed guards against transactions whose answers are given up while they wait in a slow part that answers reads; 14 jobs were stored and 139 unknown.
 func TestSlowPartsAreUsed(t *testing.T) {
-	for _, reads := range []time.Duration{8 * time.Millisecond, slowCommit} {
-		t.Run(reads.String(), func(t *testing.T) {
+	for _, c := range []struct {
+		reads   time.Duration
+		refusal error
+	}{
+		{8 * time.Millisecond, platform.ErrUnavailable}, {slowCommit, platform.ErrUnavailable},
+		{8 * time.Millisecond, platform.ErrLimited}, {slowCommit, platform.ErrLimited},
+	} {
+		t.Run(c.reads.String()+" "+c.refusal.Error(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				rows := &slowRows{Rows: standin.NewRows(), reads: reads, until: map[string]time.Time{}}
+				rows := &slowRows{Rows: standin.NewRows(), reads: c.reads, refusal: c.refusal, until: map[string]time.Time{}}
 				defer rows.late.Wait()
 				var nodes []*Node
 				for range 42 {
--- a/internal/node/storehealth.go
+++ b/internal/node/storehealth.go
@@ -44,7 +44,8 @@
 //
 // A call is unanswered from a bound on its latency on, until a call to the same
 // part that was sent later is answered. Calls that the service refuses are neither
-// answered nor unanswered.
+// answered nor unanswered, except that one refused for the number of calls shows that
+// the part is reachable.
 type storeHealth struct {
 	mu    sync.Mutex
 	parts map[string]*partHealth
@@ -68,7 +69,7 @@
 	// firstLost and lastLost are the earliest and the latest time of calls that
 	// ended without an answer since, zero for none.
 	firstLost, lastLost time.Time
-	// refusedAt is when a transaction was last refused.
+	// refusedAt is when a transaction was last refused, or a call for the number of calls.
 	refusedAt time.Time
 }
 
@@ -101,7 +102,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(p.waiting, c)
-	if c.overtaken != nil && errors.Is(err, platform.ErrUnavailable) {
+	limited := errors.Is(err, platform.ErrLimited)
+	if limited || c.overtaken != nil && errors.Is(err, platform.ErrUnavailable) {
 		p.refusedAt = now
 	}
 	switch {
@@ -112,6 +114,9 @@
 		if c.overtaken != nil {
 			h.commitLatency = max(now.Sub(c.due), time.Duration(latencyDecay*float64(h.commitLatency)))
 		}
+	case limited: // says nothing of how long calls take that are carried out
+		p.answer(c.sent)
+		p.answeredAt = now
 	case errors.Is(err, platform.ErrUnavailable), c.ctx.Err() == context.Canceled, c.ctx.Err() != nil && now.Sub(c.due) < h.bound():
 	default:
 		p.lose(c.due)
--- a/internal/node/unstable_test.go
+++ b/internal/node/unstable_test.go
@@ -19,6 +19,8 @@
 type behaviour struct {
 	// refuse answers that the service is unavailable.
 	refuse bool
+	// limit answers that this process makes too many calls.
+	limit bool
 	// reset ends the call without an answer at once, and silent at the end of its
 	// context. A transaction is then applied after applyAfter, or never if that is 0.
 	reset, silent bool
@@ -82,8 +84,8 @@
 func (r *unstableRows) CommitRows(ctx context.Context, txn platform.RowTxn) (platform.Stamp, error) {
 	b := r.next(true)
 	r.count(r.sent, txn, 1)
-	if b.refuse {
-		return platform.Stamp{}, platform.ErrUnavailable
+	if err := b.refusal(); err != nil {
+		return platform.Stamp{}, err
 	}
 	r.count(r.open, txn, 1)
 	r.addInFlight(1)
@@ -128,11 +130,23 @@
 	return r.Rows.Changes(ctx, table, after, wait)
 }
 
-// wait returns nil once a call is to be answered, or the error of one that is not.
-func (b behaviour) wait(ctx context.Context) error {
+// refusal returns the error of a call that the service refuses, nil if it does not.
+func (b behaviour) refusal() error {
 	switch {
 	case b.refuse:
 		return platform.ErrUnavailable
+	case b.limit:
+		return platform.ErrLimited
+	}
+	return nil
+}
+
+// wait returns nil once a call is to be answered, or the error of one that is not.
+func (b behaviour) wait(ctx context.Context) error {
+	if err := b.refusal(); err != nil {
+		return err
+	}
+	switch {
 	case b.reset:
 		return platform.ErrUnknown
 	case b.silent:
@@ -281,6 +295,17 @@
 	})
 }
 
+// TestJobIsStoredWhileReadsAreLimited guards against refusals of jobs that the service would store, since it limits reads apart from transactions.
+func TestJobIsStoredWhileReadsAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, _ := unstableNode(t, func(_ int, commit bool) behaviour { return behaviour{limit: !commit, takes: 8 * time.Millisecond} })
+		time.Sleep(2 * unreachableAfter)
+		if got, took := submitTest(t.Context(), n, testID, testTimeout); got != submitStored || took > 100*time.Millisecond {
+			t.Errorf("outcome %d after %v, want stored within 100 ms; the table service is %s", got, took, n.storeState())
+		}
+	})
+}
+
 // TestFewTransactionsGoToASilentService guards against attempts whose outcome nobody learns.
 func TestFewTransactionsGoToASilentService(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/node/unstablehistory_test.go
+++ b/internal/node/unstablehistory_test.go
@@ -15,7 +15,7 @@
 // 3 s, and in which single calls fail.
 func randomBehaviour(random *rand.Rand) func(int, bool) behaviour {
 	states := []behaviour{
-		{takes: 8 * time.Millisecond}, {takes: 8 * time.Millisecond}, {refuse: true}, {silent: true}, {reset: true}, {takes: 960 * time.Millisecond},
+		{takes: 8 * time.Millisecond}, {takes: 8 * time.Millisecond}, {refuse: true}, {limit: true}, {silent: true}, {reset: true}, {takes: 960 * time.Millisecond},
 	}
 	var state behaviour
 	var until time.Time
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -26,6 +26,9 @@
 	// ErrUnavailable means that the service could not be reached or refused the
 	// call, and that nothing was written.
 	ErrUnavailable = errors.New("service unavailable")
+	// ErrLimited is an ErrUnavailable that the service itself answered, because this
+	// process or all of them make too many calls: the service is reachable.
+	ErrLimited = errors.WithMessage(ErrUnavailable, "too many calls")
 	// ErrNotFound means that the object does not exist.
 	ErrNotFound = errors.New("not found")
 )
