node: a process that missed a version does not serve by an older one

Callers without a key were served, and keys that had been withdrawn were accepted, by a process that had been paused while a version with teams was put in force, if an older one was written again before the process returned: 200 instead of 503, for as long as no higher version came. A process whose configuration had no teams did not notice at all, also without a pause, and served requests after a pause before its feed had answered, though the deployment had asked for keys before.

The cause: the feed shows the newest content of a row only, and the recorded version was read at the start and after a version that is not higher than the process's own, the latter only where that had teams. Requests and readiness did not regard the record where the configuration in force had no teams.

A process now reads the record before it adopts a version if it did not know the configuration within the last 1.5 s, and 1.5 s after each delivered version, with and without teams; two signals in a row lead to two reads. Requests and readiness regard the record, and the age of the configuration also where only the record tells of teams. Since several goroutines read the record now, the known version is raised atomically. A deployment that never had teams adopts its versions also when the record cannot be read.

TestVersionsWithoutTeamsDoNotDependOnTheRecordedOne guards the exception and fails without it.

--- a/internal/node/authenticate.go
+++ b/internal/node/authenticate.go
@@ -70,7 +70,7 @@
 	if r.catalog == nil {
 		return h.refuse(r, http.StatusServiceUnavailable, refusedNoConfiguration), false
 	}
-	if !r.catalog.RequiresKeys {
+	if !r.catalog.RequiresKeys && !h.node.hasTeams() {
 		return response{}, true
 	}
 	r.use = h.node.awaitConfiguration(r.Request().Context(), r.deadline)
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/egretpitch/egretpitch/internal/ctxtime"
 	"github.com/egretpitch/egretpitch/internal/event"
@@ -29,10 +30,13 @@
 	// it has adopted: all processes adopt one at the same time, and one of them
 	// suffices.
 	floorDelay = time.Second
-	// floorRereadDelay is the delay after which a process reads the recorded version
-	// again if it is given a version that is not higher than its own: by then the
-	// processes that adopted a higher one have recorded it.
+	// floorRereadDelay is the delay after which a process that is given a version reads
+	// the recorded one: by then the processes that adopted a higher version before,
+	// which this one may have missed, have recorded it.
 	floorRereadDelay = floorDelay + 500*time.Millisecond
+	// floorCheckTimeout bounds the read of the recorded version before a configuration
+	// is put in force. It is above the latency of slow days.
+	floorCheckTimeout = 1200 * time.Millisecond
 	// floorRetryDelay is the delay after an attempt that failed.
 	floorRetryDelay = time.Second
 	// floorTimeout bounds one attempt.
@@ -150,15 +154,22 @@
 }
 
 // floor is the highest version of the configuration that any process has recorded.
-// A process that starts ignores lower ones: they may hold keys that were withdrawn.
+// A process adopts no lower one, and serves by none: it may hold keys that were
+// withdrawn, or ask for none.
 type floor struct {
 	read atomic.Bool
 	// version is the recorded version of the configuration, and row that of the row.
 	version, row atomic.Int64
-	// adopted signals that a configuration was adopted, and repeated that one was
-	// delivered that is not higher. The row may have held a higher one in between:
-	// the feed delivers the newest content of a row only.
-	adopted, repeated chan struct{}
+	// adopted signals that a configuration was adopted, and delivered that one was
+	// delivered. The row may have held a higher one in between: the feed delivers the
+	// newest content of a row only.
+	adopted, delivered chan struct{}
+}
+
+// raise sets the recorded version, unless a higher one is known.
+func (f *floor) raise(version int64) {
+	for known := f.version.Load(); version > known && !f.version.CompareAndSwap(known, version); known = f.version.Load() {
+	}
 }
 
 // readFloor reads the recorded version. A row that cannot be decoded counts as none.
@@ -173,31 +184,68 @@
 		if err := json.Unmarshal(r.Value, &stored); err != nil {
 			event.RowUnreadable.Log(n.Log, zap.String("key", r.Key), zap.Error(err))
 		}
-		n.floor.version.Store(max(stored.Version, n.floor.version.Load()))
+		n.floor.raise(stored.Version)
 		n.floor.row.Store(r.Version)
 	}
 	n.floor.read.Store(true)
 	return nil
 }
 
+// checkFloor reads the recorded version before a configuration is adopted, unless
+// this process knew the configuration shortly before: a higher version that it has
+// missed since is not recorded yet, and watchFloor reads it. While the recorded
+// version cannot be read, nothing is adopted where there may be teams.
+func (n *Node) checkFloor(ctx context.Context, c platform.OperatorChanges) error {
+	if c.Catalog == nil {
+		return nil
+	}
+	if !n.floor.read.Load() {
+		return n.readFloor(ctx)
+	}
+	if age, _ := n.confirmed.age(n.Clock.Now()); age <= floorRereadDelay {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, floorCheckTimeout)
+	defer cancel()
+	err := n.readFloor(ctx)
+	if !c.Catalog.RequiresKeys && !n.hasTeams() {
+		return nil
+	}
+	return err
+}
+
 // keepFloor records each adopted version in the table service until ctx ends, and
-// reads the recorded one again where this process may have missed it. A
-// configuration that never had teams withdraws no keys and is not recorded. Only a
-// process that is restarted relies on the record, so adoption does not wait for it.
+// reads the recorded one again where this process may have missed it.
 func (n *Node) keepFloor(ctx context.Context) error {
-	var reread <-chan time.Time
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return n.recordFloor(ctx) })
+	group.Go(func() error { return n.watchFloor(ctx) })
+	return group.Wait()
+}
+
+// watchFloor reads the recorded version after each delivered one until ctx ends.
+func (n *Node) watchFloor(ctx context.Context) error {
+	for {
+		select {
+		case <-n.floor.delivered:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if err := ctxtime.Sleep(ctx, floorRereadDelay); err != nil {
+			return err
+		}
+		n.rereadFloor(ctx)
+	}
+}
+
+// recordFloor records each adopted version in the table service until ctx ends. A
+// configuration that never had teams withdraws no keys and is not recorded. Only a
+// process that has missed the version relies on the record, so adoption does not wait
+// for it.
+func (n *Node) recordFloor(ctx context.Context) error {
 	for {
 		select {
 		case <-n.floor.adopted:
-		case <-n.floor.repeated:
-			if reread == nil {
-				reread = time.After(floorRereadDelay)
-			}
-			continue
-		case <-reread:
-			reread = nil
-			n.rereadFloor(ctx)
-			continue
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -233,7 +281,7 @@
 		_ = n.readFloor(ctx) // the next attempt fails as well if the row is not known
 		return
 	}
-	n.floor.version.Store(version)
+	n.floor.raise(version)
 	n.floor.row.Store(stamp.Version)
 }
 
--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/platform"
 )
 
@@ -17,6 +19,8 @@
 	platform.Operator
 	changes chan platform.OperatorChanges
 	current platform.OperatorChanges
+	// gone is set if the history of the next change is gone.
+	gone atomic.Bool
 }
 
 func (o *operatorRow) ReadOperator(context.Context) (platform.OperatorChanges, error) {
@@ -26,6 +30,9 @@
 func (o *operatorRow) WatchOperator(ctx context.Context, _ int64, _ time.Duration) (platform.OperatorChanges, error) {
 	select {
 	case c := <-o.changes:
+		if o.gone.Swap(false) {
+			return c, platform.ErrHistoryGone
+		}
 		return c, nil
 	case <-ctx.Done():
 		return platform.OperatorChanges{}, ctx.Err()
@@ -289,6 +296,106 @@
 	})
 }
 
+// Guards against requests without a key, or with a withdrawn one, by a version that is lower than the recorded one, which this process has missed.
+func TestMissedVersionIsNoticedByTheRecordedOne(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		first, then    *estate.Catalog
+		paused, failed bool
+	}{
+		{"without teams, after a pause", testCatalog(3, "/q/"), testCatalog(4, "/q/"), true, false},
+		{"without teams, after a pause, all is read again", testCatalog(3, "/q/"), testCatalog(4, "/q/"), true, true},
+		{"without teams, delivered again after a pause", testCatalog(3, "/q/"), testCatalog(3, "/q/"), true, false},
+		{"without teams", testCatalog(3, "/q/"), testCatalog(4, "/q/"), false, false},
+		{"without teams, delivered again", testCatalog(3, "/q/"), testCatalog(3, "/q/"), false, false},
+		{"teams, after a pause", teamCatalog(3, teams{"a": {"k1"}}, false), teamCatalog(4, teams{"a": {"k1"}}, false), true, false},
+		{"teams", teamCatalog(3, teams{"a": {"k1"}}, false), teamCatalog(4, teams{"a": {"k1"}}, false), false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			n, rows, e := testNode(t)
+			missed := &operatorRow{current: platform.OperatorChanges{Catalog: c.first}, changes: make(chan platform.OperatorChanges)}
+			n.Operator = missed
+			go func() { _ = n.watchOperator(t.Context()) }()
+			go func() { _ = n.keepFloor(t.Context()) }()
+			eventually(t, "version 3 is in force", func() bool { return catalogVersion(n.catalog.Load()) == 3 })
+			time.Sleep(floorRereadDelay + 100*time.Millisecond) // no read that version 3 caused is outstanding
+			other := watching(t, rows, &operatorRow{current: platform.OperatorChanges{Catalog: teamCatalog(5, teams{"a": {"k2"}}, false)}})
+			eventually(t, "version 5 is recorded", func() bool { return other.floor.row.Load() != platform.NoVersion && other.floor.version.Load() == 5 })
+			if got := answerTo(e, http.MethodPost, "/q/"+testID, "k1"); got != http.StatusOK {
+				t.Fatalf("POST answered %d before anything is delivered, want 200", got)
+			}
+			known := int64(n.Clock.Now())
+			if c.paused {
+				known -= int64(time.Minute)
+			}
+			n.confirmed.at.Store(known)
+			missed.current = platform.OperatorChanges{Catalog: c.then}
+			if c.failed {
+				missed.gone.Store(true)
+				missed.changes <- platform.OperatorChanges{}
+			} else {
+				missed.changes <- missed.current
+			}
+			if c.paused {
+				eventually(t, "the answer is handled", func() bool { return n.confirmed.at.Load() != known })
+			} else {
+				eventually(t, "version 5 is known", func() bool { return n.floor.version.Load() == 5 })
+			}
+			if got := answerTo(e, http.MethodPost, "/q/"+testID, "k1"); got != http.StatusServiceUnavailable || n.Ready() {
+				t.Errorf("POST answered %d by version %d, ready %v; want 503 and not ready", got, catalogVersion(n.catalog.Load()), n.Ready())
+			}
+		})
+	}
+}
+
+// A configuration without teams may be followed by one with teams where there were teams before; elsewhere its age does not matter.
+func TestConfigurationWithoutTeamsIsConfirmedWhereThereWereTeams(t *testing.T) {
+	for _, c := range []struct {
+		recorded int64
+		want     int
+	}{{0, http.StatusOK}, {1, http.StatusServiceUnavailable}} {
+		n, _, e := testNode(t)
+		n.ConfigWithin = 3 * time.Second
+		n.floor.version.Store(c.recorded)
+		n.confirmed.at.Store(int64(n.Clock.Now() - time.Minute))
+		if got := answerTo(e, http.MethodPost, "/q/"+testID, noKey); got != c.want || n.Ready() != (c.want == http.StatusOK) {
+			t.Errorf("recorded version %d: POST without a key after a pause answered %d, ready %v; want %d", c.recorded, got, n.Ready(), c.want)
+		}
+	}
+}
+
+// Guards against a configuration that is not put in force because the recorded version cannot be read, where there were never teams.
+func TestVersionsWithoutTeamsDoNotDependOnTheRecordedOne(t *testing.T) {
+	_, rows, _ := testNode(t)
+	o := &operatorRow{current: platform.OperatorChanges{Catalog: testCatalog(3, "/q/")}, changes: make(chan platform.OperatorChanges)}
+	silent := &silentConfigTable{Rows: rows}
+	n := watching(t, silent, o)
+	eventually(t, "version 3 is in force", func() bool { return n.catalog.Load() != nil })
+	silent.silent.Store(true)
+	n.confirmed.at.Store(int64(n.Clock.Now() - time.Minute))
+	begin := time.Now()
+	o.changes <- platform.OperatorChanges{Catalog: testCatalog(4, "/q/")}
+	eventually(t, "version 4 is in force", func() bool { return catalogVersion(n.catalog.Load()) == 4 })
+	if took := time.Since(begin); took > 2*time.Second {
+		t.Errorf("version 4 is in force after %v, want 2 s at most", took)
+	}
+}
+
+// silentConfigTable is a table service that may not answer reads of the recorded version.
+type silentConfigTable struct {
+	platform.Rows
+	silent atomic.Bool
+}
+
+func (s *silentConfigTable) ReadRows(ctx context.Context, table, part, from, to string) ([]platform.PartRow, platform.Stamp, error) {
+	if table == configTable && s.silent.Load() {
+		<-ctx.Done()
+		return nil, platform.Stamp{}, platform.ErrUnknown
+	}
+	return s.Rows.ReadRows(ctx, table, part, from, to)
+}
+
 // After a pause, a failure from before it shows nothing, nor does a call that ran out of time meanwhile.
 func TestServiceIsNotUnreachableRightAfterAPause(t *testing.T) {
 	n, _, e := teamNode(t)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,7 +113,7 @@
 	n.view.Store(&ownership.View{})
 	n.acceptor = newAcceptor(n)
 	n.newJobs = newNewJobs(n)
-	n.floor.adopted, n.floor.repeated = make(chan struct{}, 1), make(chan struct{}, 1)
+	n.floor.adopted, n.floor.delivered = make(chan struct{}, 1), make(chan struct{}, 1)
 	configuration := n.configurationMetrics
 	n.metrics.configuration.Store(&configuration)
 	return n
@@ -139,7 +139,7 @@
 	if c == nil || n.stopping.Load() || n.reachability.refusing() {
 		return false
 	}
-	return !c.RequiresKeys || n.configurationUse() != configurationUnconfirmed
+	return !n.hasTeams() || n.configurationUse() != configurationUnconfirmed
 }
 
 // Limits returns the configuration's limits on requests, zero before there is one.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -24,7 +24,10 @@
 // watchOperator keeps the catalog and the maintenance waves up to date until
 // ctx ends.
 func (n *Node) watchOperator(ctx context.Context) error {
-	answer := func(sent time.Duration, c platform.OperatorChanges, err error) (handleAnswer, error) {
+	answer := func(ctx context.Context, sent time.Duration, c platform.OperatorChanges, err error) (handleAnswer, error) {
+		if err == nil {
+			err = n.checkFloor(ctx, c)
+		}
 		return func() (int64, error) {
 			now := n.Clock.Now()
 			n.Clock.ObserveStore(c.Stamp, now)
@@ -37,27 +40,22 @@
 	f := feed{
 		name: "operator's configuration", log: n.Log, version: unread, wait: feedLongPollWait,
 		readAll: func(ctx context.Context) (handleAnswer, error) {
-			if !n.floor.read.Load() {
-				if err := n.readFloor(ctx); err != nil {
-					return nil, err
-				}
-			}
 			sent := n.Clock.Now()
 			c, err := n.Operator.ReadOperator(ctx)
-			return answer(sent, c, err)
+			return answer(ctx, sent, c, err)
 		},
 		readChanges: func(ctx context.Context, after int64) (handleAnswer, error) {
 			sent := n.Clock.Now()
 			if n.confirmed.needsRead(sent) {
 				c, err := n.Operator.ReadOperator(ctx)
-				return answer(sent, c, err)
+				return answer(ctx, sent, c, err)
 			}
 			wait := n.configPollWait(time.Duration(late.Load()))
 			c, err := n.Operator.WatchOperator(ctx, after, wait)
 			if err == nil {
 				late.Store(int64(n.Clock.Now() - sent - wait))
 			}
-			return answer(sent, c, err)
+			return answer(ctx, sent, c, err)
 		},
 	}
 	return f.run(ctx)
@@ -82,11 +80,9 @@
 	if c.Catalog == nil {
 		return
 	}
-	if old != nil && old.RequiresKeys && c.Catalog.Version <= old.Version {
-		select {
-		case n.floor.repeated <- struct{}{}:
-		default:
-		}
+	select {
+	case n.floor.delivered <- struct{}{}:
+	default:
 	}
 	if old != nil && c.Catalog.Version == old.Version {
 		return
