node: a process reads the recorded version before it writes it

Each version of the configuration caused a transaction on the record by each of the 42 processes: all adopt it at the same time and wait up to a second, but compared the version with the record as they had last read it, which was before. All but one lost by the transaction's condition and then read the row.

A process now reads the record after its wait and writes only if it is lower. Writes remain for processes that read the record before the first write is applied. The condition of the write is on the row as it was before the versions were compared, since the row is read by other goroutines as well: otherwise a lower version could replace a higher one.

--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -254,44 +254,64 @@
 			if err := ctxtime.Sleep(ctx, delay); err != nil {
 				return err
 			}
-			c := n.catalog.Load()
-			if c == nil || c.Version <= n.floor.version.Load() || (!c.RequiresKeys && n.floor.version.Load() == 0) {
+			if _, due := n.floorDue(); !due {
 				break
 			}
-			n.storeFloor(ctx, c.Version)
 			delay = floorRetryDelay
+			if err := n.readFloorOnce(ctx); err != nil {
+				continue
+			}
+			row := n.floor.row.Load() // before the version: the row may be read again meanwhile
+			version, due := n.floorDue()
+			if !due {
+				break
+			}
+			n.storeFloor(ctx, version, row)
 		}
 	}
 }
 
-// storeFloor attempts to record a version. It reads the row again if that is not as
-// it was last read.
-func (n *Node) storeFloor(ctx context.Context, version int64) {
+// floorDue returns the version in force and whether it is to be recorded.
+func (n *Node) floorDue() (int64, bool) {
+	c, recorded := n.catalog.Load(), n.floor.version.Load()
+	if c == nil {
+		return 0, false
+	}
+	return c.Version, c.Version > recorded && (c.RequiresKeys || recorded > 0)
+}
+
+// storeFloor attempts to record a version over a version of the row. It reads the row
+// again if that is not the current one.
+func (n *Node) storeFloor(ctx context.Context, version, row int64) {
 	value, err := json.Marshal(configFloor{Version: version})
 	if err != nil {
 		return // it has no field that cannot be encoded
 	}
-	ctx, cancel := context.WithTimeout(ctx, floorTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, floorTimeout)
 	defer cancel()
-	stamp, err := n.Rows.CommitRows(ctx, platform.RowTxn{
-		Conditions: []platform.RowCondition{{RowKey: configFloorRow, Version: n.floor.row.Load()}},
+	stamp, err := n.Rows.CommitRows(callCtx, platform.RowTxn{
+		Conditions: []platform.RowCondition{{RowKey: configFloorRow, Version: row}},
 		Writes:     []platform.RowWrite{{RowKey: configFloorRow, Value: value}},
 	})
 	if err != nil {
-		_ = n.readFloor(ctx) // the next attempt fails as well if the row is not known
+		_ = n.readFloorOnce(ctx) // often shows that another process has recorded the version
 		return
 	}
 	n.floor.raise(version)
 	n.floor.row.Store(stamp.Version)
 }
 
+// readFloorOnce attempts to read the recorded version within floorTimeout.
+func (n *Node) readFloorOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, floorTimeout)
+	defer cancel()
+	return n.readFloor(ctx)
+}
+
 // rereadFloor reads the recorded version, until it succeeds or ctx ends.
 func (n *Node) rereadFloor(ctx context.Context) {
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, floorTimeout)
-		err := n.readFloor(callCtx)
-		cancel()
-		if err == nil || ctxtime.Sleep(ctx, floorRetryDelay) != nil {
+		if n.readFloorOnce(ctx) == nil || ctxtime.Sleep(ctx, floorRetryDelay) != nil {
 			return
 		}
 	}
--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/platform"
+	"github.com/egretpitch/egretpitch/internal/standin"
 )
 
 // operatorRow is an operator that answers a call for changes once there is one.
@@ -90,6 +91,35 @@
 	}
 }
 
+// Guards against a write by each process for each version.
+func TestFewProcessesRecordAVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := standin.NewRows()
+		rows.SetFaults(standin.Faults{Latency: 10 * time.Millisecond})
+		var nodes []*Node
+		for range 42 {
+			n := New(Options{Name: "n", Rows: rows, Log: zap.NewNop()})
+			go func() { _ = n.keepFloor(t.Context()) }()
+			nodes = append(nodes, n)
+		}
+		for version := int64(2); version <= 4; version++ {
+			before := rows.Load().Commits
+			for _, n := range nodes {
+				n.adopt(platform.OperatorChanges{Catalog: teamCatalog(version, nil, false)})
+			}
+			time.Sleep(5 * time.Second)
+			if commits := rows.Load().Commits - before; commits < 1 || commits > 6 {
+				t.Errorf("version %d: %d transactions, want those of processes that read the record within 10 ms of its first write", version, commits)
+			}
+			for _, n := range nodes {
+				if got := n.floor.version.Load(); got != version {
+					t.Fatalf("a process takes %d for the recorded version, want %d", got, version)
+				}
+			}
+		}
+	})
+}
+
 func TestWhatAProcessServesWithoutTheTableService(t *testing.T) {
 	const within, revoke = 3 * time.Second, 5 * time.Second
 	for _, c := range []struct {
