node: explain tells of a refusal for a missed version without teams

POST /v1/explain told that a request is served where callers were answered 503: the process's configuration had no teams, and a higher version with teams was recorded. It now uses the condition that requests use.

Evidence: TestMissedVersionIsExplained reported 'explained as "", answered 503' before the fix.

--- a/internal/node/explainapi.go
+++ b/internal/node/explainapi.go
@@ -92,10 +92,10 @@
 	}
 	x.Queue, x.Public, x.Pool = queue.Name, queue.Public, queue.Pool
 	switch {
-	case !catalog.RequiresKeys:
+	case !catalog.RequiresKeys && !n.hasTeams():
 	case n.configurationUse() == configurationUnconfirmed:
 		x.Refused = refusalReasons[refusedUnconfirmed]
-	case who.team == "" && !queue.Public:
+	case catalog.RequiresKeys && who.team == "" && !queue.Public:
 		x.Refused = refusalReasons[who.lacks]
 	}
 	x.Admission = n.explainAdmission(catalog, queue.Pool, job, now)
--- a/internal/node/explainapi_test.go
+++ b/internal/node/explainapi_test.go
@@ -45,6 +45,16 @@
 	return hex.EncodeToString(digest[:])
 }
 
+// Guards against an explanation that a request is served which is refused, since a higher version with teams is recorded.
+func TestMissedVersionIsExplained(t *testing.T) {
+	n, _, e := testNode(t)
+	n.floor.version.Store(5)
+	_, x, _ := explainAt(t, n, adminapi.ExplainRequest{Host: "h", Path: "/q/1"})
+	if got := answerTo(e, http.MethodGet, "/q/", noKey); got != http.StatusServiceUnavailable || x.Refused != refusalReasons[refusedUnconfirmed] {
+		t.Errorf("explained as %q, answered %d; want %q and 503", x.Refused, got, refusalReasons[refusedUnconfirmed])
+	}
+}
+
 func TestRouteIsExplainedWithTeamAndReasons(t *testing.T) {
 	n, rows, _ := teamNode(t)
 	n.view.Store(&ownership.View{Record: ownership.Record{Owner: "front-2", Address: "10.0.0.2:80"}})
