node: a cancellation that is certainly not recorded is answered 503

A caller whose cancellation the table service refused until its deadline was answered 504, "outcome unknown", without Retry-After, though nothing was recorded and a retry is right; cancelJob documents 503 for that. The cause: each error of the write was answered 504.

The write now returns an error that matches ErrUnavailable only if each of its attempts was refused, and that of the first unanswered attempt otherwise, and the status follows it.

Evidence: TestCancellationThatIsNotRecordedIsRefused reported "answer 504, Retry-After false; want 503" for stored and unknown jobs before the fix; its cases with a lost answer keep 504.

--- a/internal/node/authenticate_test.go
+++ b/internal/node/authenticate_test.go
@@ -15,6 +15,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -348,6 +349,39 @@
 	}
 }
 
+// refusedCommits is a table service that refuses transactions. The first one is
+// unanswered if lost is set.
+type refusedCommits struct {
+	platform.Rows
+	lost atomic.Bool
+}
+
+func (s *refusedCommits) CommitRows(context.Context, platform.RowTxn) (platform.Stamp, error) {
+	if s.lost.Swap(false) {
+		return platform.Stamp{}, platform.ErrUnknown
+	}
+	return platform.Stamp{}, platform.ErrUnavailable
+}
+
+// Guards against 504 for a cancellation that is certainly not recorded, and against 503 for one that may be.
+func TestCancellationThatIsNotRecordedIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, rows, e := teamNode(t)
+		answerTo(e, http.MethodPost, "/q/"+testID, "ka")
+		for _, id := range []string{testID, "00000000000000ab"} { // the second is not stored
+			for lost, want := range map[bool]int{false: http.StatusServiceUnavailable, true: http.StatusGatewayTimeout} {
+				service := &refusedCommits{Rows: rows}
+				service.lost.Store(lost)
+				n.Rows = service
+				w := requestWith(e, http.MethodDelete, "/q/"+id, "", http.Header{"Key": {"ka"}})
+				if refused := w.Header().Get("Retry-After") != ""; w.Code != want || refused == lost {
+					t.Errorf("cancellation of job %s, first answer lost: %v: answer %d, Retry-After %v; want %d", id, lost, w.Code, refused, want)
+				}
+			}
+		}
+	})
+}
+
 // storedAfterRead stores a job once its progress has been read for the first time.
 type storedAfterRead struct {
 	platform.Rows
--- a/internal/node/cancelteam.go
+++ b/internal/node/cancelteam.go
@@ -53,7 +53,7 @@
 // and its team may be another. An error comes with its HTTP status.
 func (n *Node) cancelUnknown(ctx context.Context, id, team string) (progress *workload.Progress, status int, err error) {
 	if err := n.writeCancelRows(ctx, teamCancelRow(id, team), teamCancelRow(id, "")); err != nil {
-		return nil, http.StatusGatewayTimeout, err
+		return nil, cancelStatus(err), err
 	}
 	progress, err = n.readProgress(ctx, id)
 	return progress, http.StatusGatewayTimeout, err
--- a/internal/node/queueapi.go
+++ b/internal/node/queueapi.go
@@ -352,28 +352,46 @@
 		return 0, nil
 	}
 	if err := n.writeCancel(ctx, id); err != nil {
-		return http.StatusGatewayTimeout, err
+		return cancelStatus(err), err
 	}
 	return 0, nil
 }
 
+// cancelStatus returns the HTTP status for an error of writeCancelRows.
+func cancelStatus(err error) int {
+	if errors.Is(err, platform.ErrUnavailable) {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusGatewayTimeout
+}
+
 // writeCancel stores the cancellation of a job.
 func (n *Node) writeCancel(ctx context.Context, id string) error {
 	return n.writeCancelRows(ctx, jobRow(cancelTable, id))
 }
 
-// writeCancelRows stores the rows of a cancellation, which share a part. The write is idempotent, so an
-// attempt without an answer is retried until ctx ends.
+// writeCancelRows stores the rows of a cancellation, which share a part. The write is
+// idempotent, so an attempt that fails is retried until ctx ends. The error matches
+// platform.ErrUnavailable if nothing was or will be written.
 func (n *Node) writeCancelRows(ctx context.Context, keys ...platform.RowKey) error {
 	var txn platform.RowTxn
 	for _, key := range keys {
 		txn.Writes = append(txn.Writes, platform.RowWrite{RowKey: key, Value: []byte("{}")})
 	}
+	var unknown error // of an attempt that may be applied
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, acceptTimeout)
 		_, err := n.Rows.CommitRows(callCtx, txn)
 		cancel()
-		if err == nil || ctx.Err() != nil || errors.Is(err, platform.ErrConflict) {
+		switch {
+		case err == nil, errors.Is(err, platform.ErrConflict):
+			return err
+		case unknown != nil:
+			err = unknown
+		case !errors.Is(err, platform.ErrUnavailable):
+			unknown = err
+		}
+		if ctx.Err() != nil {
 			return err
 		}
 		select {
