node: a repeated submission of a stored job does not count as admitted

A caller that repeated submissions under ids which were stored had other jobs of its team refused 429, as had other callers where there are no teams: each repetition counted as a further admitted job for all entries (42 times) until the next heartbeat.

The cause: the admission was withdrawn only for jobs that were not stored. It is now withdrawn also if the row of the job was there before.

Evidence: TestRepeatedSubmissionsDoNotCountAsAdmitted reported "answer 429 for another job, want 200" before the fix. Its set-up is that of TestJobsThatAreNotStoredDoNotCountAsAdmitted, moved to nearlyFullPool.

--- a/internal/node/admission_test.go
+++ b/internal/node/admission_test.go
@@ -17,6 +17,7 @@
 	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/scheduler"
+	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
 // showFullPool shows a process the heartbeat of an owner whose pool p has work for hours, as of the given age.
@@ -114,8 +115,9 @@
 	}
 }
 
-// TestJobsThatAreNotStoredDoNotCountAsAdmitted guards against 429 because of jobs that the table service refused.
-func TestJobsThatAreNotStoredDoNotCountAsAdmitted(t *testing.T) {
+// nearlyFullPool returns a node that refuses a job of the queue q once it has admitted
+// one of the queue r, which is served first, and a function that submits a job.
+func nearlyFullPool(t *testing.T) (n *Node, submit func(path string) int) {
 	n, _, e := testNode(t)
 	n.Pressure = true
 	n.catalog.Store(estate.NewCatalog(1, []*estate.Queue{
@@ -125,11 +127,31 @@
 	showFullPool(n, 0)
 	state := n.view.Load().Heartbeat.Admission
 	state.Entries, state.Pools[0].Teams[0].Ahead[0].Work = 42, 7 // 8 core-seconds may be ahead
-	submit := func(path string) int {
+	return n, func(path string) int {
 		w := httptest.NewRecorder()
 		e.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader(`[{"Count":1,"Estimate":1000000000,"Size":{"Processors":1}}]`)))
 		return w.Code
 	}
+}
+
+// TestRepeatedSubmissionsDoNotCountAsAdmitted guards against 429 because a caller repeats the submission of a job that is stored.
+func TestRepeatedSubmissionsDoNotCountAsAdmitted(t *testing.T) {
+	n, submit := nearlyFullPool(t)
+	job := &workload.Job{ID: "00000000000000b2", Queue: "r", Pool: "p"} // stored before the load was published
+	if got := n.acceptor.submit(t.Context(), job, time.Now().Add(time.Second)); got != submitStored {
+		t.Fatalf("the job is %v", got)
+	}
+	if code := submit("/r/00000000000000b2"); code != http.StatusOK {
+		t.Errorf("answer %d for the stored job, want 200", code)
+	}
+	if code := submit("/q/00000000000000b3"); code != http.StatusOK {
+		t.Errorf("answer %d for another job, want 200", code)
+	}
+}
+
+// TestJobsThatAreNotStoredDoNotCountAsAdmitted guards against 429 because of jobs that the table service refused.
+func TestJobsThatAreNotStoredDoNotCountAsAdmitted(t *testing.T) {
+	n, submit := nearlyFullPool(t)
 	n.reachability.failingSince.Store(time.Now().Add(-time.Second).UnixNano())
 	n.reachability.lastFailure.Store(time.Now().UnixNano())
 	if code := submit("/r/00000000000000b0"); code != http.StatusServiceUnavailable {
--- a/internal/node/queueapi.go
+++ b/internal/node/queueapi.go
@@ -85,7 +85,8 @@
 	caller   caller
 	// use is what the request may rely on the catalog for.
 	use configurationUse
-	// notStored is called if the job of a submission is not stored, if set.
+	// notStored is called if the job of a submission is not stored, or was before, if
+	// set.
 	notStored func()
 }
 
@@ -197,7 +198,10 @@
 		return refusal
 	}
 	outcome, existing := h.node.acceptor.submitChecked(r.Request().Context(), job, r.deadline)
-	if r.notStored != nil && outcome != submitStored && outcome != submitUnknown {
+	// A job that was stored before is in the published load, or was admitted then. An
+	// attempt of this request whose answer was lost looks the same; fewer jobs than
+	// could be are refused then.
+	if r.notStored != nil && outcome != submitUnknown && (outcome != submitStored || existing != nil) {
 		r.notStored()
 	}
 	switch outcome {
