--- a/internal/node/queueapi.go
+++ b/internal/node/queueapi.go
@@ -199,8 +199,8 @@
 	}
 	outcome, existing := h.node.acceptor.submitChecked(r.Request().Context(), job, r.deadline)
 	// A job that was stored before is in the published load, or was admitted then. An
-	// attempt of this request whose answer was lost looks the same; fewer jobs than
-	// could be are refused then.
+	// attempt of this request whose answer was lost looks the same: that job is not
+	// counted, which refuses none wrongly.
 	if r.notStored != nil && outcome != submitUnknown && (outcome != submitStored || existing != nil) {
 		r.notStored()
 	}
