node: the test of missed versions waits for both reads of the version before

With two reads of the recorded version after each delivery, the second one of the first version could have shown the missed one.

--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -369,7 +369,7 @@
 			go func() { _ = n.watchOperator(t.Context()) }()
 			go func() { _ = n.keepFloor(t.Context()) }()
 			eventually(t, "version 3 is in force", func() bool { return catalogVersion(n.catalog.Load()) == 3 })
-			time.Sleep(floorRereadDelay + 100*time.Millisecond) // no read that version 3 caused is outstanding
+			time.Sleep(floorRereadDelay + floorSecondDelay + 100*time.Millisecond) // no read that version 3 caused is outstanding
 			other := watching(t, rows, &operatorRow{current: platform.OperatorChanges{Catalog: teamCatalog(5, teams{"a": {"k2"}}, false)}})
 			eventually(t, "version 5 is recorded", func() bool { return other.floor.row.Load() != platform.NoVersion && other.floor.version.Load() == 5 })
 			if got := answerTo(e, http.MethodPost, "/q/"+testID, "k1"); got != http.StatusOK {
