--- a/internal/node/authenticate_test.go
+++ b/internal/node/authenticate_test.go
@@ -15,6 +15,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -273,7 +274,7 @@
 		key     string
 		want    int
 		cancels int // rows
-	}{{"kb", http.StatusForbidden, 1}, {"ka", http.StatusOK, 2}} {
+	}{{"kb", http.StatusForbidden, 2}, {"ka", http.StatusOK, 3}} {
 		id := fmt.Sprintf("%016x", i)
 		n.Rows = &storedAfterRead{Rows: rows, id: id, store: func() { answerTo(e, http.MethodPost, "/q/"+id, "ka") }}
 		if got := answerTo(e, http.MethodDelete, "/q/"+id, c.key); got != c.want {
@@ -312,6 +313,75 @@
 	}
 }
 
+// Guards against a job that runs after its cancellation was answered 410, because it was submitted without a team.
+func TestCancellationByAPrivateQueueHoldsForASubmissionWithoutTeam(t *testing.T) {
+	for _, c := range []struct {
+		name, queue string
+		// by puts a configuration in force in the process that takes the submission.
+		by func(*Node)
+	}{
+		{"administration", "open", func(n *Node) {
+			n.adopt(platform.OperatorChanges{Catalog: teamCatalog(2, teams{"a": {"ka"}}, false)})
+		}},
+		{"queue was public", "open", func(n *Node) {
+			n.adopt(platform.OperatorChanges{Catalog: teamCatalog(2, teams{"a": {"ka"}}, true)})
+		}},
+		{"no teams any more", "q", func(n *Node) {
+			n.adopt(platform.OperatorChanges{Catalog: teamCatalog(2, nil, false)})
+			n.floor.version.Store(2)
+			n.adopt(platform.OperatorChanges{Catalog: testCatalog(3, "/open/")})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n, rows, e := testNode(t)
+			n.adopt(platform.OperatorChanges{Catalog: teamCatalog(4, teams{"a": {"ka"}}, false)})
+			if got := answerTo(e, http.MethodDelete, "/open/"+testID, "ka"); got != http.StatusGone {
+				t.Fatalf("cancellation of an unknown job answered %d, want 410", got)
+			}
+			other := New(Options{Name: "entry-2", Rows: rows, Log: zap.NewNop()})
+			c.by(other)
+			go func() { _ = other.acceptor.run(t.Context()) }()
+			job := &workload.Job{ID: testID, Queue: c.queue, Pool: "p", Terms: other.catalog.Load().Queues[c.queue]}
+			if got := other.acceptor.submit(t.Context(), job, time.Now().Add(time.Second)); got != submitCancelled {
+				t.Errorf("submission: %v, want %v", got, submitCancelled)
+			}
+		})
+	}
+}
+
+// refusedCommits is a table service that refuses transactions. The first one is
+// unanswered if lost is set.
+type refusedCommits struct {
+	platform.Rows
+	lost atomic.Bool
+}
+
+func (s *refusedCommits) CommitRows(context.Context, platform.RowTxn) (platform.Stamp, error) {
+	if s.lost.Swap(false) {
+		return platform.Stamp{}, platform.ErrUnknown
+	}
+	return platform.Stamp{}, platform.ErrUnavailable
+}
+
+// Guards against 504 for a cancellation that is certainly not recorded, and against 503 for one that may be.
+func TestCancellationThatIsNotRecordedIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, rows, e := teamNode(t)
+		answerTo(e, http.MethodPost, "/q/"+testID, "ka")
+		for _, id := range []string{testID, "00000000000000ab"} { // the second is not stored
+			for lost, want := range map[bool]int{false: http.StatusServiceUnavailable, true: http.StatusGatewayTimeout} {
+				service := &refusedCommits{Rows: rows}
+				service.lost.Store(lost)
+				n.Rows = service
+				w := requestWith(e, http.MethodDelete, "/q/"+id, "", http.Header{"Key": {"ka"}})
+				if refused := w.Header().Get("Retry-After") != ""; w.Code != want || refused == lost {
+					t.Errorf("cancellation of job %s, first answer lost: %v: answer %d, Retry-After %v; want %d", id, lost, w.Code, refused, want)
+				}
+			}
+		}
+	})
+}
+
 // storedAfterRead stores a job once its progress has been read for the first time.
 type storedAfterRead struct {
 	platform.Rows
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,7 +113,7 @@
 	n.view.Store(&ownership.View{})
 	n.acceptor = newAcceptor(n)
 	n.newJobs = newNewJobs(n)
-	n.floor.adopted, n.floor.repeated = make(chan struct{}, 1), make(chan struct{}, 1)
+	n.floor.adopted, n.floor.delivered = make(chan struct{}, 1), make(chan struct{}, 1)
 	configuration := n.configurationMetrics
 	n.metrics.configuration.Store(&configuration)
 	return n
@@ -132,14 +132,14 @@
 }
 
 // Ready reports whether the process can serve callers: it has a configuration by
-// which it may serve, is not shutting down and has not failed to reach the table
-// service for unreadyAfter.
+// which it may serve, is not shutting down, and calls to the table service have not
+// all failed for unreadyAfter.
 func (n *Node) Ready() bool {
 	c := n.catalog.Load()
-	if c == nil || n.stopping.Load() || n.reachability.failingFor() >= unreadyAfter {
+	if c == nil || n.stopping.Load() || n.reachability.refusing() {
 		return false
 	}
-	return !c.RequiresKeys || n.configurationUse() != configurationUnconfirmed
+	return !n.hasTeams() || n.configurationUse() != configurationUnconfirmed
 }
 
 // Limits returns the configuration's limits on requests, zero before there is one.
