fleetplan: a pool whose demand begins to rise is sized for a usual surge

Callers waited at the beginning of each surge: demand rises for seconds, a host takes two seconds to arrive, and the pool followed its arrival rate, so it was short of hosts until the surge had nearly ended.

Once the arrival rate is above a share of a usual surge, the pool is sized for that: its last one, else the mean of the other pools'. Spare hosts only, as for any other demand.

--- a/internal/fleetplan/demand.go
+++ b/internal/fleetplan/demand.go
@@ -15,6 +15,11 @@
 	// minSurgeInterval is the minimum time between the starts of two surges of
 	// one pool. Surges at a shorter interval are not forecast.
 	minSurgeInterval = 4 * time.Second
+	// riseShare is the share of a usual surge above which the arrival rate counts as
+	// the beginning of one. For maxRise from then on the pool is sized for a usual
+	// surge: the rate is known only after that, and hosts take longer to arrive.
+	riseShare = 0.2
+	maxRise   = 3 * time.Second
 )
 
 // demand is the recent demand of one pool.
@@ -24,6 +29,10 @@
 	// which is the number of cores that keeps up with it.
 	rate    float64
 	surging bool
+	// rising is set while the rate is above riseShare of a usual surge, and risingAt
+	// is when it rose above that.
+	rising   bool
+	risingAt time.Duration
 	// initialHosts is how many hosts the pool had at the first plan; it is
 	// valid once initialKnown is set.
 	initialKnown bool
@@ -56,6 +65,7 @@
 	}
 	d.rate = max(d.rateOver(rateWindow/2), d.rateOver(rateWindow))
 	p.trackSurge(d, pool, now)
+	p.trackRise(d, pool, now)
 	if len(pool.Workers) == 0 {
 		return
 	}
@@ -99,6 +109,19 @@
 	}
 }
 
+// trackRise notes when the pool's demand begins to rise to a surge.
+func (p *Planner) trackRise(d *demand, pool *Pool, now time.Duration) {
+	usual := float64(p.forecast.typicalSize(pool.Name, now-maxRise)) * pool.workerCores()
+	switch {
+	case usual > 0 && d.rate > riseShare*usual:
+		if !d.rising {
+			d.rising, d.risingAt = true, now
+		}
+	case d.rate < riseShare/2*usual:
+		d.rising = false
+	}
+}
+
 // workerCores returns the mean number of cores of the pool's workers, 0 if it
 // has none.
 func (pool *Pool) workerCores() float64 {
--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -147,6 +147,8 @@
 	// Expected is the number of workers for a surge that is forecast to start
 	// about now, 0 for none.
 	Expected int
+	// Usual is the number of workers for a surge that has just begun, 0 for none.
+	Usual int
 	// Lacking is how many further workers the pool needs for long-running tasks,
 	// beyond those that are about to serve it. Borrow is how many more it needs
 	// so that a host of a wave can be emptied.
--- a/internal/fleetplan/forecast.go
+++ b/internal/fleetplan/forecast.go
@@ -145,6 +145,28 @@
 	return []string{oldest}
 }
 
+// typicalSize returns the number of workers that a surge of a pool usually needs: that
+// of its last surge that began before a time, else the mean over other pools. It is 0
+// while no surge was recorded.
+func (f *forecast) typicalSize(pool string, before time.Duration) int {
+	sum, count := 0, 0
+	for i := len(f.surges) - 1; i >= 0; i-- {
+		s := &f.surges[i]
+		if s.At >= before || s.Workers == 0 {
+			continue
+		}
+		if s.Pool == pool {
+			return s.Workers
+		}
+		sum += s.Workers
+		count++
+	}
+	if count == 0 {
+		return 0
+	}
+	return sum / count
+}
+
 // meanSize returns the mean number of workers over all recorded surges.
 func (f *forecast) meanSize() float64 {
 	sum := 0
--- a/internal/fleetplan/move.go
+++ b/internal/fleetplan/move.go
@@ -327,6 +327,10 @@
 		}
 		need = max(need, min(have, keep))
 	}
+	if d.rising && v.Now-d.risingAt < maxRise {
+		s.Usual = v.forecast.typicalSize(pool.Name, d.risingAt-maxRise)
+		need = max(need, s.Usual)
+	}
 	need = max(need, minWorkers)
 	if s.Lacking > 0 {
 		need = max(need, have+s.Lacking)
