--- a/internal/fleetplan/demand.go
+++ b/internal/fleetplan/demand.go
@@ -18,8 +18,8 @@
 	// riseShare is the share of a usual surge above which the arrival rate counts as
 	// the beginning of one. For maxRise from then on the pool is sized for a usual
 	// surge: the rate is known only after that, and hosts take longer to arrive.
-	riseShare = 0.2
-	maxRise   = 3 * time.Second
+	riseShare = 0.1
+	maxRise   = 4500 * time.Millisecond
 )
 
 // demand is the recent demand of one pool.
