fleetplan, scheduler: the arrival rate counts jobs by their acceptance

Cause: the rate counted jobs when they became known.

The planner now gets the acceptance times of the jobs of the last seconds; the rate is that of the time up to the newest known one. A new owner knows the rate from its first plan on.

--- a/internal/fleetplan/demand.go
+++ b/internal/fleetplan/demand.go
@@ -9,6 +9,11 @@
 	// rateWindow is the longer of the two windows over which the arrival rate
 	// is computed; the shorter one is half as long.
 	rateWindow = 800 * time.Millisecond
+	// ArrivalMemory is how long arrivals are of use to a Planner.
+	ArrivalMemory = rateWindow + maxFeedDelay
+	// maxFeedDelay is the time after which accepted jobs are known while the table
+	// service is up. Without a new one for longer, there was none.
+	maxFeedDelay = 300 * time.Millisecond
 	// surgeThreshold is the share of a pool's initial capacity above which its
 	// demand counts as a surge.
 	surgeThreshold = 0.5
@@ -24,7 +29,6 @@
 
 // demand is the recent demand of one pool.
 type demand struct {
-	samples []sample
 	// rate is the estimated arrival rate: core-seconds of work per second,
 	// which is the number of cores that keeps up with it.
 	rate    float64
@@ -44,26 +48,28 @@
 	idleSince map[string]time.Duration
 }
 
-// sample is the total work in core-seconds and the total number of jobs that a
-// pool had accepted at a time.
-type sample struct {
-	at      time.Duration
-	arrived float64
-	jobs    int
+// knownUntil returns the time up to which the accepted jobs are known: that of the
+// newest one. Jobs that become known together, after a pause of the feed, were not
+// accepted together.
+func knownUntil(pools []Pool, now time.Duration) time.Duration {
+	until := now - maxFeedDelay
+	for i := range pools {
+		for _, a := range pools[i].Arrivals {
+			until = max(until, min(a.At, now))
+		}
+	}
+	return until
 }
 
-// observe updates the pool's arrival rate, surge history and idle times.
-func (p *Planner) observe(pool *Pool, now time.Duration) {
+// observe updates the pool's arrival rate, surge history and idle times. Arrivals are
+// known up to the time until.
+func (p *Planner) observe(pool *Pool, until, now time.Duration) {
 	d := p.demands[pool.Name]
 	if d == nil {
 		d = &demand{idleSince: map[string]time.Duration{}}
 		p.demands[pool.Name] = d
 	}
-	d.samples = append(d.samples, sample{now, pool.Arrived, pool.Jobs})
-	for len(d.samples) > 2 && now-d.samples[1].at >= rateWindow {
-		d.samples = d.samples[1:]
-	}
-	d.rate = max(d.rateOver(rateWindow/2), d.rateOver(rateWindow))
+	d.rate = max(rateOver(pool.Arrivals, until, rateWindow/2), rateOver(pool.Arrivals, until, rateWindow))
 	p.trackSurge(d, pool, now)
 	p.trackRise(d, pool, now)
 	if len(pool.Workers) == 0 {
@@ -84,14 +90,16 @@
 
 // rateOver returns the arrival rate over a window in cores, reduced when few
 // jobs arrived in it, since the rate of a few jobs is mostly chance.
-func (d *demand) rateOver(window time.Duration) float64 {
-	newest := d.samples[len(d.samples)-1]
-	oldest := newest
-	for i := len(d.samples) - 1; i >= 0 && newest.at-d.samples[i].at <= window; i-- {
-		oldest = d.samples[i]
+func rateOver(arrivals []Arrival, until, window time.Duration) float64 {
+	work, jobs := 0.0, 0
+	for _, a := range arrivals {
+		if a.At > until-window && a.At <= until {
+			work += a.Work
+			jobs++
+		}
 	}
-	confidence := 1 - 1/math.Sqrt(float64(newest.jobs-oldest.jobs)+1)
-	return confidence * (newest.arrived - oldest.arrived) / window.Seconds()
+	confidence := 1 - 1/math.Sqrt(float64(jobs)+1)
+	return confidence * work / window.Seconds()
 }
 
 // trackSurge records the start of a surge and, until minSurgeInterval after
--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -59,10 +59,17 @@
 	// tasks that have no run, or whose workers are leaving, emptying or silent,
 	// and that fit on none of its open workers.
 	LongRunningShortfall int
-	// Arrived is the total work in core-seconds that was accepted so far, and
-	// Jobs the total number of jobs.
-	Arrived float64
-	Jobs    int
+	// Arrivals are the jobs that were accepted in the last ArrivalMemory, in any
+	// order.
+	Arrivals []Arrival
+}
+
+// Arrival is a job that was accepted.
+type Arrival struct {
+	// At is when the job was accepted, also if it became known later.
+	At time.Duration
+	// Work is the work of the job in core-seconds.
+	Work float64
 }
 
 // State is the input of one plan. Times are on one monotonic clock.
@@ -299,8 +306,9 @@
 // list is missing or too old, and gives no orders while half of the hosts or
 // more are not up. No worker is emptied then.
 func (p *Planner) Plan(s State) []Decision {
+	until := knownUntil(s.Pools, s.Now)
 	for i := range s.Pools {
-		p.observe(&s.Pools[i], s.Now)
+		p.observe(&s.Pools[i], until, s.Now)
 	}
 	p.expireOrders(s.Now)
 	if s.HostsAt == 0 || s.Now-s.HostsAt > maxHostListAge {
--- a/internal/fleetplan/fleetplan_test.go
+++ b/internal/fleetplan/fleetplan_test.go
@@ -65,12 +65,12 @@
 type fakePool struct {
 	standby bool
 	// demand returns the work that arrives, in cores.
-	demand           func(now time.Duration) float64
-	waiting, arrived float64
+	demand   func(now time.Duration) float64
+	waiting  float64
+	arrivals []Arrival
 	// backlog is late work in core-seconds. It gets the capacity that other
 	// work leaves.
 	backlog float64
-	jobs    int
 	// spread is how many open workers its long-running tasks need.
 	spread int
 }
@@ -109,9 +109,10 @@
 	}
 	for name, p := range f.pools {
 		work := p.demand(f.now) * tick.Seconds()
-		p.arrived += work
-		if work > 0 {
-			p.jobs += 3
+		for range 3 {
+			if work > 0 {
+				p.arrivals = append(p.arrivals, Arrival{f.now, work / 3})
+			}
 		}
 		p.waiting += work // tasks of one second: as many cores as core-seconds
 		for _, h := range f.hosts {
@@ -167,7 +168,7 @@
 			}
 		}
 		s.Pools = append(s.Pools, Pool{
-			Name: name, Standby: p.standby, Workers: members[name], Waiting: p.waiting, Arrived: p.arrived, Jobs: p.jobs, LongRunningShortfall: max(0, shortfall),
+			Name: name, Standby: p.standby, Workers: members[name], Waiting: p.waiting, Arrivals: p.arrivals, LongRunningShortfall: max(0, shortfall),
 		})
 	}
 	decisions := f.planner.Plan(s)
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -22,7 +22,8 @@
 	e.countShares(func(s *step) bool { return s.LongRunning || s.job.timeliness(s.occ, now) == onTime })
 	for _, name := range names {
 		p := e.pool(name)
-		out := fleetplan.Pool{Name: name, Standby: e.standby(name), Arrived: p.arrived, Jobs: p.arrivedJobs}
+		p.arrivals = slices.DeleteFunc(p.arrivals, func(a fleetplan.Arrival) bool { return now-a.At > fleetplan.ArrivalMemory })
+		out := fleetplan.Pool{Name: name, Standby: e.standby(name), Arrivals: p.arrivals}
 		var needed map[*worker]bool
 		if !out.Standby {
 			out.LongRunningShortfall, needed = e.longRunningShortfall(p, now)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -10,6 +10,7 @@
 	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/event"
 	"github.com/egretpitch/egretpitch/internal/fairshare"
+	"github.com/egretpitch/egretpitch/internal/fleetplan"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
@@ -231,7 +232,7 @@
 	e.submitted(team, spec.ID, accepted, j)
 	e.updateQueue(j)
 	p := e.pool(spec.Pool)
-	p.observeJob(spec)
+	p.observeJob(spec, accepted)
 	if spec.Schedule == nil {
 		e.createOccurrence(j, now, now)
 	} else {
@@ -256,7 +257,7 @@
 }
 
 // observeJob adds a job to the statistics of its pool and queue.
-func (p *pool) observeJob(spec *workload.Job) {
+func (p *pool) observeJob(spec *workload.Job, accepted time.Duration) {
 	const memory = 50 // jobs over which the mean is taken
 	q := p.queues[spec.Queue]
 	if q == nil {
@@ -264,8 +265,7 @@
 		p.queues[spec.Queue] = q
 	}
 	if !spec.RunsUntilCancelled() {
-		p.arrived += spec.Work()
-		p.arrivedJobs++
+		p.arrivals = append(p.arrivals, fleetplan.Arrival{At: accepted, Work: spec.Work()})
 	}
 	q.count = min(q.count+1, memory)
 	q.work += (spec.Work() - q.work) / q.count
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -20,6 +20,7 @@
 
 	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/fairshare"
+	"github.com/egretpitch/egretpitch/internal/fleetplan"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/quota"
 	"github.com/egretpitch/egretpitch/internal/workload"
@@ -302,10 +303,9 @@
 	// and lastUnread its id.
 	recoveredAt time.Duration
 	lastUnread  string
-	// arrived is the work in core-seconds that was accepted so far, in
-	// arrivedJobs jobs. Jobs that run until cancelled do not count.
-	arrived     float64
-	arrivedJobs int
+	// arrivals are the jobs accepted in the last seconds. Jobs that run until
+	// cancelled do not count.
+	arrivals []fleetplan.Arrival
 	// completed is the estimated work in core-seconds of the tasks that are done, and
 	// completions its latest samples.
 	completed   float64
