fleetplan: a first surge is expected to take more than its pool holds

Nothing is known of the surges of a pool before the first one in the estate, so it only followed its rate. It is now sized for 1.4 of its initial size when its demand begins to rise: a queue's turn takes more than its pool holds.

--- a/internal/fleetplan/demand.go
+++ b/internal/fleetplan/demand.go
@@ -24,7 +24,10 @@
 	// the beginning of one. For maxRise from then on the pool is sized for a usual
 	// surge: the rate is known only after that, and hosts take longer to arrive.
 	riseShare = 0.1
-	maxRise   = 4500 * time.Millisecond
+	// firstSurge is the size of a pool for its first surge, relative to its initial one:
+	// a surge takes more than its pool holds.
+	firstSurge = 1.4
+	maxRise    = 4500 * time.Millisecond
 )
 
 // demand is the recent demand of one pool.
@@ -117,9 +120,18 @@
 	}
 }
 
+// usualSize returns the number of workers for a surge of a pool, from the surges that
+// began before a time. Before the first one it is firstSurge of the initial size.
+func (p *Planner) usualSize(d *demand, pool string, before time.Duration) int {
+	if size := p.forecast.typicalSize(pool, before); size > 0 {
+		return size
+	}
+	return int(math.Ceil(firstSurge * float64(d.initialHosts)))
+}
+
 // trackRise notes when the pool's demand begins to rise to a surge.
 func (p *Planner) trackRise(d *demand, pool *Pool, now time.Duration) {
-	usual := float64(p.forecast.typicalSize(pool.Name, now-maxRise)) * pool.workerCores()
+	usual := float64(p.usualSize(d, pool.Name, now-maxRise)) * pool.workerCores()
 	switch {
 	case usual > 0 && d.rate > riseShare*usual:
 		if !d.rising {
--- a/internal/fleetplan/move.go
+++ b/internal/fleetplan/move.go
@@ -328,7 +328,7 @@
 		need = max(need, min(have, keep))
 	}
 	if d.rising && v.Now-d.risingAt < maxRise {
-		s.Usual = v.forecast.typicalSize(pool.Name, d.risingAt-maxRise)
+		s.Usual = v.usualSize(d, pool.Name, d.risingAt-maxRise)
 		need = max(need, s.Usual)
 	}
 	need = max(need, minWorkers)
