--- a/internal/fleetplan/demand.go
+++ b/internal/fleetplan/demand.go
@@ -21,13 +21,14 @@
 	// one pool. Surges at a shorter interval are not forecast.
 	minSurgeInterval = 4 * time.Second
 	// riseShare is the share of a usual surge above which the arrival rate counts as
-	// the beginning of one. For maxRise from then on the pool is sized for a usual
-	// surge: the rate is known only after that, and hosts take longer to arrive.
+	// the beginning of one, and maxRise is how long the pool is then sized for a usual
+	// surge. Demand rises for seconds, and hosts take two more to arrive, so a pool that
+	// follows its rate is short of hosts all that time.
 	riseShare = 0.1
-	// firstSurge is the size of a pool for its first surge, relative to its initial one:
-	// a surge takes more than its pool holds.
+	maxRise   = 4500 * time.Millisecond
+	// firstSurge is the size for which a pool is sized when its demand first rises,
+	// relative to its initial one: a surge takes more than its pool holds.
 	firstSurge = 1.4
-	maxRise    = 4500 * time.Millisecond
 )
 
 // demand is the recent demand of one pool.
--- a/internal/fleetplan/fleetplan_test.go
+++ b/internal/fleetplan/fleetplan_test.go
@@ -15,7 +15,10 @@
 
 const (
 	testCores = 64
-	tick      = 100 * time.Millisecond
+	// latencyTarget is how long a job may wait and still be in time, as the
+	// customers' queues set it.
+	latencyTarget = 600 * time.Millisecond
+	tick          = 100 * time.Millisecond
 )
 
 const (
@@ -68,6 +71,9 @@
 	demand   func(now time.Duration) float64
 	waiting  float64
 	arrivals []Arrival
+	// unread are the arrivals that the planner does not know yet: the feed pauses.
+	unread []Arrival
+	paused bool
 	// backlog is late work in core-seconds. It gets the capacity that other
 	// work leaves.
 	backlog float64
@@ -111,9 +117,13 @@
 		work := p.demand(f.now) * tick.Seconds()
 		for range 3 {
 			if work > 0 {
-				p.arrivals = append(p.arrivals, Arrival{f.now, work / 3})
+				p.unread = append(p.unread, Arrival{f.now, work / 3})
 			}
 		}
+		if !p.paused {
+			p.arrivals = append(p.arrivals, p.unread...)
+			p.unread = nil
+		}
 		p.waiting += work // tasks of one second: as many cores as core-seconds
 		for _, h := range f.hosts {
 			if h.pool != name || h.state != estate.HostUp || h.reserved || p.standby {
@@ -288,6 +298,64 @@
 	}
 }
 
+// ramp returns a demand that rises from a twentieth of the given cores to them in 4 s
+// from a time on, and falls back 7 s after that time.
+func ramp(cores float64, from time.Duration) func(time.Duration) float64 {
+	return func(now time.Duration) float64 {
+		if now < from || now >= from+7*time.Second {
+			return cores / 20
+		}
+		return cores * max(0.05, min(1, (now-from).Seconds()/4))
+	}
+}
+
+// maxWaiting runs the fleet and returns the most work that waited in a pool.
+func (f *fakeFleet) maxWaiting(pool string, d time.Duration) float64 {
+	most := 0.0
+	for end := f.now + d; f.now < end; {
+		f.step()
+		most = max(most, f.pools[pool].waiting)
+	}
+	return most
+}
+
+// Guards against a pool that follows a rising demand and is short of hosts until it ends.
+func TestRisingDemandGetsTheHostsOfAUsualSurge(t *testing.T) {
+	f := newFleet(map[string]int{"a": 9, "b": 9, "c": 9, "spare": 12})
+	f.pools["b"].demand = surge(20*testCores, time.Second, 9*time.Second)
+	f.run(14 * time.Second)
+	f.pools["a"].demand = ramp(20*testCores, f.now)
+	if waiting, allowed := f.maxWaiting("a", 7*time.Second), latencyTarget.Seconds()*20*testCores; waiting > allowed {
+		t.Errorf("up to %.0f core-seconds wait while demand rises, allowed are %.0f", waiting, allowed)
+	}
+}
+
+// Guards against a first surge, of which nothing is known, that finds only its pool's own hosts.
+func TestFirstSurgeGetsMoreHostsThanItsPoolHolds(t *testing.T) {
+	f := newFleet(map[string]int{"a": 9, "b": 9, "c": 9, "spare": 12})
+	f.run(time.Second)
+	f.pools["a"].demand = ramp(13*testCores, f.now)
+	if waiting, allowed := f.maxWaiting("a", 7*time.Second), latencyTarget.Seconds()*13*testCores; waiting > allowed {
+		t.Errorf("up to %.0f core-seconds wait while demand first rises, allowed are %.0f", waiting, allowed)
+	}
+}
+
+// Guards against jobs that become known together and are taken for a surge of several times their rate.
+func TestJobsReadAfterAPauseAreNoSurge(t *testing.T) {
+	f := newFleet(map[string]int{"a": 9, "b": 9, "c": 9, "spare": 12})
+	a := f.pools["a"]
+	a.demand = func(time.Duration) float64 { return 6 * testCores }
+	f.run(12 * time.Second)
+	before := f.size("a")
+	a.paused = true
+	f.run(1400 * time.Millisecond)
+	a.paused = false
+	f.run(500 * time.Millisecond)
+	if got := f.size("a"); got > before+1 {
+		t.Errorf("the pool has %d hosts after a pause of the feed, %d before", got, before)
+	}
+}
+
 // TestLateWorkGivesWayToTheNextSurge simulates a pool with a backlog of late
 // work from its own surge at the time when another pool's surge begins. The
 // hosts must go to the second surge, whose callers, unlike those of the late
--- a/internal/fleetplan/forecast.go
+++ b/internal/fleetplan/forecast.go
@@ -42,8 +42,6 @@
 type forecast struct {
 	surges []Surge
 	missed int
-	// awaited is always zero: it is not used.
-	awaited time.Duration
 }
 
 // recordStart adds the start of a surge to the history.
@@ -53,7 +51,6 @@
 		f.surges = f.surges[1:]
 	}
 	f.missed = 0
-	f.awaited = 0
 }
 
 // recordSize adds a sample of the number of workers that the pool's last surge
