scheduler: progress that a run began with does not shorten its estimate

What callers and operators saw: a batch task that had resumed from a checkpoint, or that a previous owner had started, seemed to be near its end. A wave waited for it instead of moving it, and on a slow worker it got no copy for seconds.

Cause: remaining, gained and lags took the listed percentage for the progress since the run was sent or adopted. 60 % after 4 s of a task of 20 s that resumed at 40 % gave 2.7 s instead of 8 s.

The progress of such a run is now measured from the first one that a poll lists. Since workers report whole percents, its speed counts as known only after a sample span, and the rest of the estimate is used before. Runs that this owner started without a checkpoint are measured from their start as before.

--- a/internal/scheduler/evacuatebatch.go
+++ b/internal/scheduler/evacuatebatch.go
@@ -61,17 +61,41 @@
 // task was when it last moved, at least. A task may lose much of its progress when it
 // moves, and must get on before it is moved again.
 func (r *run) gained() time.Duration {
-	if r.percent <= r.task.movedPercent {
+	from, since := r.measuredFrom()
+	moved := max(r.task.movedPercent, from)
+	if r.percent <= moved {
 		return 0
 	}
-	return time.Duration(float64(r.confirmedAt-r.sentAt) * (r.percent - r.task.movedPercent) / r.percent)
+	return time.Duration(float64(r.confirmedAt-since) * (r.percent - moved) / (r.percent - from))
+}
+
+// mayBeginWithProgress reports whether the run was started with a checkpoint or under
+// a previous owner.
+func (r *run) mayBeginWithProgress() bool { return r.order == nil || r.order.Checkpoint != "" }
+
+// measuredFrom returns the progress from which that of the run is measured, and when
+// the run had it.
+func (r *run) measuredFrom() (percent float64, at time.Duration) {
+	if r.firstPercent > 0 {
+		return r.firstPercent, r.firstAt
+	}
+	return 0, r.sentAt
+}
+
+// progressKnown reports whether the run has made enough progress to measure its speed.
+// Workers report whole percents, so a run that began with progress is measured over at
+// least a sample span.
+func (r *run) progressKnown() bool {
+	from, since := r.measuredFrom()
+	return r.percent > from && (from == 0 || r.confirmedAt-since >= r.task.step.sampleSpan())
 }
 
 // remaining returns how long the run still takes by its progress, or by the estimate
-// while there is none.
+// until that is known.
 func (r *run) remaining(now time.Duration) time.Duration {
-	if r.percent <= 0 {
-		return r.task.step.Estimate - (now - r.sentAt)
+	from, since := r.measuredFrom()
+	if !r.progressKnown() {
+		return time.Duration(float64(r.task.step.Estimate)*(100-from)/100) - (now - since)
 	}
-	return time.Duration(float64(r.confirmedAt-r.sentAt)*(100-r.percent)/r.percent) - (now - r.confirmedAt)
+	return time.Duration(float64(r.confirmedAt-since)*(100-r.percent)/(r.percent-from)) - (now - r.confirmedAt)
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -176,6 +176,10 @@
 	// listed is set once a poll has shown the run.
 	listed  bool
 	percent float64
+	// firstPercent is the first progress that was listed, at firstAt, of a run that may
+	// have begun with progress.
+	firstPercent float64
+	firstAt      time.Duration
 	// progressAt is when percent last rose.
 	progressAt       time.Duration
 	load             float64
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -214,6 +214,9 @@
 	if s.Percent > r.percent {
 		r.progressAt = now
 	}
+	if r.firstPercent == 0 && r.mayBeginWithProgress() {
+		r.firstPercent, r.firstAt = s.Percent, now
+	}
 	r.percent = s.Percent
 	r.load = s.Load
 	e.clearCrashes(r, now)
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -87,8 +87,9 @@
 	if r.worker.failedPolls > 0 {
 		return r.proven() || now-r.worker.silentSince >= silenceBeforeCopy
 	}
-	if r.percent <= 0 {
-		return now-r.sentAt > time.Duration(copySpeedup*float64(r.task.step.Estimate))+copyStartSlack && r.listed
+	if !r.progressKnown() {
+		_, since := r.measuredFrom()
+		return now-since > time.Duration(copySpeedup*float64(r.task.step.Estimate))+copyStartSlack && r.listed
 	}
 	return r.remaining(now) > time.Duration(copySpeedup*float64(r.task.step.Estimate))+copyStartSlack
 }
