scheduler: a long-running task that waits for tickets keeps its team's quota

What callers saw: a long-running task of a queue with recommendation, of a team with a quota, did not start while the team had a backlog of other tasks. The other way round, a long-running gang kept its team's other tasks waiting for as long as the recommendation service did not answer.

Cause: the quota was compared only once there were tickets. Until then other tasks of the team took what was free, and while the quota was emptied for the task its tickets expired. A gang was compared first, without a bound on the wait for tickets.

Evidence: without the change the task has no run after 5 s when an answer takes 0.7 s (TestLongRunningTaskGetsTheQuotaThoughTicketsTakeLong), batch tasks take all of a free quota before the answer (TestQuotaIsReservedUntilTicketsArrive), and beside a gang without an answer the team holds 2.63 of 4 cores (TestTaskWithoutTicketLeavesTheQuotaToOthers). They fail again if the reservation, its bound, or the call for a step or for a gang is withdrawn.

A long-running step without tickets now reserves the quota of as many tasks as could start on workers with free capacity that are not denied. Tasks that are not long-running start beside it only. Each pass renews the reservation; it ends with the tickets, or after 5 s without an answer, so that a service that is down keeps nobody waiting.

The simulation's recommendation service can now take longer than 20 ms. The event "team waits for its quota" has a new field, reserved.

--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -112,7 +112,7 @@
 		return reason
 	}
 	switch {
-	case !t.step.fitsQuota(t.step.startsTogether()):
+	case !t.step.fitsQuota(t.step.startsTogether(), now):
 		return "quota of its team"
 	case !t.step.fitsOn(w):
 		return "capacity held for long-running tasks"
@@ -137,7 +137,7 @@
 // step, or those that placeGang would choose for all of its tasks.
 func (e *Engine) wouldChoose(s *step, open, lastResort []*worker, now time.Duration) []*worker {
 	t := s.tasks[0]
-	if !s.fitsQuota(s.startsTogether()) {
+	if !s.fitsQuota(s.startsTogether(), now) {
 		return nil
 	}
 	if s.Gang {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -79,6 +79,7 @@
 	// of this step.
 	criticalPath time.Duration
 	tickets      *tickets
+	reserved     reservation
 	// verdicts holds, by worker, what the recommendation service said last. Only
 	// long-running steps have them.
 	verdicts map[string]verdict
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -151,8 +151,10 @@
 		asked = lastResort
 	}
 	if !e.ensureTickets(s, asked, now) {
+		e.reserveQuota(s, 1, asked, now)
 		return
 	}
+	s.reserved.size = placement.Resources{}
 	var refused, suspectRefused bool // tasks of the kind have no place
 	for _, t := range s.tasks {
 		if s.idle == 0 || (refused && suspectRefused) {
@@ -296,10 +298,17 @@
 	if s.idle < s.left || now < s.gangRetry || e.waitsForRecord(s.tasks[0]) || slices.ContainsFunc(s.tasks, e.blockedByRecovery) {
 		return // members of an earlier start still run, or may
 	}
-	if !e.fitsQuota(s, len(s.tasks), now, open, lastResort) {
+	// Tickets of a long-running gang are requested first: it keeps its team waiting only
+	// as long as the recommendation service can be expected to answer.
+	if !s.LongRunning && !e.fitsQuota(s, len(s.tasks), now, open, lastResort) {
 		return
 	}
 	if !e.ensureTickets(s, open, now) {
+		e.reserveQuota(s, len(s.tasks), open, now)
+		return
+	}
+	s.reserved.size = placement.Resources{}
+	if s.LongRunning && !e.fitsQuota(s, len(s.tasks), now, open, lastResort) {
 		return
 	}
 	separated := s.tasks[0].separated(open, now)
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -60,6 +60,8 @@
 	// sent, if set, and cancelWithin the owners' bound on cancellations.
 	sendDelay    func() time.Duration
 	cancelWithin time.Duration
+	// ticketDelay is how long the recommendation service takes to answer.
+	ticketDelay time.Duration
 	// clockStep is how far the owners' time of day is ahead.
 	clockStep time.Duration
 	// violation describes the first violated invariant.
@@ -198,7 +200,7 @@
 func newSimulation(t testingT) *simulation {
 	return &simulation{t: t, workers: map[string]*fakeWorker{}, records: map[string]*storedJob{}, inUse: map[string]UsedWorker{},
 		crashed:        map[workload.TaskID]int{},
-		catalogVersion: 1, poolOf: map[string]string{}, log: zap.NewNop(),
+		catalogVersion: 1, poolOf: map[string]string{}, log: zap.NewNop(), ticketDelay: 20 * time.Millisecond,
 		requestDelay: func() time.Duration { return orderDelay }, answerDelay: func() time.Duration { return orderDelay },
 	}
 }
@@ -793,7 +795,7 @@
 				t.ByWorker[id] = ticket
 			}
 		}
-		sim.after(20*time.Millisecond, func() { owner.Recommended(r, t, nil, sim.now) })
+		sim.after(sim.ticketDelay, func() { owner.Recommended(r, t, nil, sim.now) })
 		return
 	}
 	if start, ok := o.(*StartOrder); ok && sim.sendDelay != nil {
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -67,7 +67,7 @@
 			if !t.step.Speculative || t.suspect() || len(t.runs) != 1 || t.done || t.step.job.ended() || r.phase == runStopping || !r.lags(now) {
 				continue
 			}
-			if e.waitsForQuota(t.step, now) || !t.step.fitsQuota(1) {
+			if e.waitsForQuota(t.step, now) || !t.step.fitsQuota(1, now) {
 				continue
 			}
 			others := slices.DeleteFunc(slices.Clone(open), func(o *worker) bool { return o == w })
--- a/internal/scheduler/team.go
+++ b/internal/scheduler/team.go
@@ -22,6 +22,8 @@
 	blockedPools []*pool
 	// longRunningAt is when a long-running task last did not fit and had to wait.
 	longRunningAt time.Duration
+	// reserving are the steps for which quota is reserved.
+	reserving []*step
 	// blockedAt is when a task last did not fit, and blockedTask that task; tooLarge
 	// is set if it cannot fit before long-running tasks of the team end. waitsSince is
 	// since when the team waits for its quota, 0 if it does not.
@@ -124,7 +126,7 @@
 // the team's long-running ones are cancelled keep no others waiting, nor do those for
 // which the workers would have no room if they were empty.
 func (e *Engine) fitsQuota(s *step, n int, now time.Duration, workers ...[]*worker) bool {
-	if s.fitsQuota(n) {
+	if s.fitsQuota(n, now) {
 		return true
 	}
 	t := s.job.team
@@ -159,8 +161,12 @@
 	return false
 }
 
-// fitsQuota reports whether n more tasks of the step fit the quota of their team.
-func (s *step) fitsQuota(n int) bool { return s.job.team.held().Fits(n, s.Size, placement.Resources{}) }
+// fitsQuota reports whether n more tasks of the step fit the quota of their team beside
+// what is reserved.
+func (s *step) fitsQuota(n int, now time.Duration) bool {
+	t := s.job.team
+	return t.held().Fits(n, s.Size, t.reservedBeside(s, now))
+}
 
 // waitsForQuota reports whether a better task of the step's team did not fit its
 // quota in this pass, or a long-running one in the last pass of another pool.
--- a/internal/scheduler/teamstats.go
+++ b/internal/scheduler/teamstats.go
@@ -106,6 +106,7 @@
 		quota, _ := t.account.Quota()
 		event.TeamWaits.Log(e.opts.Log, zap.String("team", t.name), zap.Stringer("task", t.blockedTask.id()), zap.Bool("too_large", t.tooLarge),
 			zap.Any("size", t.blockedTask.step.Size), zap.Any("held", held), zap.Any("unread", unread), zap.Any("quota", quota),
+			zap.Any("reserved", t.reservedBeside(t.blockedTask.step, now)),
 			zap.Int("running", t.account.Tasks()), zap.Int("waiting", waiting))
 	case !waits && t.waitsSince > 0:
 		event.TeamWaitEnded.Log(e.opts.Log, zap.String("team", t.name), zap.Duration("after", now-t.waitsSince), zap.Int("waiting", waiting))
--- a/internal/scheduler/ticket.go
+++ b/internal/scheduler/ticket.go
@@ -92,6 +92,7 @@
 		event.RecommendationFailed.Log(e.opts.Log, zap.String("step", o.Step), zap.Error(err))
 		return
 	}
+	s.reserved.since = 0
 	event.Recommended.Log(e.opts.Log, zap.String("step", o.Step), zap.Int("asked", len(o.Workers)), zap.Int("permitted", len(t.ByWorker)))
 	if len(t.ByWorker) == 0 {
 		s.nextRequest = now + recommendationRetry
