scheduler: a long-running task that every worker is denied for keeps no others waiting

What callers saw: the batch tasks of a team got 3.1 of the 4 cores of its quota on average while a long-running task waited that the recommendation service permitted nowhere.

Cause: a task that does not fit its quota keeps the team waiting if a worker would have room for it; workers that are denied for it counted.

Evidence: the cases "no worker permitted" of TestTaskWithoutTicketLeavesTheQuotaToOthers fail without the change (3.13 and 3.21 cores, of a gang; 3.98 with it).

What the service says about a worker does not change while the worker lives, so the task cannot use the quota there.

--- a/internal/scheduler/quotaticket_test.go
+++ b/internal/scheduler/quotaticket_test.go
@@ -84,6 +84,9 @@
 func TestTaskWithoutTicketLeavesTheQuotaToOthers(t *testing.T) {
 	for name, set := range map[string]func(*simulation){
 		"no answer": func(sim *simulation) { sim.ticketDelay = time.Hour },
+		"no worker permitted": func(sim *simulation) {
+			sim.workers["w1"].needsTicket, sim.ticketDelay = "nobody", 700*time.Millisecond
+		},
 	} {
 		for _, gang := range []bool{false, true} {
 			sim, owner, job, batch := newTicketSimulation(t, gang)
--- a/internal/scheduler/team.go
+++ b/internal/scheduler/team.go
@@ -144,10 +144,10 @@
 }
 
 // hasRoomFor reports whether the workers would have room for n tasks of the step if
-// they were empty.
+// they were empty. A worker that the recommendation service denies has none.
 func (s *step) hasRoomFor(n int, workers ...[]*worker) bool {
 	for _, w := range slices.Concat(workers...) {
-		if !s.hasLabel(w) {
+		if !s.hasLabel(w) || s.denied(w) {
 			continue
 		}
 		left := w.Capacity
