scheduler: a released quota passes only the pools that can use it

What operators saw: the owner spends more processor time for each end of a run while teams wait for their quotas in several pools.

Cause: each end had all pools passed in which its team waited, though one task of one pool takes what was released, or none while it is not enough.

Each pool in which a team waits now remembers the step that waits. When its turn in the order of passes comes, after those that may have taken the quota, it is passed if that step fits. A smaller step could not have started before it either: it keeps the others of its team waiting.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -284,6 +284,9 @@
 	readyLongRunning int
 	// needsPass is set if a scheduling pass may have something to start.
 	needsPass bool
+	// released are the teams of whose quotas something was released, and for which
+	// steps of the pool wait, since the last call of takesReleased.
+	released []*team
 	// nextPass is the time of the next pass if nothing changes before, 0 for
 	// none.
 	nextPass time.Duration
--- a/internal/scheduler/team.go
+++ b/internal/scheduler/team.go
@@ -16,10 +16,9 @@
 	name    string
 	account *quota.Account
 	// blockedIn is the number of the last pass in which a task of the team did not
-	// fit its quota, and blockedPools the pools with such a task since a run of the
-	// team last ended.
-	blockedIn    uint64
-	blockedPools []*pool
+	// fit its quota, and waits holds such a step of each pool.
+	blockedIn uint64
+	waits     []quotaWait
 	// longRunningAt is when a long-running task last did not fit and had to wait.
 	longRunningAt time.Duration
 	// reserving are the steps for which quota is reserved.
@@ -41,6 +40,14 @@
 	line        *line
 }
 
+// quotaWait is a step, n tasks of which start together, that does not fit the quota of
+// its team and keeps the team's other tasks in its pool waiting.
+type quotaWait struct {
+	pool *pool
+	step *step
+	n    int
+}
+
 // team returns the team with the given name, nil if the name is empty.
 func (e *Engine) team(name string) *team {
 	if name == "" {
@@ -102,20 +109,40 @@
 	return x ^ x>>31
 }
 
-// quotaReleased has the pools whose tasks wait for the quota of the team passed at
-// once. Otherwise the pool in which a run of the team ended would take what it held.
+// quotaReleased lets the next decision pass the pools whose tasks can start with what
+// was released of the team's quota. Otherwise the pool in which a run of the team ended
+// would take what it held.
 func (t *team) quotaReleased() {
 	if t == nil {
 		return
 	}
-	for _, p := range t.blockedPools {
-		p.needsPass = true
+	for _, w := range t.waits {
+		if !slices.Contains(w.pool.released, t) {
+			w.pool.released = append(w.pool.released, t)
+		}
+	}
+}
+
+// takesReleased reports whether a step of the pool may start that waited for a quota of
+// which something was released. The passes of other pools may have taken it since.
+func (p *pool) takesReleased(now time.Duration) bool {
+	takes := false
+	for _, t := range p.released {
+		i := slices.IndexFunc(t.waits, func(w quotaWait) bool { return w.pool == p })
+		if i < 0 {
+			continue
+		}
+		if w := t.waits[i]; w.step.idle == 0 || w.step.job.ended() || w.step.fitsQuota(w.n, now) {
+			takes = true
+			t.waits = slices.Delete(t.waits, i, i+1)
+		}
 	}
-	t.blockedPools = t.blockedPools[:0]
+	p.released = p.released[:0]
+	return takes
 }
 
 func (e *Engine) passIfDue(p *pool, now time.Duration) {
-	if p.needsPass || (p.nextPass > 0 && now >= p.nextPass) {
+	if p.takesReleased(now) || p.needsPass || (p.nextPass > 0 && now >= p.nextPass) {
 		e.pass(p, now)
 	}
 }
@@ -136,8 +163,11 @@
 		if s.LongRunning {
 			t.longRunningAt = now
 		}
-		if p := e.pool(s.job.Pool); !slices.Contains(t.blockedPools, p) {
-			t.blockedPools = append(t.blockedPools, p)
+		wait := quotaWait{e.pool(s.job.Pool), s, n}
+		if i := slices.IndexFunc(t.waits, func(w quotaWait) bool { return w.pool == wait.pool }); i >= 0 {
+			t.waits[i] = wait
+		} else {
+			t.waits = append(t.waits, wait)
 		}
 	}
 	return false
--- a/internal/scheduler/teams_bench_test.go
+++ b/internal/scheduler/teams_bench_test.go
@@ -11,8 +11,9 @@
 )
 
 // BenchmarkTeams measures decisions with 1,000 waiting steps of 20 teams, against
-// the same steps without teams: none fits ("decide", "surge"), or one task ends and
-// any of the steps can take its place ("start").
+// the same steps without teams: none fits ("decide", "surge"), one task ends and any
+// of the steps can take its place ("start"), or one task ends and all teams wait for
+// their quotas in five pools ("quota").
 func BenchmarkTeams(b *testing.B) {
 	for _, teams := range []int{0, 20} {
 		b.Run(fmt.Sprintf("decide_%dteams", teams), func(b *testing.B) {
@@ -36,19 +37,44 @@
 			})
 		})
 	}
+	b.Run("quota_20teams", func(b *testing.B) {
+		e := teamsEngine(5, 32, 16, 1000, 20, func(int) float64 { return 2 })
+		for _, team := range e.catalog.Teams {
+			team.Quota.Processors = 50
+		}
+		e.quotas.SetTeams(e.catalog.Teams)
+		e.Decide(time.Second, OwnershipValid)
+		n := 0
+		benchmarkChanges(b, e, func() {
+			for ; ; n++ {
+				for _, r := range e.workers[fmt.Sprintf("w%d-%d", n%5, n/5%32)].runs {
+					n++
+					e.endRun(r, time.Second)
+					return
+				}
+			}
+		})
+	})
 }
 
 func benchmarkPasses(b *testing.B, e *Engine, change func()) {
-	now, starts := time.Second, e.stats.Starts
-	for b.Loop() {
-		now += time.Millisecond
+	benchmarkChanges(b, e, func() {
 		change()
 		for _, p := range e.pools {
 			p.needsPass = true
 		}
+	})
+}
+
+func benchmarkChanges(b *testing.B, e *Engine, change func()) {
+	now, starts, passes := time.Second, e.stats.Starts, e.passes
+	for b.Loop() {
+		now += time.Millisecond
+		change()
 		e.Decide(now, OwnershipValid)
 	}
 	b.ReportMetric(float64(e.stats.Starts-starts)/float64(b.N), "starts/op")
+	b.ReportMetric(float64(e.passes-passes)/float64(b.N), "passes/op")
 }
 
 // teamsEngine returns an engine with workers of the given cores and jobs of eight
