--- /dev/null
+++ b/internal/scheduler/pool.go
@@ -0,0 +1,73 @@
+package scheduler
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/egretpitch/egretpitch/internal/fairshare"
+)
+
+// pool holds the workers and the waiting steps of a pool.
+type pool struct {
+	name    string
+	workers []*worker
+	// overcommits is set if the workers start whatever they are told to.
+	overcommits bool
+	// capacityValidity limits the age of its workers' entries at a start, 0 for
+	// no limit.
+	capacityValidity time.Duration
+	ready            map[*step]struct{}
+	// readyLongRunning counts the long-running steps among them.
+	readyLongRunning int
+	// needsPass is set if a scheduling pass may have something to start.
+	needsPass bool
+	// released are the teams of whose quotas something was released, and for which
+	// steps of the pool wait, since the last call of takesReleased.
+	released []*team
+	// nextPass is the time of the next pass if nothing changes before, 0 for
+	// none.
+	nextPass time.Duration
+	// nextCopySearch is the time of the next search for tasks that lag behind.
+	nextCopySearch time.Duration
+	queues         map[string]*queueStats
+	// undiscovered is what previous owners may have left on workers that have not
+	// answered a poll yet, as of the last sweep.
+	undiscovered undiscovered
+	// inheritedWork holds the teams of the jobs that previous owners may have started
+	// in the pool.
+	inheritedWork map[*team]inheritedWork
+	// shares holds what teams have had of the pool in the last seconds.
+	shares fairshare.Pool
+	// recoveredAt is when the last of these workers had answered or was given up,
+	// and lastUnread its id.
+	recoveredAt time.Duration
+	lastUnread  string
+	// arrived is the work in core-seconds that was accepted so far, in
+	// arrivedJobs jobs. Jobs that run until cancelled do not count.
+	arrived     float64
+	arrivedJobs int
+	// completed is the estimated work in core-seconds of the tasks that are done, and
+	// completions its latest samples.
+	completed   float64
+	completions []completionSample
+}
+
+// queueStats holds statistics of the past jobs of a queue.
+type queueStats struct {
+	// work is the moving mean of the work of a job in core-seconds, count the
+	// number of jobs in it.
+	work  float64
+	count float64
+}
+
+func (e *Engine) pool(name string) *pool {
+	p := e.pools[name]
+	if p == nil {
+		p = &pool{name: name, ready: map[*step]struct{}{}, queues: map[string]*queueStats{}, overcommits: e.overcommits(name), capacityValidity: e.capacityValidity(name)}
+		e.pools[name] = p
+		e.poolsByName = slices.SortedFunc(maps.Values(e.pools), func(a, b *pool) int { return cmp.Compare(a.name, b.name) })
+	}
+	return p
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -10,19 +10,12 @@
 package scheduler
 
 import (
-	"cmp"
-	"maps"
-	"slices"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/egretpitch/egretpitch/internal/estate"
-	"github.com/egretpitch/egretpitch/internal/fairshare"
-	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/quota"
-	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
 // Options configure an Engine.
@@ -227,102 +220,6 @@
 	performance
 }
 
-// Stats counts decisions and outcomes since the engine was created. It is
-// published under its field names.
-type Stats struct {
-	// Starts and Stops count orders to workers, and Looks polls.
-	Starts, Stops, Looks, Commits int64
-	// Done counts finished tasks, FailedRuns failed runs and LostRuns runs
-	// whose end was not seen.
-	Done, FailedRuns, LostRuns               int64
-	JobsCompleted, JobsFailed, JobsCancelled int64
-	// UncertainStarts counts starts without an answer, and RefusedNoRoom starts
-	// that a worker refused for lack of free capacity.
-	UncertainStarts, RefusedNoRoom int64
-	// StuckRuns counts stalled runs that were stopped, Copies the second runs
-	// of slow tasks, and Paces throttle orders.
-	WorkersSetAside, StuckRuns, Copies, Paces int64
-	Recommendations, TicketsRefused           int64
-	// UnansweredPolls counts polls without an answer that renewed a lease or
-	// acknowledged ends, and EndsIgnored ends that were acknowledged without a
-	// record.
-	UnansweredPolls, EndsIgnored int64
-	// TasksWithoutRun is how many long-running tasks no worker listed for 2 s or
-	// more at the last check, and LongestWithoutRunMS the longest such time of
-	// any task so far, in milliseconds.
-	TasksWithoutRun, LongestWithoutRunMS int64
-	// OrphansStopped counts the stop orders for listed runs that no job needs.
-	OrphansStopped int64
-	// OverdueStops is how many runs of cancelled jobs and orphans were, at the last
-	// check, still there after the bound on cancellations and a stop.
-	OverdueStops int64
-	// CancelsAgeMS is the age of the known cancellations at the last sweep, and
-	// OldestCancelsAtStartMS the greatest such age at any start so far, in
-	// milliseconds. StartsHeldMS is how long starts were held because of it.
-	CancelsAgeMS, OldestCancelsAtStartMS, StartsHeldMS int64
-	// EntriesAgeMS is the age of the known entries of workers at the last sweep, in
-	// milliseconds.
-	EntriesAgeMS int64
-	// CrashesCounted counts the crashes of workers that were recorded with a task,
-	// SuspectsIsolated the starts of such tasks apart from others, and TasksGivenUp
-	// those that are not started again.
-	CrashesCounted, SuspectsIsolated, TasksGivenUp int64
-	PerformanceStats
-}
-
-// pool holds the workers and the waiting steps of a pool.
-type pool struct {
-	name    string
-	workers []*worker
-	// overcommits is set if the workers start whatever they are told to.
-	overcommits bool
-	// capacityValidity limits the age of its workers' entries at a start, 0 for
-	// no limit.
-	capacityValidity time.Duration
-	ready            map[*step]struct{}
-	// readyLongRunning counts the long-running steps among them.
-	readyLongRunning int
-	// needsPass is set if a scheduling pass may have something to start.
-	needsPass bool
-	// released are the teams of whose quotas something was released, and for which
-	// steps of the pool wait, since the last call of takesReleased.
-	released []*team
-	// nextPass is the time of the next pass if nothing changes before, 0 for
-	// none.
-	nextPass time.Duration
-	// nextCopySearch is the time of the next search for tasks that lag behind.
-	nextCopySearch time.Duration
-	queues         map[string]*queueStats
-	// undiscovered is what previous owners may have left on workers that have not
-	// answered a poll yet, as of the last sweep.
-	undiscovered undiscovered
-	// inheritedWork holds the teams of the jobs that previous owners may have started
-	// in the pool.
-	inheritedWork map[*team]inheritedWork
-	// shares holds what teams have had of the pool in the last seconds.
-	shares fairshare.Pool
-	// recoveredAt is when the last of these workers had answered or was given up,
-	// and lastUnread its id.
-	recoveredAt time.Duration
-	lastUnread  string
-	// arrived is the work in core-seconds that was accepted so far, in
-	// arrivedJobs jobs. Jobs that run until cancelled do not count.
-	arrived     float64
-	arrivedJobs int
-	// completed is the estimated work in core-seconds of the tasks that are done, and
-	// completions its latest samples.
-	completed   float64
-	completions []completionSample
-}
-
-// queueStats holds statistics of the past jobs of a queue.
-type queueStats struct {
-	// work is the moving mean of the work of a job in core-seconds, count the
-	// number of jobs in it.
-	work  float64
-	count float64
-}
-
 // New returns an engine without jobs and workers.
 func New(opts Options) *Engine {
 	return &Engine{
@@ -357,107 +254,6 @@
 // Stats returns the counters.
 func (e *Engine) Stats() Stats { return e.stats }
 
-func (e *Engine) pool(name string) *pool {
-	p := e.pools[name]
-	if p == nil {
-		p = &pool{name: name, ready: map[*step]struct{}{}, queues: map[string]*queueStats{}, overcommits: e.overcommits(name), capacityValidity: e.capacityValidity(name)}
-		e.pools[name] = p
-		e.poolsByName = slices.SortedFunc(maps.Values(e.pools), func(a, b *pool) int { return cmp.Compare(a.name, b.name) })
-	}
-	return p
-}
-
-// Order is an action that the caller carries out. The concrete types are
-// *StartOrder, *StopOrder, *ThrottleOrder, *PollOrder, *Commit and
-// *RecommendOrder.
-type Order interface{ order() }
-
-// StartOrder starts a task on a worker. Its answer goes to Started.
-type StartOrder struct {
-	Worker estate.Worker
-	platform.Start
-	// NotAfter is the time after which the start must not be sent any more: a
-	// cancellation of its job may have been acknowledged too long ago.
-	NotAfter time.Duration
-	run      *run
-	withdrawal
-}
-
-// withdrawal lets an order be withdrawn before it is sent.
-type withdrawal struct{ withdrawn atomic.Bool }
-
-// Withdrawn reports whether the engine no longer wants the order, which must not be
-// sent any more. An order may wait for its worker; the caller checks right before it
-// sends one. It may be called from any goroutine.
-func (w *withdrawal) Withdrawn() bool { return w.withdrawn.Load() }
-
-// StopOrder ends a run on a worker. Its answer goes to Stopped.
-type StopOrder struct {
-	withdrawal
-	Worker estate.Worker
-	Task   workload.TaskID
-	Run    int
-	Token  int64
-	worker *worker
-}
-
-// ThrottleOrder throttles a run to a percentage of its full speed. Its answer
-// goes to Throttled.
-type ThrottleOrder struct {
-	Worker  estate.Worker
-	Task    workload.TaskID
-	Run     int
-	Percent int
-	Token   int64
-	run     *run
-}
-
-// PollOrder extends the lease of a worker and reads its runs and ends. Its
-// answer goes to Polled, also a late one; PollOverdue is called when it is not
-// there ProbeTimeout after the wait.
-type PollOrder struct {
-	Worker estate.Worker
-	platform.Poll
-	worker *worker
-	sentAt time.Duration
-	probe  bool
-	// overdue is set once PollOverdue was called, and answered once Polled was.
-	overdue, answered bool
-}
-
-// Commit records the progress of jobs in one transaction. Its outcome goes to
-// Committed or CommitFailed.
-type Commit struct {
-	// Part is the part that holds all of its jobs.
-	Part    int
-	Records []Record
-}
-
-// Record is the progress of one job to write.
-type Record struct {
-	Job string
-	// Version is the expected version of the row that is replaced.
-	Version  int64
-	Progress workload.Progress
-	seq      uint64
-	job      *job
-}
-
-// RecommendOrder requests from the recommendation service the workers that may
-// run a step. Its answer goes to Recommended.
-type RecommendOrder struct {
-	Step    string
-	Workers []string
-	step    *step
-}
-
-func (*StartOrder) order()     {}
-func (*StopOrder) order()      {}
-func (*ThrottleOrder) order()  {}
-func (*PollOrder) order()      {}
-func (*Commit) order()         {}
-func (*RecommendOrder) order() {}
-
 // Decide returns the orders to carry out now. Nothing is started while
 // ownership is OwnershipExpired.
 func (e *Engine) Decide(now time.Duration, ownership OwnershipState) []Order {
