--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -71,3 +71,19 @@
 	}
 	return p
 }
+
+// add inserts a worker in the order of ids: tasks are packed onto the first
+// workers, so that the others stay free to be moved or maintained.
+func (p *pool) add(w *worker) {
+	i, _ := slices.BinarySearchFunc(p.workers, w.ID, func(other *worker, id string) int { return cmp.Compare(other.ID, id) })
+	p.workers = slices.Insert(p.workers, i, w)
+}
+
+func (p *pool) remove(w *worker) {
+	for i, other := range p.workers {
+		if other == w {
+			p.workers = append(p.workers[:i], p.workers[i+1:]...)
+			return
+		}
+	}
+}
