--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/egretpitch/egretpitch/internal/fairshare"
+	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
 // pool holds the workers and the waiting steps of a pool.
@@ -87,3 +88,19 @@
 		}
 	}
 }
+
+// observeJob adds a job to the statistics of its pool and queue.
+func (p *pool) observeJob(spec *workload.Job) {
+	const memory = 50 // jobs over which the mean is taken
+	q := p.queues[spec.Queue]
+	if q == nil {
+		q = &queueStats{}
+		p.queues[spec.Queue] = q
+	}
+	if !spec.RunsUntilCancelled() {
+		p.arrived += spec.Work()
+		p.arrivedJobs++
+	}
+	q.count = min(q.count+1, memory)
+	q.work += (spec.Work() - q.work) / q.count
+}
