--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -67,7 +67,7 @@
 			if !t.step.Speculative || t.suspect() || len(t.runs) != 1 || t.done || t.step.job.ended() || r.phase == runStopping || !r.lags(now) {
 				continue
 			}
-			if e.waitsForQuota(t.step, now) || !t.step.fitsQuota(1) {
+			if e.waitsForQuota(t.step, now) || !t.step.fitsQuota(1, now) {
 				continue
 			}
 			others := slices.DeleteFunc(slices.Clone(open), func(o *worker) bool { return o == w })
@@ -87,8 +87,9 @@
 	if r.worker.failedPolls > 0 {
 		return r.proven() || now-r.worker.silentSince >= silenceBeforeCopy
 	}
-	if r.percent <= 0 {
-		return now-r.sentAt > time.Duration(copySpeedup*float64(r.task.step.Estimate))+copyStartSlack && r.listed
+	if !r.progressKnown() {
+		_, since := r.measuredFrom()
+		return now-since > time.Duration(copySpeedup*float64(r.task.step.Estimate))+copyStartSlack && r.listed
 	}
 	return r.remaining(now) > time.Duration(copySpeedup*float64(r.task.step.Estimate))+copyStartSlack
 }
--- a/internal/scheduler/team.go
+++ b/internal/scheduler/team.go
@@ -16,12 +16,13 @@
 	name    string
 	account *quota.Account
 	// blockedIn is the number of the last pass in which a task of the team did not
-	// fit its quota, and blockedPools the pools with such a task since a run of the
-	// team last ended.
-	blockedIn    uint64
-	blockedPools []*pool
+	// fit its quota, and waits holds such a step of each pool.
+	blockedIn uint64
+	waits     []quotaWait
 	// longRunningAt is when a long-running task last did not fit and had to wait.
 	longRunningAt time.Duration
+	// reserving are the steps for which quota is reserved.
+	reserving []*step
 	// blockedAt is when a task last did not fit, and blockedTask that task; tooLarge
 	// is set if it cannot fit before long-running tasks of the team end. waitsSince is
 	// since when the team waits for its quota, 0 if it does not.
@@ -39,6 +40,14 @@
 	line        *line
 }
 
+// quotaWait is a step, n tasks of which start together, that does not fit the quota of
+// its team and keeps the team's other tasks in its pool waiting.
+type quotaWait struct {
+	pool *pool
+	step *step
+	n    int
+}
+
 // team returns the team with the given name, nil if the name is empty.
 func (e *Engine) team(name string) *team {
 	if name == "" {
@@ -100,20 +109,40 @@
 	return x ^ x>>31
 }
 
-// quotaReleased has the pools whose tasks wait for the quota of the team passed at
-// once. Otherwise the pool in which a run of the team ended would take what it held.
+// quotaReleased lets the next decision pass the pools whose tasks can start with what
+// was released of the team's quota. Otherwise the pool in which a run of the team ended
+// would take what it held.
 func (t *team) quotaReleased() {
 	if t == nil {
 		return
 	}
-	for _, p := range t.blockedPools {
-		p.needsPass = true
+	for _, w := range t.waits {
+		if !slices.Contains(w.pool.released, t) {
+			w.pool.released = append(w.pool.released, t)
+		}
 	}
-	t.blockedPools = t.blockedPools[:0]
+}
+
+// takesReleased reports whether a step of the pool may start that waited for a quota of
+// which something was released. The passes of other pools may have taken it since.
+func (p *pool) takesReleased(now time.Duration) bool {
+	takes := false
+	for _, t := range p.released {
+		i := slices.IndexFunc(t.waits, func(w quotaWait) bool { return w.pool == p })
+		if i < 0 {
+			continue
+		}
+		if w := t.waits[i]; w.step.idle == 0 || w.step.job.ended() || w.step.fitsQuota(w.n, now) {
+			takes = true
+			t.waits = slices.Delete(t.waits, i, i+1)
+		}
+	}
+	p.released = p.released[:0]
+	return takes
 }
 
 func (e *Engine) passIfDue(p *pool, now time.Duration) {
-	if p.needsPass || (p.nextPass > 0 && now >= p.nextPass) {
+	if p.takesReleased(now) || p.needsPass || (p.nextPass > 0 && now >= p.nextPass) {
 		e.pass(p, now)
 	}
 }
@@ -124,7 +153,7 @@
 // the team's long-running ones are cancelled keep no others waiting, nor do those for
 // which the workers would have no room if they were empty.
 func (e *Engine) fitsQuota(s *step, n int, now time.Duration, workers ...[]*worker) bool {
-	if s.fitsQuota(n) {
+	if s.fitsQuota(n, now) {
 		return true
 	}
 	t := s.job.team
@@ -134,18 +163,21 @@
 		if s.LongRunning {
 			t.longRunningAt = now
 		}
-		if p := e.pool(s.job.Pool); !slices.Contains(t.blockedPools, p) {
-			t.blockedPools = append(t.blockedPools, p)
+		wait := quotaWait{e.pool(s.job.Pool), s, n}
+		if i := slices.IndexFunc(t.waits, func(w quotaWait) bool { return w.pool == wait.pool }); i >= 0 {
+			t.waits[i] = wait
+		} else {
+			t.waits = append(t.waits, wait)
 		}
 	}
 	return false
 }
 
 // hasRoomFor reports whether the workers would have room for n tasks of the step if
-// they were empty.
+// they were empty. A worker that the recommendation service denies has none.
 func (s *step) hasRoomFor(n int, workers ...[]*worker) bool {
 	for _, w := range slices.Concat(workers...) {
-		if !s.hasLabel(w) {
+		if !s.hasLabel(w) || s.denied(w) {
 			continue
 		}
 		left := w.Capacity
@@ -159,8 +191,12 @@
 	return false
 }
 
-// fitsQuota reports whether n more tasks of the step fit the quota of their team.
-func (s *step) fitsQuota(n int) bool { return s.job.team.held().Fits(n, s.Size, placement.Resources{}) }
+// fitsQuota reports whether n more tasks of the step fit the quota of their team beside
+// what is reserved.
+func (s *step) fitsQuota(n int, now time.Duration) bool {
+	t := s.job.team
+	return t.held().Fits(n, s.Size, t.reservedBeside(s, now))
+}
 
 // waitsForQuota reports whether a better task of the step's team did not fit its
 // quota in this pass, or a long-running one in the last pass of another pool.
