test/soak: two teams with quotas, and the checker checks the quotas

A start that raises what a team has running above 1.1 times its quota and one task more is a violation. Both quotas are lowered after a third of a run; the lower ones count for starts from 3 s after the commit on. The last digit of a job's ID gives its team. A run in which no team reaches its quota fails: it would not show the rule. The stand-in has quotas already.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -47,7 +47,7 @@
 // call sends a request about the job id to a node and returns the HTTP status
 // and the state of the job. The status is 0 if there is no complete response.
 func (c *callers) call(method, address, id string, body []byte) (int, string) {
-	return c.callWithin(requestTimeout, validKey, method, address, id, body)
+	return c.callWithin(requestTimeout, keyOf(id), method, address, id, body)
 }
 
 // callWithin is call with another bound on the request and another key.
@@ -73,7 +73,7 @@
 		}
 		return 0, ""
 	}
-	if s := resp.StatusCode; key == validKey && (s == http.StatusUnauthorized || s == http.StatusForbidden || s == http.StatusNotFound) {
+	if s := resp.StatusCode; key == keyOf(id) && (s == http.StatusUnauthorized || s == http.StatusForbidden || s == http.StatusNotFound) {
 		c.world.checker.mu.Lock()
 		c.world.checker.addViolation("KEY: %s of job %s with a valid key is answered %d", method, id, s)
 		c.world.checker.mu.Unlock()
@@ -159,7 +159,7 @@
 func (c *callers) withdrawJob(ctx context.Context, id string, rng *rand.Rand) {
 	c.world.checker.addJob(id, &jobRecord{steps: []step{{count: 1, after: -1}}, longRunning: true})
 	wait := time.Duration(rng.Int64N(int64(impatience)))
-	status, _ := c.callWithin(wait, validKey, http.MethodPost, c.world.anyNode(rng), id, longBody(1))
+	status, _ := c.callWithin(wait, keyOf(id), http.MethodPost, c.world.anyNode(rng), id, longBody(1))
 	accepted := status == http.StatusOK
 	c.world.checker.update(id, func(j *jobRecord) {
 		j.accepted = accepted
--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -33,6 +33,10 @@
 	// twice over, and longestIdle the longest time of any without a run.
 	roomSince   time.Time
 	longestIdle time.Duration
+	// quotas are those that count for starts now, and startsAtQuota the number of
+	// starts with which a team reached its quota, by team.
+	quotas        [2]int
+	startsAtQuota [2]int
 }
 
 // jobRecord holds a submitted job and what callers and workers observed of it.
@@ -75,7 +79,9 @@
 	idleSince  time.Time
 }
 
-func newChecker() *checker { return &checker{jobs: map[string]*jobRecord{}, closed: map[string]int{}} }
+func newChecker() *checker {
+	return &checker{jobs: map[string]*jobRecord{}, closed: map[string]int{}, quotas: startQuotas}
+}
 
 // addViolation records a violation of a rule. The caller holds c.mu.
 func (c *checker) addViolation(format string, args ...any) {
@@ -170,6 +176,7 @@
 	if o.Spec != spec {
 		c.addViolation("UNASKED: %v starts with specification %q", o.Task, o.Spec)
 	}
+	c.checkQuota(o)
 }
 
 // observeState records and checks the state of a job that was reported to a
--- a/test/soak/keys_test.go
+++ b/test/soak/keys_test.go
@@ -6,12 +6,11 @@
 	"os"
 	"strings"
 	"time"
-
-	"github.com/egretpitch/egretpitch/platform/standin"
 )
 
 const (
 	validKey     = "soak-secret-valid"
+	secondKey    = "soak-secret-second"
 	withdrawnKey = "soak-secret-withdrawn"
 	unknownKey   = "soak-secret-unknown"
 	// wrongKeyInterval is the number of jobs with a valid key for each with a wrong
@@ -23,14 +22,9 @@
 	configApplied = 3 * time.Second
 )
 
-// teamsWithKeys returns the estate's only team.
-func teamsWithKeys(keys ...string) []standin.Team {
-	return []standin.Team{{Name: "soak", Keys: keys, Weight: 10}}
-}
-
 // withdrawKey withdraws withdrawnKey, unless a fault keeps the operator from it.
 func (c *callers) withdrawKey() {
-	if c.world.platform.ConfigureTeams(teamsWithKeys(validKey)) == nil {
+	if c.world.platform.ConfigureTeams(teams(startQuotas, validKey)) == nil {
 		c.world.keyWithdrawn = time.Now()
 	}
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -140,6 +140,7 @@
 		injectors.Go(func() { inject(w, faultCtx, rand.New(rand.NewPCG(seed, uint64(100+i)))) })
 	}
 	c.withdrawKey()
+	jobs.Go(func() { c.lowerQuotas(ctx, period/3) })
 	rng := rand.New(rand.NewPCG(seed, 1))
 	for n := 0; faultCtx.Err() == nil; n++ {
 		if n%wrongKeyInterval == 0 {
@@ -157,13 +158,17 @@
 	jobs.Wait()
 	w.checkLogsForKeys()
 	violations := w.checker.finish()
-	t.Logf("seed %d: connections that ended with a request: %v; longest time of a long-running task without a run: %v", seed, w.checker.closed, w.checker.longestIdle)
+	t.Logf("seed %d: connections that ended with a request: %v; longest time of a long-running task without a run: %v; starts that reached a quota, by team: %v",
+		seed, w.checker.closed, w.checker.longestIdle, w.checker.startsAtQuota)
 	if len(violations) > 0 {
 		t.Errorf("seed %d: %d violations, the first: %s", seed, len(violations), strings.Join(violations[:min(5, len(violations))], "\n"))
 	}
 	if w.checker.unauthorized == 0 {
 		t.Errorf("seed %d: no request with a wrong key was answered 401", seed)
 	}
+	if reached := w.checker.startsAtQuota; reached == [2]int{} {
+		t.Errorf("seed %d: no team reached its quota", seed)
+	}
 	if count := w.checker.completed(); count == 0 {
 		t.Errorf("seed %d: no job was reported as completed", seed)
 	}
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -84,7 +84,7 @@
 			{Name: "spare", Workers: 2, Standby: true, Capacity: placement.Resources{Processors: 8, MemoryMB: 4096}},
 		},
 		Queues: []standin.Queue{{Name: "q", Host: queueHost, PathPrefix: queuePrefix, Pool: "pool", MaxAttempts: maxAttempts}},
-		Teams:  teamsWithKeys(validKey, withdrawnKey),
+		Teams:  teams(startQuotas, validKey, withdrawnKey),
 	})
 	p.Size = func(workload.TaskID) placement.Resources { return size }
 	p.RunOutcome = w.runOutcome
