--- a/test/intake/intake_test.go
+++ b/test/intake/intake_test.go
@@ -267,7 +267,7 @@
 	case <-time.After(answerTimeout):
 		t.Fatal("the process does not end")
 	}
-	if !n.exited.Success() {
-		t.Errorf("the process ended with %v", n.exited)
+	if !n.cmd.ProcessState.Success() {
+		t.Errorf("the process ended with %v", n.cmd.ProcessState)
 	}
 }
--- a/test/intake/node_test.go
+++ b/test/intake/node_test.go
@@ -60,18 +60,7 @@
 	return cmp.Or(n, defaultValue)
 }
 
-func TestMain(m *testing.M) { os.Exit(runTests(m)) }
-
-func runTests(m *testing.M) int {
-	path, remove, err := testkit.BuildNode()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer remove()
-	binary = path
-	return m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(testkit.RunTests(m, &binary, testkit.BuildNode)) }
 
 // node is a process under test and what was measured of it.
 type node struct {
@@ -79,7 +68,7 @@
 	platform                *standin.Platform
 	pid                     int
 	ended                   chan struct{}
-	exited                  *os.ProcessState // set once ended is closed
+	cmd                     *exec.Cmd
 	stop                    chan struct{}
 	sampled                 sync.WaitGroup
 	// peakKB is the most memory and peakFiles the most descriptors that were seen.
@@ -105,7 +94,7 @@
 	t.Cleanup(p.Stop)
 	n := &node{
 		callers: testkit.FreePort(t), ready: testkit.FreePort(t), metrics: testkit.FreePort(t), platform: p,
-		ended: make(chan struct{}), stop: make(chan struct{}),
+		stop: make(chan struct{}),
 	}
 	settings, logPath := filepath.Join(t.TempDir(), "node.conf"), filepath.Join(t.TempDir(), "node.log")
 	lines := []string{
@@ -117,23 +106,12 @@
 	if err := os.WriteFile(settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	out, err := os.Create(logPath)
-	if err != nil {
-		t.Fatal(err)
-	}
 	cmd := exec.Command(binary)
 	cmd.Env = []string{wire.SettingsVariable + "=" + settings}
-	cmd.Stdout, cmd.Stderr = out, out
-	if err := cmd.Start(); err != nil {
+	if n.ended, err = testkit.StartProcess(cmd, logPath); err != nil {
 		t.Fatal(err)
 	}
-	n.pid = cmd.Process.Pid
-	go func() {
-		_ = cmd.Wait() // it is killed
-		n.exited = cmd.ProcessState
-		_ = out.Close()
-		close(n.ended)
-	}()
+	n.cmd, n.pid = cmd, cmd.Process.Pid
 	t.Cleanup(func() {
 		close(n.stop)
 		n.sampled.Wait()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -16,7 +16,6 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"os"
 	"strconv"
@@ -45,18 +44,7 @@
 // binary is the path of the egretpitch-node that TestMain builds.
 var binary string
 
-func TestMain(m *testing.M) { os.Exit(runTests(m)) }
-
-func runTests(m *testing.M) int {
-	path, remove, err := testkit.BuildNode()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer remove()
-	binary = path
-	return m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(testkit.RunTests(m, &binary, testkit.BuildNode)) }
 
 // TestSoak injects faults of all kinds. It runs the regression seeds, and as many
 // new seeds as the variable EGRETPITCH_SOAK_SEEDS says.
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -176,26 +176,15 @@
 			return
 		}
 	}
-	out, err := os.OpenFile(n.logPath, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
-	if err != nil {
-		t.Error(err)
-		return
-	}
 	cmd := exec.Command(binary)
 	cmd.Env = []string{wire.SettingsVariable + "=" + n.settingsPath}
-	cmd.Stdout, cmd.Stderr = out, out
-	if err := cmd.Start(); err != nil {
+	ended, err := testkit.StartProcess(cmd, n.logPath)
+	if err != nil {
 		t.Error(err)
 		return
 	}
-	ended := make(chan struct{})
 	n.cmd, n.ended = cmd, ended
 	n.processes = append(n.processes, cmd.Process)
-	go func() {
-		_ = cmd.Wait() // an error is expected: the test kills nodes
-		_ = out.Close()
-		close(ended)
-	}()
 }
 
 // signal sends a signal to the process unless it has ended.
