admission, scheduler: steps that wait for others do not make a pool certainly full

Work of later steps counted as if it could always fill the pool. Each published amount of work now has the longest critical path of its waiting steps; the pool is certainly full only while more work than that path takes is ahead.

--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -96,12 +96,14 @@
 			if o.left == 0 || j.timeliness(o, now) == tooLate {
 				continue
 			}
-			sum := 0.0
+			sum, chain := 0.0, time.Duration(0)
 			for _, s := range o.steps {
 				idle := float64(s.idle) * s.Requests().Processors * s.Estimate.Seconds()
 				sum += idle
 				if s.waitsFor == 0 {
 					work.startable += idle
+				} else {
+					chain = max(chain, s.criticalPath)
 				}
 			}
 			if sum > 0 {
@@ -111,7 +113,7 @@
 				}
 				slack := j.objective() - (now - o.releaseTime(j)) - o.criticalPathLeft()
 				work.byTeam.Add(j.Team, admission.Rank(priority, e.weight(j)/max(o.workLeft(), minWork)),
-					slack, slack+(tooLateFactor-1)*j.objective(), sum)
+					slack, slack+(tooLateFactor-1)*j.objective(), sum, chain)
 			}
 		}
 	}
--- a/internal/scheduler/load_test.go
+++ b/internal/scheduler/load_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/egretpitch/egretpitch/internal/admission"
+	"github.com/egretpitch/egretpitch/internal/placement"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
@@ -39,6 +40,24 @@
 	}
 }
 
+// TestLoadsTellHowLongStepsWaitForOthers guards against refusals for work that leaves capacity while its steps wait for others.
+func TestLoadsTellHowLongStepsWaitForOthers(t *testing.T) {
+	e := fullEngine(1, 10, 24)
+	e.recovering = false
+	step := func(estimate time.Duration, after ...int) workload.Step {
+		return workload.Step{Count: 1, Size: placement.Resources{Processors: 1}, Estimate: estimate, After: after}
+	}
+	spec := &workload.Job{ID: "00000000000000aa", Queue: "p0", Pool: "p0", Steps: []workload.Step{step(4 * time.Second), step(2*time.Second, 0), step(3*time.Second, 1)}}
+	e.AddJob(spec, &workload.Progress{State: workload.Queued}, 1, 0, false, 0)
+	var chain int64
+	for _, w := range e.Loads(0)[0].Teams[0].Ahead {
+		chain = max(chain, w.Chain)
+	}
+	if chain != 50 {
+		t.Errorf("steps wait for others for %d tenths of a second, want 50", chain)
+	}
+}
+
 func TestCriticalPathsAgree(t *testing.T) {
 	step := func(estimate time.Duration, after ...int) workload.Step {
 		return workload.Step{Count: 1, Estimate: estimate, After: after}
