--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -8,12 +8,13 @@
 // late ones, and in each class those of better rank. So a waiting job is ahead of a
 // new one only while it stays in the class of the new one or in a better class: of
 // jobs with equal objectives the older ones become late, and useless, first. A job is
-// refused only if work of better rank takes the whole capacity of the pool until its
-// last useful start. Steps that wait for others leave capacity only when they are all
-// the work left, so work that takes as long as the longest chain of them does not
-// count. So whether a job is refused does not depend on others of its kind,
-// and refusals do not feed back on themselves. A wrong refusal costs a caller its job,
-// a wrong acceptance only some waiting. What is uncertain
+// refused only if the work that stays ahead of it takes the whole capacity of the
+// pool until its last timely start, and until its last useful start. Steps that wait for
+// others leave capacity only when they are all the work left, so work that takes as long
+// as the longest chain of them does not count. So whether a job is
+// refused does not depend on others of its kind, and refusals do not feed back on
+// themselves. A wrong refusal
+// costs a caller its job, a wrong acceptance only some waiting. What is uncertain
 // counts for the job: capacity that may come back, tasks that take less time than
 // estimated, work of other teams, whose shares are not known here, and jobs that will
 // be submitted later.
@@ -60,9 +61,6 @@
 	RetryAfter time.Duration
 	// Age is the age of the published state.
 	Age time.Duration
-	// Start is the earliest start of the job after the published work that comes before
-	// it, 0 if that does not fill the pool until the last useful start.
-	Start time.Duration
 	// AheadTimely is the work that stays ahead of the job until its last timely start,
 	// and Ahead that until its last useful start, in core-seconds. Admitted is the
 	// part of Ahead that was admitted since the state was published.
@@ -125,19 +123,12 @@
 	d.Admitted = entries * sinceUseful
 	d.Ahead = useful + d.Admitted - served
 	limit, limitTimely := d.Capacity*(d.Useful+chain).Seconds(), d.Capacity*(d.Timely+chain).Seconds()
-	d.Start = p.start(&j, d, chain)
-	var wait time.Duration
-	switch {
-	case useful-served >= certainShare*limit && d.Ahead > limit && d.AheadTimely > limitTimely:
-		wait = seconds(min(d.Ahead-limit, d.AheadTimely-limitTimely) / d.Capacity)
-	case d.Start >= d.Useful:
-		wait = d.Start - d.Useful
-	default:
+	if useful-served < certainShare*limit || d.Ahead <= limit || d.AheadTimely <= limitTimely {
 		return g.admit(d, j, now)
 	}
 	d.Refused = true
 	line := [2]string{j.Pool, j.Team}
-	free := max(now+wait, g.lines[line])
+	free := max(now+seconds(min(d.Ahead-limit, d.AheadTimely-limitTimely)/d.Capacity), g.lines[line])
 	g.lines[line] = min(free+seconds(entries*j.Work/d.Capacity), now+maxRetryAfter)
 	d.RetryAfter = min(max(free-now, time.Second), maxRetryAfter)
 	return d
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -70,7 +70,7 @@
 	n.metrics.refused.Add("pool full", 1)
 	event.SubmissionRefusedForLoad.Log(n.Log, zap.String("job", j.ID), zap.String("queue", j.Queue), zap.String("pool", j.Pool), zap.String("team", j.Team),
 		zap.Duration("age", d.Age), zap.Float64("ahead_timely", d.AheadTimely), zap.Float64("ahead", d.Ahead), zap.Float64("admitted", d.Admitted),
-		zap.Float64("capacity", d.Capacity), zap.Duration("timely", d.Timely), zap.Duration("useful", d.Useful), zap.Duration("start", d.Start), zap.Duration("retry_after", d.RetryAfter))
+		zap.Float64("capacity", d.Capacity), zap.Duration("timely", d.Timely), zap.Duration("useful", d.Useful), zap.Duration("retry_after", d.RetryAfter))
 	return response{status: http.StatusTooManyRequests, reason: "not stored: the pool is full", retryAfter: d.RetryAfter}, true
 }
 
