fleetplan: a rise needs several jobs

A single large job raised the rate above a tenth of a usual surge in a small pool, which was then sized for one: TestDrainingWorkerWithALongRunningTaskIsReopenedOrEmptied and TestWaveTakesTheHostThatIsKeptForATaskOfADrainingWorker (internal/scheduler) failed, as their pool gave up no host.

--- a/internal/fleetplan/demand.go
+++ b/internal/fleetplan/demand.go
@@ -26,6 +26,9 @@
 	// follows its rate is short of hosts all that time.
 	riseShare = 0.1
 	maxRise   = 4500 * time.Millisecond
+	// minRiseJobs is the number of jobs within rateWindow from which their rate is
+	// taken for a rise: a single large job is none.
+	minRiseJobs = 4
 	// firstSurge is the size for which a pool is sized when its demand first rises,
 	// relative to its initial one: a surge takes more than its pool holds.
 	firstSurge = 1.4
@@ -73,9 +76,11 @@
 		d = &demand{idleSince: map[string]time.Duration{}}
 		p.demands[pool.Name] = d
 	}
-	d.rate = max(rateOver(pool.Arrivals, until, rateWindow/2), rateOver(pool.Arrivals, until, rateWindow))
+	latest, _ := rateOver(pool.Arrivals, until, rateWindow/2)
+	longer, jobs := rateOver(pool.Arrivals, until, rateWindow)
+	d.rate = max(latest, longer)
 	p.trackSurge(d, pool, now)
-	p.trackRise(d, pool, now)
+	p.trackRise(d, pool, jobs, now)
 	if len(pool.Workers) == 0 {
 		return
 	}
@@ -93,9 +98,9 @@
 }
 
 // rateOver returns the arrival rate over a window in cores, reduced when few
-// jobs arrived in it, since the rate of a few jobs is mostly chance.
-func rateOver(arrivals []Arrival, until, window time.Duration) float64 {
-	work, jobs := 0.0, 0
+// jobs arrived in it, since the rate of a few jobs is mostly chance, and their number.
+func rateOver(arrivals []Arrival, until, window time.Duration) (rate float64, jobs int) {
+	work := 0.0
 	for _, a := range arrivals {
 		if a.At > until-window && a.At <= until {
 			work += a.Work
@@ -103,7 +108,7 @@
 		}
 	}
 	confidence := 1 - 1/math.Sqrt(float64(jobs)+1)
-	return confidence * work / window.Seconds()
+	return confidence * work / window.Seconds(), jobs
 }
 
 // trackSurge records the start of a surge and, until minSurgeInterval after
@@ -130,12 +135,13 @@
 	return int(math.Ceil(firstSurge * float64(d.initialHosts)))
 }
 
-// trackRise notes when the pool's demand begins to rise to a surge.
-func (p *Planner) trackRise(d *demand, pool *Pool, now time.Duration) {
+// trackRise notes when the pool's demand begins to rise to a surge, from the number of
+// jobs in rateWindow.
+func (p *Planner) trackRise(d *demand, pool *Pool, jobs int, now time.Duration) {
 	usual := float64(p.usualSize(d, pool.Name, now-maxRise)) * pool.workerCores()
 	switch {
 	case usual > 0 && d.rate > riseShare*usual:
-		if !d.rising {
+		if !d.rising && jobs >= minRiseJobs {
 			d.rising, d.risingAt = true, now
 		}
 	case d.rate < riseShare/2*usual:
