fleetplan: bursts that no surge follows do not have a pool sized for one

What operators saw: a pool with small bursts of jobs got the hosts of a usual surge at each of them, and gave them back when the burst ended.

Cause: a rise counted as the beginning of a surge whenever the arrival rate passed a tenth of a usual one, also if no surge had followed the rises before.

Evidence: TestSmallBurstsDoNotHoldTheHostsOfASurge fails without the change: up to 22 hosts and 293 moves within 30 s for bursts of 0.4 s that fill 4 hosts, every 3 s; 152 moves for one every 8 s.

The highest rate of a rise without a surge is kept until the pool's next surge. Only a rate of 1.5 times that counts as a rise again.

--- a/internal/fleetplan/demand.go
+++ b/internal/fleetplan/demand.go
@@ -26,6 +26,10 @@
 	// follows its rate is short of hosts all that time.
 	riseShare = 0.1
 	maxRise   = 4500 * time.Millisecond
+	// burstMargin is the factor above the highest rate of earlier rises without a surge
+	// from which the rate counts as a rise again. Bursts that no surge follows would
+	// otherwise move hosts to the pool and back for each of them.
+	burstMargin = 1.5
 	// minRiseJobs is the number of jobs within rateWindow from which their rate is
 	// taken for a rise: a single large job is none.
 	minRiseJobs = 4
@@ -44,6 +48,12 @@
 	// is when it rose above that.
 	rising   bool
 	risingAt time.Duration
+	// riseRate is the highest rate since risingAt, and riseSurged is set if the pool
+	// has surged since.
+	riseRate   float64
+	riseSurged bool
+	// burstRate is the highest rate of the rises without a surge since the last surge.
+	burstRate float64
 	// initialHosts is how many hosts the pool had at the first plan; it is
 	// valid once initialKnown is set.
 	initialKnown bool
@@ -139,14 +149,23 @@
 // jobs in rateWindow.
 func (p *Planner) trackRise(d *demand, pool *Pool, jobs int, now time.Duration) {
 	usual := float64(p.usualSize(d, pool.Name, now-maxRise)) * pool.workerCores()
+	if d.surging {
+		d.riseSurged, d.burstRate = true, 0
+	}
 	switch {
-	case usual > 0 && d.rate > riseShare*usual:
+	case usual > 0 && d.rate > max(riseShare*usual, burstMargin*d.burstRate):
 		if !d.rising && jobs >= minRiseJobs {
-			d.rising, d.risingAt = true, now
+			d.rising, d.risingAt, d.riseRate, d.riseSurged = true, now, 0, d.surging
 		}
 	case d.rate < riseShare/2*usual:
+		if d.rising && !d.riseSurged {
+			d.burstRate = max(d.burstRate, d.riseRate)
+		}
 		d.rising = false
 	}
+	if d.rising {
+		d.riseRate = max(d.riseRate, d.rate)
+	}
 }
 
 // workerCores returns the mean number of cores of the pool's workers, 0 if it
--- /dev/null
+++ b/internal/fleetplan/rise_test.go
@@ -0,0 +1,35 @@
+package fleetplan
+
+import (
+	"testing"
+	"time"
+)
+
+// bursts returns a demand of the given cores for 0.4 s in each period from a time on.
+func bursts(cores float64, period, from time.Duration) func(time.Duration) float64 {
+	return func(now time.Duration) float64 {
+		if now >= from && (now-from)%period < 400*time.Millisecond {
+			return cores
+		}
+		return 0
+	}
+}
+
+// Guards against small bursts without a surge that have a pool sized for one again and again.
+func TestSmallBurstsDoNotHoldTheHostsOfASurge(t *testing.T) {
+	for _, period := range []time.Duration{3 * time.Second, 8 * time.Second} {
+		f := newFleet(map[string]int{"a": 9, "b": 9, "c": 9, "spare": 12})
+		f.pools["b"].demand = surge(20*testCores, time.Second, 9*time.Second)
+		f.run(14 * time.Second)
+		f.pools["a"].demand = bursts(4*testCores, period, f.now)
+		f.run(20 * time.Second)
+		moves, most := f.moves, 0
+		for end := f.now + 30*time.Second; f.now < end; {
+			f.step()
+			most = max(most, f.size("a"))
+		}
+		if moves = f.moves - moves; most > 9 || moves > 20 {
+			t.Errorf("period %v: the pool has up to %d hosts and %d moves within 30 s for bursts that 4 serve", period, most, moves)
+		}
+	}
+}
