fleetplan: a steady demand does not hide the beginning of the first surge

What callers saw: the pool of a queue with some steady demand was not sized for a surge when its demand rose, and its jobs waited.

Cause: a rise ended only when the rate fell below half of the share that begins one. Above a steady demand of a twentieth of a usual surge it never ended, so that no other could begin.

A rise without a surge ends after the time for which it sizes its pool, and its rate counts as that of a burst.

--- a/internal/fleetplan/demand.go
+++ b/internal/fleetplan/demand.go
@@ -152,15 +152,16 @@
 	if d.surging {
 		d.riseSurged, d.burstRate = true, 0
 	}
+	low := d.rate < riseShare/2*usual
+	if d.rising && !d.riseSurged && (low || now-d.risingAt >= maxRise) {
+		d.rising, d.burstRate = false, max(d.burstRate, d.riseRate)
+	}
 	switch {
 	case usual > 0 && d.rate > max(riseShare*usual, burstMargin*d.burstRate):
 		if !d.rising && jobs >= minRiseJobs {
 			d.rising, d.risingAt, d.riseRate, d.riseSurged = true, now, 0, d.surging
 		}
-	case d.rate < riseShare/2*usual:
-		if d.rising && !d.riseSurged {
-			d.burstRate = max(d.burstRate, d.riseRate)
-		}
+	case low:
 		d.rising = false
 	}
 	if d.rising {
--- a/internal/fleetplan/rise_test.go
+++ b/internal/fleetplan/rise_test.go
@@ -33,3 +33,15 @@
 		}
 	}
 }
+
+// Guards against a steady demand before the first surge that hides its beginning.
+func TestFirstSurgeAboveASteadyDemandGetsMoreHostsThanItsPoolHolds(t *testing.T) {
+	f := newFleet(map[string]int{"a": 9, "b": 9, "c": 9, "spare": 12})
+	f.pools["a"].demand = func(time.Duration) float64 { return 2 * testCores }
+	f.run(14 * time.Second)
+	from := f.now
+	f.pools["a"].demand = func(now time.Duration) float64 { return max(2*testCores, ramp(13*testCores, from)(now)) }
+	if waiting, allowed := f.maxWaiting("a", 7*time.Second), latencyTarget.Seconds()*13*testCores; waiting > allowed {
+		t.Errorf("up to %.0f core-seconds wait while demand rises, allowed are %.0f", waiting, allowed)
+	}
+}
