fleetplan: a steady demand after a surge does not hide the next surge

What callers saw: jobs of a queue whose demand does not fall below a twentieth of its surges waited at the beginning of the second surge and of all later ones.

Cause: a rise with a surge ended only when the rate fell below that share.

Evidence: TestNextSurgeAboveASteadyDemandGetsItsUsualHosts fails without the change: 1222 core-seconds wait, allowed are 768.

Such a rise also ends once the surge is over and the rate has halved. The lowest rate since then is the steady demand; 1.5 times that begins the next rise.

--- a/internal/fleetplan/demand.go
+++ b/internal/fleetplan/demand.go
@@ -54,6 +54,8 @@
 	riseSurged bool
 	// burstRate is the highest rate of the rises without a surge since the last surge.
 	burstRate float64
+	// baseRate is the lowest rate since the last rise with a surge has ended.
+	baseRate float64
 	// initialHosts is how many hosts the pool had at the first plan; it is
 	// valid once initialKnown is set.
 	initialKnown bool
@@ -153,16 +155,18 @@
 		d.riseSurged, d.burstRate = true, 0
 	}
 	low := d.rate < riseShare/2*usual
-	if d.rising && !d.riseSurged && (low || now-d.risingAt >= maxRise) {
-		d.rising, d.burstRate = false, max(d.burstRate, d.riseRate)
-	}
+	over := d.rising && now-d.risingAt >= maxRise
 	switch {
-	case usual > 0 && d.rate > max(riseShare*usual, burstMargin*d.burstRate):
-		if !d.rising && jobs >= minRiseJobs {
-			d.rising, d.risingAt, d.riseRate, d.riseSurged = true, now, 0, d.surging
-		}
-	case low:
-		d.rising = false
+	case d.rising && !d.riseSurged && (low || over):
+		d.rising, d.burstRate = false, max(d.burstRate, d.riseRate)
+	case d.rising && (low || (over && !d.surging && d.rate < d.riseRate/2)):
+		d.rising, d.baseRate = false, d.rate
+	case !d.rising:
+		d.baseRate = min(d.baseRate, d.rate)
+	}
+	threshold := max(riseShare*usual, burstMargin*max(d.burstRate, d.baseRate))
+	if usual > 0 && d.rate > threshold && !d.rising && jobs >= minRiseJobs {
+		d.rising, d.risingAt, d.riseRate, d.riseSurged = true, now, 0, d.surging
 	}
 	if d.rising {
 		d.riseRate = max(d.riseRate, d.rate)
--- a/internal/fleetplan/rise_test.go
+++ b/internal/fleetplan/rise_test.go
@@ -45,3 +45,16 @@
 		t.Errorf("up to %.0f core-seconds wait while demand rises, allowed are %.0f", waiting, allowed)
 	}
 }
+
+// Guards against a steady demand after a surge that hides the beginning of the next one.
+func TestNextSurgeAboveASteadyDemandGetsItsUsualHosts(t *testing.T) {
+	f := newFleet(map[string]int{"a": 9, "b": 9, "c": 9, "spare": 12})
+	first := surge(20*testCores, time.Second, 9*time.Second)
+	f.pools["a"].demand = func(now time.Duration) float64 { return max(2*testCores, first(now)) }
+	f.run(24 * time.Second)
+	from := f.now
+	f.pools["a"].demand = func(now time.Duration) float64 { return max(2*testCores, ramp(20*testCores, from)(now)) }
+	if waiting, allowed := f.maxWaiting("a", 7*time.Second), latencyTarget.Seconds()*20*testCores; waiting > allowed {
+		t.Errorf("up to %.0f core-seconds wait while demand rises, allowed are %.0f", waiting, allowed)
+	}
+}
