fleetplan: a demand that goes on after a pause of the feed is no rise

What operators saw: after a pause of the feed, a pool got the hosts of a usual surge though its demand was the same as before the pause.

Cause: without news the arrival rate falls to 0. That ended the rise, and the jobs that became known after the pause began another.

Rises are not tracked while no accepted job of any pool is known from the last 0.3 s. TestJobsReadAfterAPauseAreNoSurge did not show the fault, since the usual surge of its pool is its steady demand.

--- a/internal/fleetplan/demand.go
+++ b/internal/fleetplan/demand.go
@@ -92,7 +92,9 @@
 	longer, jobs := rateOver(pool.Arrivals, until, rateWindow)
 	d.rate = max(latest, longer)
 	p.trackSurge(d, pool, now)
-	p.trackRise(d, pool, jobs, now)
+	if until > now-maxFeedDelay { // otherwise the feed may pause while the demand goes on
+		p.trackRise(d, pool, jobs, now)
+	}
 	if len(pool.Workers) == 0 {
 		return
 	}
--- a/internal/fleetplan/rise_test.go
+++ b/internal/fleetplan/rise_test.go
@@ -58,3 +58,28 @@
 		t.Errorf("up to %.0f core-seconds wait while demand rises, allowed are %.0f", waiting, allowed)
 	}
 }
+
+// Guards against a pause of the feed after which a demand that goes on counts as the beginning of a surge.
+func TestDemandThatGoesOnAfterAPauseIsNoRise(t *testing.T) {
+	f := newFleet(map[string]int{"a": 9, "b": 9, "c": 9, "spare": 12})
+	a := f.pools["a"]
+	a.demand = func(now time.Duration) float64 {
+		if now < 8*time.Second {
+			return 18 * testCores
+		}
+		return 3 * testCores
+	}
+	f.run(20 * time.Second)
+	before := f.size("a")
+	a.paused = true
+	f.run(1400 * time.Millisecond)
+	a.paused = false
+	most := 0
+	for range 20 {
+		f.step()
+		most = max(most, f.size("a"))
+	}
+	if most > before+4 { // the jobs of the pause need 3 * 1.4 hosts beside the new ones
+		t.Errorf("the pool has %d hosts after a pause of the feed, %d before", most, before)
+	}
+}
