scheduler: a wait without a worker to ask about does not use up the reservation

What callers saw: a long-running task that had waited for a worker with its label did not get its team's quota at first when that worker appeared, since other tasks of the team took the quota while the recommendation service answered.

Cause: the 5 s for which quota is reserved without an answer counted from the first pass without tickets, also while there was no worker to ask about.

Evidence: TestQuotaIsReservedOnceAWorkerCanBeAskedAbout fails without the change: the team's other tasks hold 4 cores, 1 is not reserved.

The time counts from the first reservation.

--- a/internal/scheduler/quotaticket.go
+++ b/internal/scheduler/quotaticket.go
@@ -22,8 +22,8 @@
 type reservation struct {
 	size placement.Resources
 	at   time.Duration
-	// since is when the step began to wait, 0 if the recommendation service has
-	// answered its last request.
+	// since is when quota was first reserved, 0 if the recommendation service has
+	// answered the step's last request.
 	since time.Duration
 }
 
@@ -34,10 +34,7 @@
 	if t == nil || !s.LongRunning || !e.quotas.Limited() {
 		return
 	}
-	if s.reserved.since == 0 {
-		s.reserved.since = now
-	}
-	if now-s.reserved.since > maxTicketWait {
+	if s.reserved.since > 0 && now-s.reserved.since > maxTicketWait {
 		return
 	}
 	count := s.freePlaces(s.idle, workers)
@@ -47,6 +44,9 @@
 	if count < n {
 		return
 	}
+	if s.reserved.since == 0 {
+		s.reserved.since = now
+	}
 	s.reserved.size, s.reserved.at = times(count, s.Size), now
 	t.reserving = append(slices.DeleteFunc(t.reserving, func(r *step) bool { return r == s || !r.reserves(now) }), s)
 }
--- a/internal/scheduler/quotaticket_test.go
+++ b/internal/scheduler/quotaticket_test.go
@@ -106,3 +106,19 @@
 		}
 	}
 }
+
+// The time in which no worker had the label leaves no reservation for the wait for tickets.
+func TestQuotaIsReservedOnceAWorkerCanBeAskedAbout(t *testing.T) {
+	sim, owner, job, batch := newTicketSimulation(t, false)
+	sim.ticketDelay = 700 * time.Millisecond
+	job.Steps[0].Requires = "ssd"
+	sim.submit(owner, job)
+	sim.run(maxTicketWait+time.Second, owner)
+	sim.addWorkerFor(nil, "w3", 6).needsTicket = "t3"
+	sim.workers["w3"].Labels = []string{"ssd"}
+	owner.discover()
+	sim.run(100*time.Millisecond, owner)
+	sim.submit(owner, batch)
+	sim.run(400*time.Millisecond, owner)
+	sim.wantHeld(t, "a", 1, "beside the reserved quota")
+}
