fleetplan: the demand at a change of the owner is no rise

What operators saw: after each change of the owner, pools with a steady demand got the hosts of a usual surge for some seconds.

Cause: a successor knows the surges before it, but not the demand. The first rate that it took counted as the beginning of a surge.

Evidence: TestDemandAtAChangeOfOwnerIsNoRise fails without the change: 20 hosts after the change, 5 before.

No rise begins until the planner has seen all arrivals of its window. The highest rate of that time is the steady demand.

--- a/internal/fleetplan/demand.go
+++ b/internal/fleetplan/demand.go
@@ -54,8 +54,10 @@
 	riseSurged bool
 	// burstRate is the highest rate of the rises without a surge since the last surge.
 	burstRate float64
-	// baseRate is the lowest rate since the last rise with a surge has ended.
-	baseRate float64
+	// baseRate is the lowest rate since the last rise with a surge has ended or, before,
+	// since the Planner has known all arrivals that it uses, after knownFrom.
+	baseRate  float64
+	knownFrom time.Duration
 	// initialHosts is how many hosts the pool had at the first plan; it is
 	// valid once initialKnown is set.
 	initialKnown bool
@@ -85,7 +87,7 @@
 func (p *Planner) observe(pool *Pool, until, now time.Duration) {
 	d := p.demands[pool.Name]
 	if d == nil {
-		d = &demand{idleSince: map[string]time.Duration{}}
+		d = &demand{idleSince: map[string]time.Duration{}, knownFrom: now + ArrivalMemory}
 		p.demands[pool.Name] = d
 	}
 	latest, _ := rateOver(pool.Arrivals, until, rateWindow/2)
@@ -156,6 +158,10 @@
 	if d.surging {
 		d.riseSurged, d.burstRate = true, 0
 	}
+	if now < d.knownFrom { // a successor does not know how the demand was before
+		d.baseRate = max(d.baseRate, d.rate)
+		return
+	}
 	low := d.rate < riseShare/2*usual
 	over := d.rising && now-d.risingAt >= maxRise
 	switch {
--- a/internal/fleetplan/rise_test.go
+++ b/internal/fleetplan/rise_test.go
@@ -83,3 +83,25 @@
 		t.Errorf("the pool has %d hosts after a pause of the feed, %d before", most, before)
 	}
 }
+
+// Guards against a successor that takes the demand of its first seconds for the beginning of a surge.
+func TestDemandAtAChangeOfOwnerIsNoRise(t *testing.T) {
+	f := newFleet(map[string]int{"a": 9, "b": 9, "c": 9, "spare": 12})
+	a := f.pools["a"]
+	a.demand = func(now time.Duration) float64 {
+		if now < 8*time.Second {
+			return 18 * testCores
+		}
+		return 3 * testCores
+	}
+	f.run(20 * time.Second)
+	before, most := f.size("a"), 0
+	f.planner = New(testMigration, nil, f.planner.Surges(), nil, nil)
+	for range 20 {
+		f.step()
+		most = max(most, f.size("a"))
+	}
+	if most > before+1 {
+		t.Errorf("the pool has %d hosts after a change of the owner, %d before", most, before)
+	}
+}
