fleetplan: tests of rises no longer begin with their demand at the first plan

Since the demand at a change of the owner is no rise, a steady demand or a surge from the first plan on is none either. The tests of a first surge above a steady demand and of a pause passed without the changes that they guard.

--- a/internal/fleetplan/rise_test.go
+++ b/internal/fleetplan/rise_test.go
@@ -37,8 +37,9 @@
 // Guards against a steady demand before the first surge that hides its beginning.
 func TestFirstSurgeAboveASteadyDemandGetsMoreHostsThanItsPoolHolds(t *testing.T) {
 	f := newFleet(map[string]int{"a": 9, "b": 9, "c": 9, "spare": 12})
+	f.run(2 * time.Second)
 	f.pools["a"].demand = func(time.Duration) float64 { return 2 * testCores }
-	f.run(14 * time.Second)
+	f.run(12 * time.Second)
 	from := f.now
 	f.pools["a"].demand = func(now time.Duration) float64 { return max(2*testCores, ramp(13*testCores, from)(now)) }
 	if waiting, allowed := f.maxWaiting("a", 7*time.Second), latencyTarget.Seconds()*13*testCores; waiting > allowed {
@@ -61,14 +62,10 @@
 
 // Guards against a pause of the feed after which a demand that goes on counts as the beginning of a surge.
 func TestDemandThatGoesOnAfterAPauseIsNoRise(t *testing.T) {
-	f := newFleet(map[string]int{"a": 9, "b": 9, "c": 9, "spare": 12})
+	f := newFleet(map[string]int{"a": 12, "b": 9, "c": 9, "spare": 9})
 	a := f.pools["a"]
-	a.demand = func(now time.Duration) float64 {
-		if now < 8*time.Second {
-			return 18 * testCores
-		}
-		return 3 * testCores
-	}
+	first := surge(20*testCores, 2*time.Second, 9*time.Second)
+	a.demand = func(now time.Duration) float64 { return max(3.5*testCores, first(now)) }
 	f.run(20 * time.Second)
 	before := f.size("a")
 	a.paused = true
@@ -79,21 +76,17 @@
 		f.step()
 		most = max(most, f.size("a"))
 	}
-	if most > before+4 { // the jobs of the pause need 3 * 1.4 hosts beside the new ones
+	if most > before+5 { // the jobs of the pause need 3.5 * 1.4 hosts beside the new ones
 		t.Errorf("the pool has %d hosts after a pause of the feed, %d before", most, before)
 	}
 }
 
 // Guards against a successor that takes the demand of its first seconds for the beginning of a surge.
 func TestDemandAtAChangeOfOwnerIsNoRise(t *testing.T) {
-	f := newFleet(map[string]int{"a": 9, "b": 9, "c": 9, "spare": 12})
+	f := newFleet(map[string]int{"a": 12, "b": 9, "c": 9, "spare": 9})
 	a := f.pools["a"]
-	a.demand = func(now time.Duration) float64 {
-		if now < 8*time.Second {
-			return 18 * testCores
-		}
-		return 3 * testCores
-	}
+	first := surge(20*testCores, 2*time.Second, 9*time.Second)
+	a.demand = func(now time.Duration) float64 { return max(3.5*testCores, first(now)) }
 	f.run(20 * time.Second)
 	before, most := f.size("a"), 0
 	f.planner = New(testMigration, nil, f.planner.Surges(), nil, nil)
