--- a/internal/fleetplan/demand.go
+++ b/internal/fleetplan/demand.go
@@ -26,6 +26,10 @@
 	// follows its rate is short of hosts all that time.
 	riseShare = 0.1
 	maxRise   = 4500 * time.Millisecond
+	// burstMargin is the factor above the highest rate of earlier rises without a surge
+	// from which the rate counts as a rise again. Bursts that no surge follows would
+	// otherwise move hosts to the pool and back for each of them.
+	burstMargin = 1.5
 	// minRiseJobs is the number of jobs within rateWindow from which their rate is
 	// taken for a rise: a single large job is none.
 	minRiseJobs = 4
@@ -44,6 +48,16 @@
 	// is when it rose above that.
 	rising   bool
 	risingAt time.Duration
+	// riseRate is the highest rate since risingAt, and riseSurged is set if the pool
+	// has surged since.
+	riseRate   float64
+	riseSurged bool
+	// burstRate is the highest rate of the rises without a surge since the last surge.
+	burstRate float64
+	// baseRate is the lowest rate since the last rise with a surge has ended or, before,
+	// since the Planner has known all arrivals that it uses, after knownFrom.
+	baseRate  float64
+	knownFrom time.Duration
 	// initialHosts is how many hosts the pool had at the first plan; it is
 	// valid once initialKnown is set.
 	initialKnown bool
@@ -73,14 +87,16 @@
 func (p *Planner) observe(pool *Pool, until, now time.Duration) {
 	d := p.demands[pool.Name]
 	if d == nil {
-		d = &demand{idleSince: map[string]time.Duration{}}
+		d = &demand{idleSince: map[string]time.Duration{}, knownFrom: now + ArrivalMemory}
 		p.demands[pool.Name] = d
 	}
 	latest, _ := rateOver(pool.Arrivals, until, rateWindow/2)
 	longer, jobs := rateOver(pool.Arrivals, until, rateWindow)
 	d.rate = max(latest, longer)
 	p.trackSurge(d, pool, now)
-	p.trackRise(d, pool, jobs, now)
+	if until > now-maxFeedDelay { // otherwise the feed may pause while the demand goes on
+		p.trackRise(d, pool, jobs, now)
+	}
 	if len(pool.Workers) == 0 {
 		return
 	}
@@ -139,13 +155,29 @@
 // jobs in rateWindow.
 func (p *Planner) trackRise(d *demand, pool *Pool, jobs int, now time.Duration) {
 	usual := float64(p.usualSize(d, pool.Name, now-maxRise)) * pool.workerCores()
+	if d.surging {
+		d.riseSurged, d.burstRate = true, 0
+	}
+	if now < d.knownFrom { // a successor does not know how the demand was before
+		d.baseRate = max(d.baseRate, d.rate)
+		return
+	}
+	low := d.rate < riseShare/2*usual
+	over := d.rising && now-d.risingAt >= maxRise
 	switch {
-	case usual > 0 && d.rate > riseShare*usual:
-		if !d.rising && jobs >= minRiseJobs {
-			d.rising, d.risingAt = true, now
-		}
-	case d.rate < riseShare/2*usual:
-		d.rising = false
+	case d.rising && !d.riseSurged && (low || over):
+		d.rising, d.burstRate = false, max(d.burstRate, d.riseRate)
+	case d.rising && (low || (over && !d.surging && d.rate < d.riseRate/2)):
+		d.rising, d.baseRate = false, d.rate
+	case !d.rising:
+		d.baseRate = min(d.baseRate, d.rate)
+	}
+	threshold := max(riseShare*usual, burstMargin*max(d.burstRate, d.baseRate))
+	if usual > 0 && d.rate > threshold && !d.rising && jobs >= minRiseJobs {
+		d.rising, d.risingAt, d.riseRate, d.riseSurged = true, now, 0, d.surging
+	}
+	if d.rising {
+		d.riseRate = max(d.riseRate, d.rate)
 	}
 }
 
