node: versions of a slow table service are in force in time

With calls of 0.6 s and more the configuration is 2 s old at the end of each long poll, so that the recorded version was read before each version and again before the read that confirms it. The configuration was up to 4.9 s old then, 6.3 s if the read was refused once, and requests were refused from 3 s on.

--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -39,6 +39,9 @@
 	// On slow days a call takes 0.96 s, and a record up to floorDelay and four calls,
 	// two of them for an attempt that conflicts with the record of a lower version.
 	floorSecondDelay = 3 * time.Second
+	// maxCallLatency bounds the latency by which the time is extended within which a
+	// process needs no read of the record. It is above that of slow days.
+	maxCallLatency = time.Second
 	// floorCheckTimeout bounds the read of the recorded version before a configuration
 	// is put in force. It is above the latency of slow days.
 	floorCheckTimeout = 1200 * time.Millisecond
@@ -169,6 +172,24 @@
 	// delivered. The row may have held a higher one in between: the feed delivers the
 	// newest content of a row only.
 	adopted, delivered chan struct{}
+	// deliveredAt is when the last call was sent whose answer held a version, and
+	// latency how much longer than its wait the last long poll without changes took.
+	deliveredAt, latency atomic.Int64
+}
+
+// observe records the answer to a long poll.
+func (f *floor) observe(c platform.OperatorChanges, late time.Duration) {
+	if c.Catalog == nil && !c.MayHaveMore {
+		f.latency.Store(int64(min(max(late, 0), maxCallLatency)))
+	}
+}
+
+// unrecordedFor returns for how long after its adoption by others a version is not
+// recorded that this process has missed. Where calls are slow, those that record it
+// make at least two of them first. Without that, each version would be adopted a call
+// later on slow days, since a process knows the configuration only 2 s back then.
+func (f *floor) unrecordedFor() time.Duration {
+	return floorRereadDelay + 2*time.Duration(f.latency.Load())
 }
 
 // raise sets the recorded version, unless a higher one is known.
@@ -199,15 +220,16 @@
 // checkFloor reads the recorded version before a configuration is adopted, unless
 // this process knew the configuration shortly before: a higher version that it has
 // missed since is not recorded yet, and watchFloor reads it. While the recorded
-// version cannot be read, nothing is adopted where there may be teams.
-func (n *Node) checkFloor(ctx context.Context, c platform.OperatorChanges) error {
+// version cannot be read, nothing is adopted where there may be teams. unrecorded is
+// unrecordedFor from before the call, so that a pause during the call does not extend it.
+func (n *Node) checkFloor(ctx context.Context, c platform.OperatorChanges, unrecorded time.Duration) error {
 	if c.Catalog == nil {
 		return nil
 	}
 	if !n.floor.read.Load() {
 		return n.readFloor(ctx)
 	}
-	if age, _ := n.confirmed.age(n.Clock.Now()); age <= floorRereadDelay {
+	if n.Clock.Now()-time.Duration(max(n.confirmed.at.Load(), n.floor.deliveredAt.Load())) <= unrecorded {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, floorCheckTimeout)
--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/egretpitch/egretpitch/internal/ctxtime"
 	"github.com/egretpitch/egretpitch/internal/estate"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/standin"
@@ -472,3 +474,80 @@
 		t.Error("the service counts as reachable after 0.8 s of failures")
 	}
 }
+
+// storedOperator answers each call after a time, with what is stored when the call arrives or its wait ends.
+type storedOperator struct {
+	platform.Operator
+	latency time.Duration
+	stored  atomic.Pointer[estate.Catalog]
+}
+
+func (o *storedOperator) ReadOperator(ctx context.Context) (platform.OperatorChanges, error) {
+	c := o.stored.Load()
+	return platform.OperatorChanges{Catalog: c, Stamp: platform.Stamp{Version: c.Version}}, ctxtime.Sleep(ctx, o.latency)
+}
+
+func (o *storedOperator) WatchOperator(ctx context.Context, after int64, wait time.Duration) (platform.OperatorChanges, error) {
+	for until := time.Now().Add(wait); o.stored.Load().Version <= after && time.Now().Before(until); {
+		if err := ctxtime.Sleep(ctx, 10*time.Millisecond); err != nil {
+			return platform.OperatorChanges{}, err
+		}
+	}
+	c := o.stored.Load()
+	if err := ctxtime.Sleep(ctx, o.latency); err != nil {
+		return platform.OperatorChanges{}, err
+	}
+	if c.Version <= after {
+		return platform.OperatorChanges{Stamp: platform.Stamp{Version: c.Version}}, nil
+	}
+	return platform.OperatorChanges{Catalog: c, Stamp: platform.Stamp{Version: c.Version}, MayHaveMore: true}, nil
+}
+
+// Guards against a configuration that is adopted too late, and requests that are refused meanwhile, because the record is read first.
+func TestVersionsOfASlowTableServiceAreInForceInTime(t *testing.T) {
+	const within = 3 * time.Second
+	for _, latency := range []time.Duration{300 * time.Millisecond, 600 * time.Millisecond, 960 * time.Millisecond} {
+		for _, refused := range []bool{false, true} {
+			t.Run(fmt.Sprintf("calls of %v, record refused once: %v", latency, refused), func(t *testing.T) {
+				t.Parallel()
+				rows := standin.NewRows()
+				rows.SetFaults(standin.Faults{Latency: latency})
+				table := &refusingConfigTable{Rows: rows}
+				o := &storedOperator{latency: latency}
+				o.stored.Store(teamCatalog(1, teams{"a": {"ka"}}, false))
+				n := New(Options{Name: "n", Rows: table, Operator: o, ConfigWithin: within, Log: zap.NewNop()})
+				go func() { _ = n.watchOperator(t.Context()) }()
+				eventually(t, "version 1 is in force", func() bool { return catalogVersion(n.catalog.Load()) == 1 })
+				time.Sleep(2 * time.Second)
+				for version := int64(2); version <= 3; version++ {
+					table.refuses.Store(refused)
+					o.stored.Store(teamCatalog(version, teams{"a": {"ka"}}, false))
+					var adopted, oldest time.Duration
+					for committed := time.Now(); time.Since(committed) < 5*time.Second; time.Sleep(10 * time.Millisecond) {
+						if catalogVersion(n.catalog.Load()) == version && adopted == 0 {
+							adopted = time.Since(committed)
+						}
+						age, _ := n.confirmed.age(n.Clock.Now())
+						oldest = max(oldest, age)
+					}
+					if adopted == 0 || adopted > within || oldest > within {
+						t.Errorf("version %d is adopted after %v, the configuration was %v old; want %v at most", version, adopted, oldest, within)
+					}
+				}
+			})
+		}
+	}
+}
+
+// refusingConfigTable is a table service that refuses the next read of the recorded version if refuses is set.
+type refusingConfigTable struct {
+	platform.Rows
+	refuses atomic.Bool
+}
+
+func (s *refusingConfigTable) ReadRows(ctx context.Context, table, part, from, to string) ([]platform.PartRow, platform.Stamp, error) {
+	if table == configTable && s.refuses.Swap(false) {
+		return nil, platform.Stamp{}, platform.ErrUnavailable
+	}
+	return s.Rows.ReadRows(ctx, table, part, from, to)
+}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -24,15 +24,18 @@
 // watchOperator keeps the catalog and the maintenance waves up to date until
 // ctx ends.
 func (n *Node) watchOperator(ctx context.Context) error {
-	answer := func(ctx context.Context, sent time.Duration, c platform.OperatorChanges, err error) (handleAnswer, error) {
+	answer := func(ctx context.Context, sent, unrecorded time.Duration, c platform.OperatorChanges, err error) (handleAnswer, error) {
 		if err == nil {
-			err = n.checkFloor(ctx, c)
+			err = n.checkFloor(ctx, c, unrecorded)
 		}
 		return func() (int64, error) {
 			now := n.Clock.Now()
 			n.Clock.ObserveStore(c.Stamp, now)
 			n.adopt(c)
 			n.confirmed.observe(c, sent, now)
+			if c.Catalog != nil {
+				n.floor.deliveredAt.Store(int64(sent))
+			}
 			return c.Version, nil
 		}, err
 	}
@@ -40,22 +43,24 @@
 	f := feed{
 		name: "operator's configuration", log: n.Log, version: unread, wait: feedLongPollWait,
 		readAll: func(ctx context.Context) (handleAnswer, error) {
-			sent := n.Clock.Now()
+			sent, unrecorded := n.Clock.Now(), n.floor.unrecordedFor()
 			c, err := n.Operator.ReadOperator(ctx)
-			return answer(ctx, sent, c, err)
+			return answer(ctx, sent, unrecorded, c, err)
 		},
 		readChanges: func(ctx context.Context, after int64) (handleAnswer, error) {
-			sent := n.Clock.Now()
+			sent, unrecorded := n.Clock.Now(), n.floor.unrecordedFor()
 			if n.confirmed.needsRead(sent) {
 				c, err := n.Operator.ReadOperator(ctx)
-				return answer(ctx, sent, c, err)
+				return answer(ctx, sent, unrecorded, c, err)
 			}
 			wait := n.configPollWait(time.Duration(late.Load()))
 			c, err := n.Operator.WatchOperator(ctx, after, wait)
 			if err == nil {
-				late.Store(int64(n.Clock.Now() - sent - wait))
+				lateness := n.Clock.Now() - sent - wait
+				late.Store(int64(lateness))
+				n.floor.observe(c, lateness)
 			}
-			return answer(ctx, sent, c, err)
+			return answer(ctx, sent, unrecorded, c, err)
 		},
 	}
 	return f.run(ctx)
