admission, scheduler: steps that wait for others do not count as work ahead

A job was refused that could start after 4.8 s and was of use until 8 s: 200 tasks that wait for a step of 20 s counted as work ahead beyond their critical path of 1 s, but while that step runs the pool is free. However long the path is, the waiting tasks can be more than the pool does in it, so only steps that can start are published.

Tests: Work has no Chain any more, so the row of TestOnlyHopelessJobsAreRefused that sets one is gone. TestLoadsLeaveOutStepsThatWaitForOthers replaces TestLoadsTellHowLongStepsWaitForOthers with the same job and asks for its startable work only, and TestWorkBehindALongStepKeepsNoJobOut decides about a job with what the scheduler publishes. The model of play_test.go publishes as the scheduler does.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -9,9 +9,8 @@
 // new one only while it stays in the class of the new one or in a better class: of
 // jobs with equal objectives the older ones become late, and useless, first. A job is
 // refused only if the work that stays ahead of it takes the whole capacity of the
-// pool until its last timely start, and until its last useful start. Steps that wait for
-// others leave capacity only when they are all the work left, so work that takes as long
-// as the longest chain of them does not count. So whether a job is
+// pool until its last timely start, and until its last useful start. Only steps that can
+// start count, since a new job may start while others wait. So whether a job is
 // refused does not depend on others of its kind, and refusals do not feed back on
 // themselves. A wrong refusal
 // costs a caller its job, a wrong acceptance only some waiting. What is uncertain
@@ -115,14 +114,14 @@
 	if d.Capacity <= 0 {
 		return g.admit(d, j, now)
 	}
-	timely, useful, chain := p.ahead(&j, d.Timely, d.Useful, d.Age)
+	timely, useful := p.ahead(&j, d.Timely, d.Useful, d.Age)
 	sinceTimely, sinceUseful := g.since(&j, d.Timely, d.Useful, now)
 	entries := float64(max(v.Entries, 1))
 	served := d.Capacity * d.Age.Seconds()
 	d.AheadTimely = timely + entries*sinceTimely - served
 	d.Admitted = entries * sinceUseful
 	d.Ahead = useful + d.Admitted - served
-	limit, limitTimely := d.Capacity*(d.Useful+chain).Seconds(), d.Capacity*(d.Timely+chain).Seconds()
+	limit, limitTimely := d.Capacity*d.Useful.Seconds(), d.Capacity*d.Timely.Seconds()
 	if useful-served < certainShare*limit || d.Ahead <= limit || d.AheadTimely <= limitTimely {
 		return g.admit(d, j, now)
 	}
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -52,21 +52,18 @@
 	// are in tenths of a second and rounded down.
 	Timely, Useful int64
 	Work           int64
-	// Chain is the longest critical path of the steps of these jobs that wait for
-	// others, in tenths of a second and rounded up.
-	Chain int64
 }
 
 // MarshalJSON encodes w as a list of its fields.
 func (w Work) MarshalJSON() ([]byte, error) {
-	return json.Marshal([5]int64{w.Rank, w.Timely, w.Useful, w.Work, w.Chain})
+	return json.Marshal([4]int64{w.Rank, w.Timely, w.Useful, w.Work})
 }
 
 // UnmarshalJSON decodes what MarshalJSON has encoded.
 func (w *Work) UnmarshalJSON(data []byte) error {
-	var list [5]int64
+	var list [4]int64
 	err := json.Unmarshal(data, &list)
-	*w = Work{list[0], list[1], list[2], list[3], list[4]}
+	*w = Work{list[0], list[1], list[2], list[3]}
 	return errors.Wrap(err, "decode work")
 }
 
@@ -120,9 +117,8 @@
 }
 
 // ahead returns the work that is served before a job whose last starts are after
-// timely and useful: until timely, and until useful, and its longest chain of steps.
-// age is the age of p.
-func (p *Pool) ahead(j *Job, timely, useful, age time.Duration) (untilTimely, untilUseful float64, chain time.Duration) {
+// timely and useful: until timely, and until useful. age is the age of p.
+func (p *Pool) ahead(j *Job, timely, useful, age time.Duration) (untilTimely, untilUseful float64) {
 	for i := range p.Teams {
 		if p.Teams[i].Name != j.Team {
 			continue
@@ -131,7 +127,6 @@
 			if w.Rank >= j.Rank {
 				continue
 			}
-			chain = max(chain, time.Duration(w.Chain)*tenth)
 			if time.Duration(w.Timely)*tenth-age >= timely {
 				untilTimely += float64(w.Work)
 			}
@@ -140,30 +135,24 @@
 			}
 		}
 	}
-	return untilTimely, untilUseful, chain
+	return untilTimely, untilUseful
 }
 
 const tenth = 100 * time.Millisecond
 
 // Builder collects the waiting work of a pool. The zero value is empty.
-type Builder struct{ teams map[string]map[Work]amount }
-
-// amount is the work of jobs with the same rank and slack, and their longest chain.
-type amount struct{ work, chain int64 }
+type Builder struct{ teams map[string]map[Work]int64 }
 
 // Add adds the waiting work of a job in core-seconds, with the times until its last
-// timely and its last useful start, and the longest critical path of its steps that
-// wait for others.
-func (b *Builder) Add(team string, rank int64, timely, useful time.Duration, work float64, chain time.Duration) {
+// timely and its last useful start.
+func (b *Builder) Add(team string, rank int64, timely, useful time.Duration, work float64) {
 	if b.teams == nil {
-		b.teams = map[string]map[Work]amount{}
+		b.teams = map[string]map[Work]int64{}
 	}
 	if b.teams[team] == nil {
-		b.teams[team] = map[Work]amount{}
+		b.teams[team] = map[Work]int64{}
 	}
-	key := Work{Rank: rank, Timely: roundSlack(timely), Useful: roundSlack(useful)}
-	sum := b.teams[team][key]
-	b.teams[team][key] = amount{sum.work + int64(work), max(sum.chain, int64((chain+tenth-1)/tenth))}
+	b.teams[team][Work{Rank: rank, Timely: roundSlack(timely), Useful: roundSlack(useful)}] += int64(work)
 }
 
 // roundSlack rounds down to whole seconds below 16 s, and by less than an eighth above.
@@ -183,8 +172,8 @@
 	teams := make([]Team, 0, len(b.teams))
 	for name, works := range b.teams {
 		t := Team{Name: name}
-		for w, sum := range works {
-			w.Work, w.Chain = sum.work, sum.chain
+		for w, work := range works {
+			w.Work = work
 			t.Ahead = append(t.Ahead, w)
 		}
 		slices.SortFunc(t.Ahead, func(a, b Work) int {
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -73,13 +73,15 @@
 	return loads
 }
 
-// waitingWork is the work of a pool whose tasks have not started, in core-seconds.
+// waitingWork is the work of a pool whose tasks can start and have not, in core-seconds.
 type waitingWork struct {
 	byTeam    admission.Builder
 	startable float64
 }
 
 // waitingWork returns the waiting work of the jobs that can still be of use, by pool.
+// Steps that wait for others do not count: while a long step of few tasks runs, a new
+// job starts ahead of them, however much work they are.
 func (e *Engine) waitingWork(now time.Duration) map[*pool]*waitingWork {
 	waiting := map[*pool]*waitingWork{}
 	for _, j := range e.jobs {
@@ -96,24 +98,21 @@
 			if o.left == 0 || j.timeliness(o, now) == tooLate {
 				continue
 			}
-			sum, chain := 0.0, time.Duration(0)
+			startable := 0.0
 			for _, s := range o.steps {
-				idle := float64(s.idle) * s.Requests().Processors * s.Estimate.Seconds()
-				sum += idle
 				if s.waitsFor == 0 {
-					work.startable += idle
-				} else {
-					chain = max(chain, s.criticalPath)
+					startable += float64(s.idle) * s.Requests().Processors * s.Estimate.Seconds()
 				}
 			}
-			if sum > 0 {
+			work.startable += startable
+			if startable > 0 {
 				priority := 0
 				if j.queue != nil {
 					priority = j.queue.Priority
 				}
 				slack := j.objective() - (now - o.releaseTime(j)) - o.criticalPathLeft()
 				work.byTeam.Add(j.Team, admission.Rank(priority, e.weight(j)/max(o.workLeft(), minWork)),
-					slack, slack+(tooLateFactor-1)*j.objective(), sum, chain)
+					slack, slack+(tooLateFactor-1)*j.objective(), startable)
 			}
 		}
 	}
