entry: callers' connections, headers and bodies are bounded

The callers' listener of egretpitch-entry kept whatever clients sent: each body in memory of its own, connections without a bound. It now has a limiter of internal/intake. Bounds follow from the new keys limits.memory_mb and limits.file_descriptors of the process file, by default from the machine. With limits.memory_mb the kernel's buffers and the collector are bounded too.

Time-outs of a listener for bodies and answers may differ from those of idle connections: a deadline of an entry may be 10 minutes.

test/intake starts the real entry and control process with the stand-in (go test -tags intake -count=1 ./test/intake -run TestEntry, 300 clients, 64 MB, 600 descriptors).

--- a/cmd/egretpitch-entry/main.go
+++ b/cmd/egretpitch-entry/main.go
@@ -45,7 +45,7 @@
 	e := entry.New(entry.Options{
 		Name: c.Name, Address: d.RPCAddress, Control: c.Control, Boot: boot, Incarnation: d.Incarnation,
 		Place:    datacentre.Place{Region: c.Region, DataCentre: c.DataCentre, Rack: c.Rack},
-		Platform: d.Platform, Log: d.Log,
+		Platform: d.Platform, Memory: c.Limits.MemoryBytes(), FileDescriptors: c.Limits.FileDescriptors, Log: d.Log,
 	})
 	d.RegisterReady(e.Ready)
 	server := e.NewServer()
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -14,6 +14,12 @@
 // commandLine replaces the file name in errors of flags.
 const commandLine = "command line"
 
+// Ranges of the limits. An idle process takes some 20 MiB and 20 descriptors.
+const (
+	minMemoryMB, maxMemoryMB               = 64, 1 << 22
+	minFileDescriptors, maxFileDescriptors = 256, 1 << 20
+)
+
 // logLevels are the allowed log levels.
 var logLevels = []string{"debug", "info", "warn", "error"}
 
@@ -60,6 +66,8 @@
 	v.checkName("rack", p.Rack)
 	v.checkListenAddress("rpc_listen", "rpc-listen", p.RPCListen)
 	v.checkListenAddress("admin_listen", "admin-listen", p.AdminListen)
+	v.checkLimit("memory_mb", "memory-mb", p.Limits.MemoryMB, minMemoryMB, maxMemoryMB)
+	v.checkLimit("file_descriptors", "file-descriptors", p.Limits.FileDescriptors, minFileDescriptors, maxFileDescriptors)
 	if p.LogLevel == "" {
 		p.LogLevel = defaultLogLevel
 	}
@@ -68,6 +76,13 @@
 	}
 }
 
+// checkLimit checks a limit, of which 0 stands for the default.
+func (v *validator) checkLimit(k, flag string, value, least, most int) {
+	if value != 0 && (value < least || value > most) {
+		v.errorf(key("limits").Key(k), "limits."+flag, "%d is out of range; allowed: %d to %d", value, least, most)
+	}
+}
+
 // checkName checks a name whose key k is also its flag.
 func (v *validator) checkName(k, value string) {
 	switch {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -21,6 +21,8 @@
 	Control []string `yaml:"control" long:"control" value-name:"IP:PORT" description:"rpc address of a control process (repeat for each)"`
 	// Platform holds the addresses of the platform's services.
 	Platform Platform `yaml:"platform" group:"Platform" namespace:"platform"`
+	// Limits are the resources of the process.
+	Limits Limits `yaml:"limits" group:"Limits" namespace:"limits"`
 	// LogLevel is the lowest level that is logged; "" stands for info.
 	LogLevel string `yaml:"log_level" long:"log-level" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lowest level that is logged (default info)"`
 }
@@ -33,6 +35,17 @@
 	Workers string `yaml:"workers" long:"workers" value-name:"URL" description:"worker service"`
 }
 
+// Limits are the resources that a process may use. 0 stands for those of the machine.
+type Limits struct {
+	// MemoryMB is its memory in MiB, including buffers of the kernel.
+	MemoryMB int `yaml:"memory_mb" long:"memory-mb" value-name:"MIB" description:"memory of the process (default that of the machine)"`
+	// FileDescriptors is the number of its file descriptors.
+	FileDescriptors int `yaml:"file_descriptors" long:"file-descriptors" value-name:"N" description:"file descriptors of the process (default the limit in force)"`
+}
+
+// MemoryBytes returns the memory in bytes, 0 if it is not stated.
+func (l Limits) MemoryBytes() int64 { return int64(l.MemoryMB) << 20 }
+
 // Entry holds the settings of an entry process.
 type Entry struct {
 	Process `yaml:",inline"`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -27,6 +28,16 @@
 	"github.com/egretpitch/egretpitch/internal/platform/httpapi"
 )
 
+const (
+	// gcPercent is the garbage collector's target percentage in a process whose
+	// memory is limited. It is below the default of 100, for a smaller heap at the
+	// cost of processor time.
+	gcPercent = 60
+	// heapShare is the part of that memory from which the collector runs as often as
+	// it takes. The rest is for buffers of the kernel.
+	heapShare = 0.7
+)
+
 // drainTimeout is the longest time that a graceful shutdown may take.
 const drainTimeout = 60 * time.Second
 
@@ -57,6 +68,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if p.Limits.MemoryMB > 0 {
+		debug.SetGCPercent(gcPercent)
+		debug.SetMemoryLimit(int64(heapShare * float64(p.Limits.MemoryBytes())))
+	}
 	d := &Daemon{
 		Log: log, flush: flush, Admin: echo.New(), RPC: drpcmux.New(), Incarnation: rand.Uint64(),
 		Platform: httpapi.New(httpapi.Services{
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -13,6 +13,9 @@
 // reasonBadRequest is the reason for a request that net/http could not parse.
 const reasonBadRequest = "bad-request"
 
+// reasonOverloaded is the reason for a request for which the entry has no memory.
+const reasonOverloaded = "overloaded"
+
 // unparsedHeaders are added to the responses that net/http itself sends to
 // requests that it could not parse.
 var unparsedHeaders = []byte(outcome.Header + ": " + outcome.NotRun.String() + "\r\n" +
@@ -60,10 +63,19 @@
 // callerConnKey is the context key of a request's callerConn.
 type callerConnKey struct{}
 
-// withCallerConn stores the connection in the context of its requests. It is
-// an http.Server.ConnContext.
-func withCallerConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, c)
+// observeCallers sets the hooks of a server that serves a callerListener, before
+// those which it has for the connections of the inner listener.
+func observeCallers(s *http.Server) {
+	connContext, connState := s.ConnContext, s.ConnState
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		caller := c.(*callerConn)
+		return context.WithValue(connContext(ctx, caller.Conn), callerConnKey{}, caller)
+	}
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		caller := c.(*callerConn)
+		caller.clearHandledOnIdle(state)
+		connState(caller.Conn, state)
+	}
 }
 
 // markHandled marks the connection of a request that has reached the handler.
@@ -74,10 +86,18 @@
 }
 
 // clearHandledOnIdle resets handled after a response is completely written,
-// since the next request may be one that net/http cannot parse. It is an
-// http.Server.ConnState.
-func clearHandledOnIdle(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
+// since the next request may be one that net/http cannot parse.
+func (c *callerConn) clearHandledOnIdle(state http.ConnState) {
+	if state == http.StateIdle {
 		c.handled.Store(false)
 	}
 }
+
+// CloseWrite lets net/http end an answer before it closes a connection on which the
+// caller still sends.
+func (c *callerConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -13,7 +14,9 @@
 
 	"github.com/egretpitch/egretpitch/internal/claim"
 	"github.com/egretpitch/egretpitch/internal/datacentre"
+	"github.com/egretpitch/egretpitch/internal/intake"
 	"github.com/egretpitch/egretpitch/internal/link"
+	"github.com/egretpitch/egretpitch/internal/machine"
 	"github.com/egretpitch/egretpitch/internal/membership"
 	"github.com/egretpitch/egretpitch/internal/operr"
 	"github.com/egretpitch/egretpitch/internal/permit"
@@ -42,7 +45,11 @@
 	// Incarnation is different for every start of the process.
 	Incarnation uint64
 	Platform    *platform.Platform
-	Log         *zap.Logger
+	// Memory is the limit on the memory of the process in bytes, and FileDescriptors
+	// that on its file descriptors. 0 stands for those of the machine.
+	Memory          int64
+	FileDescriptors int
+	Log             *zap.Logger
 }
 
 // Entry is one entry process.
@@ -55,6 +62,9 @@
 	started     time.Time
 	platform    *platform.Platform
 	log         *zap.Logger
+	// bounds are what callers may hold of the process, whose memory may be limited.
+	bounds        intake.Bounds
+	memoryLimited bool
 
 	links  *link.Set
 	claims *claim.Manager
@@ -103,7 +113,10 @@
 		incarnation: o.Incarnation,
 		platform:    o.Platform,
 		log:         o.Log,
-		links:       link.NewSet(link.Options{Log: o.Log}),
+		bounds: intake.EntryBounds(
+			cmp.Or(o.Memory, machine.Memory()), cmp.Or(o.FileDescriptors, machine.FileDescriptors())),
+		memoryLimited: o.Memory > 0,
+		links:         link.NewSet(link.Options{Log: o.Log}),
 		claims: claim.New(claim.Options{
 			Entry: o.Name, Incarnation: o.Incarnation, Table: o.Platform.Table, Log: o.Log,
 		}),
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -11,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretpitch/egretpitch/internal/claim"
+	"github.com/egretpitch/egretpitch/internal/intake"
 	"github.com/egretpitch/egretpitch/internal/link"
 	"github.com/egretpitch/egretpitch/internal/outcome"
 	"github.com/egretpitch/egretpitch/internal/retry"
@@ -101,38 +101,25 @@
 // readBody reads the body, which may have limit bytes and must arrive by the
 // deadline.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, *outcome.Refusal) {
-	if r.ContentLength > limit {
-		err := fmt.Errorf("body has %d bytes, the limit is %d", r.ContentLength, limit)
-		return nil, outcome.Refuse(http.StatusRequestEntityTooLarge, "body-too-large", err)
-	}
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
 	// An error means that the connection is broken; the read below returns it,
 	// too.
 	_ = http.NewResponseController(w).SetReadDeadline(deadline)
-	body, err := readAtMost(r.Body, r.ContentLength, limit)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	body, err := intake.ReadBody(r, limit)
+	switch {
+	case err == nil:
+	case errors.Is(err, intake.ErrOverloaded):
+		return nil, outcome.Refuse(http.StatusServiceUnavailable, reasonOverloaded, err)
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, intake.ErrSlow):
 		return nil, outcome.Refuse(http.StatusRequestTimeout, "body-late", err)
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	case errors.Is(err, intake.ErrTooLarge):
+		err = fmt.Errorf("body has over %d bytes", limit)
 		return nil, outcome.Refuse(http.StatusRequestEntityTooLarge, "body-too-large", err)
-	}
-	if err != nil {
+	default:
 		return nil, outcome.Refuse(http.StatusBadRequest, "bad-body", err)
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, nil
 }
-
-// readAtMost reads a body of the given length, or, if the length is negative
-// (unknown), one of at most limit bytes.
-func readAtMost(r io.ReadCloser, length, limit int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(http.MaxBytesReader(nil, r, limit))
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
-}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -225,6 +225,9 @@
 	header.Set(outcome.Header, r.Outcome.String())
 	header.Set(ReasonHeader, r.Reason)
 	e.endConnection(header)
+	if r.Reason == reasonOverloaded {
+		header.Set("Retry-After", "1")
+	}
 	if req == nil && c.Request().ProtoMajor == 1 && c.Request().ContentLength != 0 {
 		// Otherwise net/http reads the rest of the body before it responds.
 		header.Set("Connection", "close")
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -12,17 +12,36 @@
 	"github.com/egretpitch/egretpitch/internal/ctxtime"
 	"github.com/egretpitch/egretpitch/internal/event"
 	"github.com/egretpitch/egretpitch/internal/graceful"
+	"github.com/egretpitch/egretpitch/internal/intake"
 	"github.com/egretpitch/egretpitch/internal/operr"
+	"github.com/egretpitch/egretpitch/internal/outcome"
 )
 
 const (
-	// maxHeaderBytes is the maximum size of a request's header.
+	// maxHeaderBytes is the maximum size of a request's header. net/http allows
+	// headerSlop more.
 	maxHeaderBytes = 64 << 10
+	headerSlop     = 4 << 10
 	// readHeaderTimeout is the time in which a request's header must arrive.
 	readHeaderTimeout = 5 * time.Second
 	// idleTimeout is how long a caller's connection may be idle before it is
 	// closed.
 	idleTimeout = 2 * time.Minute
+	// limiterDelay is how much later than net/http the limiter ends a connection, so
+	// that HTTP/2 connections are ended with a GOAWAY.
+	limiterDelay = time.Second
+	// stallTimeout is the longest wait for a part of a body, and for a caller to read
+	// a part of an answer. It is the longest deadline that settings allow.
+	stallTimeout = 10 * time.Minute
+	// maxStreams is the number of requests that an HTTP/2 connection may have in
+	// progress, the default of net/http.
+	maxStreams = 250
+	// frameBytes is the size of the largest HTTP/2 frame, the smallest one that the
+	// protocol allows: the buffer for it is kept with its connection.
+	frameBytes = 16 << 10
+	// minWindow and maxWindow bound what an HTTP/2 connection may have received that
+	// no handler has read. maxWindow is the default of net/http.
+	minWindow, maxWindow = 64 << 10, 1 << 20
 	// shutdownDelay is how long an entry that shuts down still accepts
 	// connections, so that the load balancer sees that it is not ready before it
 	// stops listening.
@@ -33,8 +52,9 @@
 
 // Server is the HTTP server for callers' requests.
 type Server struct {
-	entry *Entry
-	http  *graceful.Server
+	entry   *Entry
+	http    *graceful.Server
+	limiter *intake.Limiter
 }
 
 // NewServer returns the server for callers' requests, over HTTP/1.1 and
@@ -48,23 +68,67 @@
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &Server{entry: e, http: graceful.New(&http.Server{
+	inner := &http.Server{
 		Handler:           router,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		Protocols:         &protocols,
-		ConnContext:       withCallerConn,
-		ConnState:         clearHandledOnIdle,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          maxStreams,
+			MaxReadFrameSize:              frameBytes,
+			MaxReceiveBufferPerConnection: e.window(),
+			MaxReceiveBufferPerStream:     e.window(),
+		},
 		// "OPTIONS *" names no service and is refused like any other bad target.
 		DisableGeneralOptionsHandler: true,
-	}, arrivalTime)}
+	}
+	limiter := intake.New(intake.Options{
+		Listener: "callers", Bounds: e.bounds, Limits: limits, StallTimeout: stallTimeout, HoldFactor: 1,
+		RefusalHeader: refusalHeader, Log: e.log,
+	})
+	limiter.Configure(inner)
+	observeCallers(inner)
+	return &Server{entry: e, http: graceful.New(inner, arrivalTime), limiter: limiter}
+}
+
+// window returns the flow control window of an HTTP/2 connection. Where the memory of
+// the process is limited, the windows of all connections fit into the memory for
+// bodies.
+func (e *Entry) window() int {
+	if !e.memoryLimited {
+		return maxWindow
+	}
+	return int(min(max(e.bounds.Bytes/int64(e.bounds.Connections), minWindow), maxWindow))
+}
+
+// limits returns the limits that the limiter applies. They are above those of
+// net/http, which answers headers that are too large and ends idle connections.
+func limits() intake.Limits {
+	return intake.Limits{
+		MaxHeaderBytes: maxHeaderBytes + headerSlop,
+		HeaderTimeout:  readHeaderTimeout + limiterDelay, IdleTimeout: idleTimeout + limiterDelay,
+	}
+}
+
+// refusalHeader returns the headers of an answer that the limiter sends.
+func refusalHeader(status int) http.Header {
+	reason := reasonBadRequest
+	if status == http.StatusServiceUnavailable {
+		reason = reasonOverloaded
+	}
+	return http.Header{outcome.Header: {outcome.NotRun.String()}, ReasonHeader: {reason}}
 }
 
 // Serve accepts callers' connections on the listener until Shutdown is called,
 // and then returns nil.
 func (s *Server) Serve(l net.Listener) error {
-	if err := s.http.Serve(callerListener{l}); !errors.Is(err, http.ErrServerClosed) {
+	if s.entry.memoryLimited {
+		if err := s.limiter.BoundBuffers(l); err != nil {
+			return err
+		}
+	}
+	if err := s.http.Serve(callerListener{s.limiter.Wrap(l)}); !errors.Is(err, http.ErrServerClosed) {
 		return operr.Wrap(err, "entry: serve callers", l.Addr().String())
 	}
 	return nil
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"net/http"
 	"time"
@@ -27,7 +28,7 @@
 	// decodedFactor is how many times its size a body takes until its job is
 	// stored: the body, the job, and its rows.
 	decodedFactor = 3
-	// bodyTimeFactor is how many idle time-outs a body may take as a whole. With the
+	// bodyTimeFactor is how many time-outs for a part of it a body may take as a whole. With the
 	// defaults that is 60 s, or 4.4 KB/s for the largest body.
 	bodyTimeFactor = 4
 )
@@ -50,20 +51,20 @@
 // is answered. After an error the rest of the body is not read, except after
 // ErrTooLarge.
 func ReadBody(r *http.Request, limit int64) ([]byte, error) {
-	c, _ := r.Context().Value(connKey{}).(*conn)
+	c := clientOf(r)
 	if r.ContentLength > limit {
 		return nil, c.reject(refusedBody, ErrTooLarge)
 	}
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	body := bodyReader{conn: c, most: limit + 1, declared: r.ContentLength}
+	body := bodyReader{client: c, most: limit + 1, declared: r.ContentLength}
 	err := body.read(r.Body)
 	if err == nil && int64(len(body.data)) > limit {
 		err = c.reject(refusedBody, ErrTooLarge)
 	}
 	if err == nil {
-		err = body.hold(decodedFactor * int64(len(body.data)))
+		err = body.hold(c.holdFactor() * int64(len(body.data)))
 	}
 	if err != nil {
 		c.drop(body.held, err)
@@ -74,7 +75,7 @@
 
 // bodyReader reads a body into a buffer that grows with what has arrived.
 type bodyReader struct {
-	conn           *conn
+	client         *client
 	data           []byte
 	held           int64
 	most, declared int64
@@ -82,23 +83,25 @@
 
 // read reads until the end of a body, or until it is longer than most allows.
 func (b *bodyReader) read(from io.Reader) error {
-	began := b.conn.time()
+	began := b.client.time()
 	for int64(len(b.data)) < b.most {
 		if len(b.data) == cap(b.data) {
 			if err := b.grow(); err != nil {
 				return err
 			}
 		}
+		b.client.beginRead()
 		n, err := from.Read(b.data[len(b.data):cap(b.data)])
+		b.client.endRead()
 		b.data = b.data[:len(b.data)+n]
 		if err == io.EOF {
 			return nil
 		}
 		if err != nil {
-			return b.conn.cause(err)
+			return b.client.cause(err)
 		}
-		if b.conn.late(began) {
-			return b.conn.reject(refusedSlow, ErrSlow)
+		if b.client.late(began) {
+			return b.client.reject(refusedSlow, ErrSlow)
 		}
 	}
 	return nil
@@ -121,52 +124,53 @@
 	return nil
 }
 
-// hold raises what the connection holds for the body to a number of bytes.
+// hold raises what the client holds for the body to a number of bytes.
 func (b *bodyReader) hold(size int64) error {
-	if b.conn == nil || size <= b.held {
+	if b.client == nil || size <= b.held {
 		return nil
 	}
-	if !b.conn.limiter.take(b.conn, size-b.held) {
-		return b.conn.reject(refusedBytes, ErrOverloaded)
+	if !b.client.conn.limiter.take(b.client, size-b.held) {
+		return b.client.reject(refusedBytes, ErrOverloaded)
 	}
 	b.held = size
 	return nil
 }
 
 // reject counts a refused request and returns the error.
-func (c *conn) reject(why reason, err error) error {
+func (c *client) reject(why reason, err error) error {
 	if c != nil {
-		c.limiter.mu.Lock()
-		c.limiter.count(why)
-		c.limiter.mu.Unlock()
+		l := c.conn.limiter
+		l.mu.Lock()
+		l.count(why)
+		l.mu.Unlock()
 	}
 	return err
 }
 
-// drop gives back what a connection holds for a refused body. The rest of the body
-// is not read.
-func (c *conn) drop(held int64, err error) {
+// drop gives back what a client holds for a refused body. The rest of the body is not
+// read.
+func (c *client) drop(held int64, err error) {
 	if c == nil {
 		return
 	}
-	l := c.limiter
+	l := c.conn.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c.failure == nil && !errors.Is(err, ErrTooLarge) {
 		c.failure = err
 	}
-	l.budget.release(&c.client, held)
-	l.budget.settle(&c.client)
+	l.budget.release(c, held)
+	l.budget.settle(c)
 	l.changed.Broadcast()
 }
 
 // cause returns why a read failed.
-func (c *conn) cause(err error) error {
+func (c *client) cause(err error) error {
 	if c == nil {
 		return err
 	}
-	c.limiter.mu.Lock()
-	defer c.limiter.mu.Unlock()
+	c.conn.limiter.mu.Lock()
+	defer c.conn.limiter.mu.Unlock()
 	if c.failure != nil {
 		return c.failure
 	}
@@ -174,18 +178,31 @@
 }
 
 // time returns the limiter's time.
-func (c *conn) time() time.Duration {
+func (c *client) time() time.Duration {
 	if c == nil {
 		return 0
 	}
-	c.limiter.mu.Lock()
-	defer c.limiter.mu.Unlock()
-	return c.limiter.now
+	l := c.conn.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.now
 }
 
 // late reports whether a body that began to arrive at a time takes too long.
-func (c *conn) late(began time.Duration) bool {
-	return c != nil && c.time()-began > bodyTimeFactor*c.limiter.limits().IdleTimeout
+func (c *client) late(began time.Duration) bool {
+	if c == nil {
+		return false
+	}
+	l := c.conn.limiter
+	return c.time()-began > bodyTimeFactor*l.stallTimeout(l.limits())
+}
+
+// holdFactor returns how many times its size a body takes.
+func (c *client) holdFactor() int64 {
+	if c == nil {
+		return decodedFactor
+	}
+	return cmp.Or(c.conn.limiter.HoldFactor, decodedFactor)
 }
 
 const (
@@ -219,12 +236,12 @@
 
 // holdObjects holds what the objects of a body take.
 func holdObjects(r *http.Request, body []byte) error {
-	c, _ := r.Context().Value(connKey{}).(*conn)
+	c := clientOf(r)
 	objects := int64(bytes.Count(body, []byte("{")) + bytes.Count(body, []byte("null")))
 	if objects > maxObjects {
 		return c.reject(refusedBody, ErrTooLarge)
 	}
-	if c != nil && !c.limiter.take(c, objects*objectBytes) {
+	if c != nil && !c.conn.limiter.take(c, objects*objectBytes) {
 		return c.reject(refusedBytes, ErrOverloaded)
 	}
 	return nil
--- a/internal/intake/bounds.go
+++ b/internal/intake/bounds.go
@@ -83,6 +83,25 @@
 	}
 }
 
+const (
+	// entryBytesShare and entryDescriptorsShare are those of an entry, which owns no
+	// control work: the rest of the memory is for answers and garbage, the rest of the
+	// descriptors for connections to upstreams.
+	entryBytesShare       = 0.15
+	entryDescriptorsShare = 0.5
+)
+
+// EntryBounds returns the bounds of the callers' listener of an entry with a limit on
+// its memory, in bytes, and on its file descriptors.
+func EntryBounds(memory int64, descriptors int) Bounds {
+	byMemory := int(connectionsShare * float64(memory) / connectionBytes)
+	byDescriptors := int(entryDescriptorsShare * float64(descriptors-reservedDescriptors))
+	return Bounds{
+		Connections: max(min(byMemory, byDescriptors), minConnections),
+		Bytes:       max(int64(entryBytesShare*float64(memory)), minBytes),
+	}
+}
+
 // OperatorBounds returns the bounds of a listener for readiness, metrics or
 // administration.
 func OperatorBounds() Bounds { return Bounds{Connections: 32, Bytes: 2 << 20} }
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -19,6 +19,9 @@
 	phaseBody
 	// phaseAnswer waits until the client reads.
 	phaseAnswer
+	// phaseStreams is an HTTP/2 connection all of whose requests wait for the rest
+	// of their bodies.
+	phaseStreams
 	// phaseServing does not wait for the client.
 	phaseServing
 )
@@ -43,16 +46,22 @@
 
 // peer is what the connections from one address hold.
 type peer struct {
-	address            netip.Addr
-	connections        int
-	bytes, endingBytes int64
+	address netip.Addr
+	// connections and streams are the numbers of its clients.
+	connections, streams int
+	bytes, endingBytes   int64
 }
 
-// client is a connection in a budget.
+// client is a connection in a budget, or a request of an HTTP/2 connection.
 type client struct {
-	conn  *conn
-	peer  *peer
-	phase phase
+	conn *conn
+	// stream is the request of an HTTP/2 connection, nil for a connection.
+	stream *stream
+	// failure is the error of all reads, nil while the client is read from. The
+	// budget does not use it.
+	failure error
+	peer    *peer
+	phase   phase
 	// since is when the connection began to wait for its client.
 	since time.Duration
 	bytes int64
@@ -108,8 +117,30 @@
 	b.release(c, c.bytes)
 	b.settle(c)
 	b.connections--
-	if c.peer.connections--; c.peer.connections == 0 {
-		delete(b.peers, c.peer.address)
+	c.peer.connections--
+	b.forget(c.peer)
+}
+
+// openStream adds a request of a connection.
+func (b *budget) openStream(c *client, of *client) {
+	c.peer = of.peer
+	c.peer.streams++
+	b.serve(c)
+}
+
+// closeStream removes a request with all that it holds.
+func (b *budget) closeStream(c *client) {
+	b.leave(c)
+	b.release(c, c.bytes)
+	b.settle(c)
+	c.peer.streams--
+	b.forget(c.peer)
+}
+
+// forget removes a peer without clients.
+func (b *budget) forget(p *peer) {
+	if p.connections == 0 && p.streams == 0 {
+		delete(b.peers, p.address)
 	}
 }
 
@@ -210,7 +241,9 @@
 		heavy = nil
 	}
 	of := func(p *peer) *client {
-		v, _ := b.longestWait(func(v *client) bool { return v != c && (p == nil || v.peer == p) && v.evictable(now) })
+		v, _ := b.longestWait(func(v *client) bool {
+			return v != c && v.stream == nil && (p == nil || v.peer == p) && v.evictable(now)
+		})
 		return v
 	}
 	if heavy != nil {
@@ -241,7 +274,7 @@
 	}
 	of := func(p *peer) *client {
 		v, unread := b.longestWait(func(v *client) bool {
-			return v != c && v.bytes > 0 && (p == nil || v.peer == p) && (v.phase == phaseHeader || v.phase == phaseBody)
+			return v != c && v.bytes > 0 && (p == nil || v.peer == p) && v.yieldsBytes()
 		})
 		return cmp.Or(v, unread)
 	}
@@ -269,7 +302,11 @@
 	if ended {
 		used -= b.endingBytes
 	}
-	if used == c.bytes {
+	own := c.bytes
+	if c.stream != nil {
+		own += c.conn.client.bytes
+	}
+	if used == own {
 		return true
 	}
 	limit := b.Bytes
@@ -313,14 +350,25 @@
 	return c.phase != phaseAnswer || now-c.since >= minAnswerWait
 }
 
-// overdue returns a connection that has waited for its client longer than the limits
-// allow, nil if there is none.
-func (b *budget) overdue(l Limits, now time.Duration) *client {
-	shortest := min(l.HeaderTimeout, l.IdleTimeout)
+// yieldsBytes reports whether a client that waits may be ended for the bytes that it
+// holds. An idle connection holds some only over HTTP/2.
+func (c *client) yieldsBytes() bool {
+	return c.phase == phaseHeader || c.phase == phaseBody || c.phase == phaseIdle
+}
+
+// overdue returns a client that has waited longer than the limits allow, nil if there
+// is none. stall is the longest wait for a part of a body or the reading of an answer.
+func (b *budget) overdue(l Limits, stall, now time.Duration) *client {
+	shortest := min(l.HeaderTimeout, l.IdleTimeout, stall)
 	for c := b.first; c != nil && now-c.since > shortest; c = c.next {
 		timeout := l.IdleTimeout
-		if c.phase == phaseNew || c.phase == phaseHeader {
+		switch c.phase {
+		case phaseNew, phaseHeader:
 			timeout = l.HeaderTimeout
+		case phaseBody, phaseAnswer:
+			timeout = stall
+		case phaseStreams:
+			continue // its requests have time-outs of their own
 		}
 		if now-c.since > timeout {
 			return c
--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -137,14 +137,15 @@
 
 func TestTimeoutsByPhase(t *testing.T) {
 	l := Limits{}.orDefaults()
+	const stall = 40 * time.Second
 	for p, want := range map[phase]time.Duration{
-		phaseNew: l.HeaderTimeout, phaseHeader: l.HeaderTimeout, phaseIdle: l.IdleTimeout, phaseBody: l.IdleTimeout, phaseAnswer: l.IdleTimeout,
+		phaseNew: l.HeaderTimeout, phaseHeader: l.HeaderTimeout, phaseIdle: l.IdleTimeout, phaseBody: stall, phaseAnswer: stall,
 	} {
 		b := newBudget(Bounds{Connections: 1, Bytes: 1}, func(*client) bool { return false })
 		c := &client{}
 		b.open(c, netip.Addr{}, 0)
 		b.wait(c, p, 0)
-		if b.overdue(l, want) != nil || b.overdue(l, want+1) != c {
+		if b.overdue(l, stall, want) != nil || b.overdue(l, stall, want+1) != c {
 			t.Errorf("phase %d does not end after %v", p, want)
 		}
 	}
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -34,11 +34,6 @@
 	refusalBytes = 256 << 10
 )
 
-const (
-	headerTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	overloaded     = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-)
-
 // errEnded is the error of a connection that was closed or whose header was refused.
 // net/http answers nothing after an error of this type.
 var errEnded error = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("ended by the limits on clients")}
@@ -50,8 +45,17 @@
 	client  client
 	// header is the number of bytes of the header that have been read.
 	header int
-	// failure is the error of all reads, nil while the connection is read from.
-	failure error
+	// first holds the first bytes of the connection, of which firstRead were read.
+	first     [len(http2Preface)]byte
+	firstRead int
+	// http2 is set once the connection turns out to be HTTP/2. The phase of the
+	// connection then follows from the fields below.
+	http2 bool
+	// writing is set while bytes are written to the connection.
+	writing bool
+	// streams is the number of requests in progress, of which waitingStreams wait
+	// for the rest of their bodies.
+	streams, waitingStreams int
 	// released is set once the connection was taken out of the budget.
 	released bool
 }
@@ -62,7 +66,20 @@
 	if err != nil {
 		return nil, err
 	}
-	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err := boundBuffers(l, backlog); err != nil {
+		_ = l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// boundBuffers sets the kernel's buffers of a TCP listener.
+func boundBuffers(l net.Listener, backlog int) error {
+	tcp, ok := l.(syscall.Conn)
+	if !ok {
+		return errors.Errorf("bound the kernel's buffers: %T is no TCP listener", l)
+	}
+	raw, err := tcp.SyscallConn()
 	if err == nil {
 		var failed error
 		err = raw.Control(func(fd uintptr) {
@@ -79,11 +96,7 @@
 			err = failed
 		}
 	}
-	if err != nil {
-		_ = l.Close()
-		return nil, errors.Wrap(err, "bound the kernel's buffers")
-	}
-	return l, nil
+	return errors.Wrap(err, "bound the kernel's buffers")
 }
 
 // Read implements net.Conn. It bounds the header, and records whether the connection
@@ -94,21 +107,25 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(b)
-	if c.endRead(n) {
+	if c.endRead(b[:n]) {
 		return n, err
 	}
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
-	return 0, c.failure
+	return 0, c.client.failure
 }
 
 // beginRead returns the part of b that may be read into.
 func (c *conn) beginRead(b []byte) ([]byte, error) {
 	l := c.limiter
 	l.mu.Lock()
-	if c.failure != nil {
+	if c.client.failure != nil {
 		defer l.mu.Unlock()
-		return nil, c.failure
+		return nil, c.client.failure
+	}
+	if c.http2 {
+		l.mu.Unlock()
+		return b, nil
 	}
 	switch c.client.phase {
 	case phaseServing:
@@ -120,7 +137,7 @@
 		left := l.limits().MaxHeaderBytes + requestLine - c.header
 		if left <= 0 {
 			l.mu.Unlock()
-			c.refuse(refusedHeader, headerTooLarge)
+			c.refuse(refusedHeader, http.StatusRequestHeaderFieldsTooLarge)
 			return nil, errEnded
 		}
 		b = b[:min(len(b), left)]
@@ -134,25 +151,32 @@
 	return b, nil
 }
 
-// endRead records n bytes that were read and reports whether they may be used.
-func (c *conn) endRead(n int) bool {
+// endRead records bytes that were read and reports whether they may be used.
+func (c *conn) endRead(read []byte) bool {
 	l := c.limiter
+	n, demand := len(read), 0
 	l.mu.Lock()
-	demand := 0
 	switch c.client.phase {
 	case phaseBody:
 		l.budget.serve(&c.client)
 	case phaseNew, phaseIdle:
-		if n > 0 {
+		if n > 0 && !c.http2 {
 			c.header = n
 			l.budget.wait(&c.client, phaseHeader, l.now)
 		}
 	case phaseHeader:
-		if c.header += n; c.header > freeHeader {
+		if c.header += n; c.header > freeHeader && !c.http2 {
 			demand = headerFactor * min(n, c.header-freeHeader)
 		}
 	}
-	ok := c.failure == nil
+	if c.firstRead < len(c.first) && n > 0 {
+		c.firstRead += copy(c.first[c.firstRead:], read)
+		if string(c.first[:]) == http2Preface {
+			c.http2 = true
+			demand = http2Bytes
+		}
+	}
+	ok := c.client.failure == nil
 	if l.admitting {
 		l.changed.Broadcast()
 	}
@@ -160,27 +184,27 @@
 	if !ok || demand == 0 {
 		return ok
 	}
-	if l.take(c, int64(demand)) {
+	if l.take(&c.client, int64(demand)) {
 		return true
 	}
-	c.refuse(refusedBytes, overloaded)
+	c.refuse(refusedBytes, http.StatusServiceUnavailable)
 	return false
 }
 
 // refuse answers a request whose header is incomplete, and ends its connection,
 // unless that was told to end.
-func (c *conn) refuse(why reason, answer string) {
+func (c *conn) refuse(why reason, status int) {
 	l := c.limiter
 	l.mu.Lock()
-	ended := c.failure != nil
+	ended := c.client.failure != nil
 	if !ended {
-		c.failure = errEnded
+		c.client.failure = errEnded
 		l.count(why)
 		l.budget.serve(&c.client)
 	}
 	l.mu.Unlock()
-	if !ended && c.Conn.SetWriteDeadline(time.Now().Add(refusalTime)) == nil {
-		_, _ = io.WriteString(c.Conn, answer) // the client may be gone
+	if !ended && !c.http2 && c.Conn.SetWriteDeadline(time.Now().Add(refusalTime)) == nil {
+		_, _ = io.WriteString(c.Conn, l.refusal(status)) // the client may be gone
 	}
 }
 
@@ -188,11 +212,17 @@
 func (c *conn) Write(b []byte) (int, error) {
 	l := c.limiter
 	l.mu.Lock()
+	c.writing = true
 	l.budget.wait(&c.client, phaseAnswer, l.now)
 	l.mu.Unlock()
 	n, err := c.Conn.Write(b)
 	l.mu.Lock()
-	l.budget.serve(&c.client)
+	c.writing = false
+	if c.http2 {
+		c.updatePhase()
+	} else {
+		l.budget.serve(&c.client)
+	}
 	l.mu.Unlock()
 	return n, err
 }
@@ -202,6 +232,10 @@
 	l := c.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if c.http2 {
+		c.updatePhase()
+		return
+	}
 	switch state {
 	case http.StateActive:
 		l.budget.serve(&c.client)
@@ -210,7 +244,7 @@
 		if c.client.bytes > 0 {
 			l.budget.release(&c.client, c.client.bytes)
 		}
-		if c.failure == nil {
+		if c.client.failure == nil {
 			l.budget.wait(&c.client, phaseIdle, l.now)
 		}
 		l.changed.Broadcast()
@@ -222,7 +256,7 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
-	if c.failure != nil {
+	if c.client.failure != nil {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -264,7 +298,7 @@
 func (c *conn) Close() error {
 	l := c.limiter
 	l.mu.Lock()
-	refused := c.failure != nil && !c.released
+	refused := c.client.failure != nil && !c.released
 	if !c.released {
 		l.budget.release(&c.client, c.client.bytes)
 		l.budget.settle(&c.client)
--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -5,10 +5,13 @@
 package intake
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -47,7 +50,17 @@
 	Bounds   Bounds
 	// Limits returns the limits that are in force. It is called often.
 	Limits func() Limits
-	Log    *zap.Logger
+	// StallTimeout is the longest time for a part of a body to arrive and for a part
+	// of an answer to be read, IdleTimeout if 0. A whole body may take four times
+	// that.
+	StallTimeout time.Duration
+	// HoldFactor is how many times its size a body takes until its request is
+	// answered, 3 if 0: the body, a job decoded from it, and its rows.
+	HoldFactor int64
+	// RefusalHeader returns headers of the answers that the limiter sends itself,
+	// with a status. It may be nil.
+	RefusalHeader func(status int) http.Header
+	Log           *zap.Logger
 }
 
 // Limiter bounds what the clients of one listener hold. It is safe for concurrent
@@ -82,9 +95,12 @@
 // connKey is the key of a connection in the context of its requests.
 type connKey struct{}
 
-// Configure sets the hooks of a server that serves the limiter's listener. The
-// limiter applies the time-outs, so those of the server must be 0.
+// Configure sets the hooks of a server that serves the limiter's listener, and bounds
+// the requests that its handler serves over HTTP/2. The limiter applies the time-outs.
+// Those of the server are 0, or end connections more gently before those of the
+// limiter.
 func (l *Limiter) Configure(s *http.Server) {
+	s.Handler = l.boundStreams(s.Handler)
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, c)
 	}
@@ -93,14 +109,29 @@
 
 // Listen listens on a TCP address (IP:port) and bounds what its connections hold.
 func (l *Limiter) Listen(address string) (net.Listener, error) {
-	inner, err := listenTCP(address, min(max(l.Bounds.Connections, minBacklog), maxBacklog))
+	inner, err := listenTCP(address, l.backlog())
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
+	return l.Wrap(inner), nil
+}
+
+// Wrap bounds what the connections of a listener hold. It leaves the buffers of the
+// kernel as they are.
+func (l *Limiter) Wrap(inner net.Listener) net.Listener {
 	go l.run()
-	return &listener{Listener: inner, limiter: l}, nil
+	return &listener{Listener: inner, limiter: l}
+}
+
+// BoundBuffers bounds what the kernel holds for the connections of a TCP listener:
+// the buffers of each, and the number of those that are not accepted yet.
+func (l *Limiter) BoundBuffers(inner net.Listener) error {
+	return boundBuffers(inner, l.backlog())
 }
 
+// backlog is the number of connections that the kernel keeps until they are accepted.
+func (l *Limiter) backlog() int { return min(max(l.Bounds.Connections, minBacklog), maxBacklog) }
+
 type listener struct {
 	net.Listener
 	limiter *Limiter
@@ -166,13 +197,13 @@
 	return c
 }
 
-// take lets a connection hold n bytes more. It waits for connections that are ended
-// for that, and returns false if there are none or the connection is ended itself.
-func (l *Limiter) take(c *conn, n int64) bool {
+// take lets a client hold n bytes more. It waits for others that are ended for that,
+// and returns false if there are none or the client is ended itself.
+func (l *Limiter) take(c *client, n int64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c.failure == nil {
-		d, victim := l.budget.take(&c.client, n, l.now)
+		d, victim := l.budget.take(c, n, l.now)
 		switch {
 		case d == granted:
 			return true
@@ -193,15 +224,19 @@
 	c := v.conn
 	defer l.changed.Broadcast() // it may wait in take
 	if v.phase == phaseBody {
-		c.failure = ErrOverloaded
+		v.failure = ErrOverloaded
 		switch why {
 		case closedBytes:
 			why = refusedBytes
 		case refusedSlow:
-			c.failure = ErrSlow
+			v.failure = ErrSlow
 		}
 		l.count(why)
 		l.budget.tellToEnd(v)
+		if v.stream != nil {
+			v.stream.interrupt()
+			return
+		}
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only if it is closed
 		return
 	}
@@ -210,7 +245,7 @@
 		c.discardUnsent()
 	}
 	l.budget.tellToEnd(v)
-	c.failure = errEnded
+	v.failure = errEnded
 	_ = c.Conn.Close()
 }
 
@@ -236,7 +271,7 @@
 	defer l.mu.Unlock()
 	l.now += min(passed, 2*tick)
 	for {
-		v := l.budget.overdue(limits, l.now)
+		v := l.budget.overdue(limits, l.stallTimeout(limits), l.now)
 		if v == nil {
 			break
 		}
@@ -258,6 +293,32 @@
 
 func (l *Limiter) limits() Limits { return l.Limits().orDefaults() }
 
+// stallTimeout returns the longest time for a part of a body or of an answer.
+func (l *Limiter) stallTimeout(limits Limits) time.Duration {
+	return cmp.Or(l.StallTimeout, limits.IdleTimeout)
+}
+
+// refusal returns an answer of the limiter's own that ends an HTTP/1.1 connection.
+func (l *Limiter) refusal(status int) string {
+	var b strings.Builder
+	_, _ = fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n", status, http.StatusText(status))
+	_ = l.refusalHeader(status).Write(&b) // a Builder returns no error
+	b.WriteString("\r\n")
+	return b.String()
+}
+
+// refusalHeader returns the headers of an answer of the limiter's own.
+func (l *Limiter) refusalHeader(status int) http.Header {
+	header := http.Header{}
+	if l.RefusalHeader != nil {
+		header = l.RefusalHeader(status)
+	}
+	if status == http.StatusServiceUnavailable {
+		header.Set("Retry-After", "1")
+	}
+	return header
+}
+
 // count counts a closed connection or a refused request. l.mu is held.
 func (l *Limiter) count(why reason) {
 	l.counts[why]++
--- a/test/intake/intake_test.go
+++ b/test/intake/intake_test.go
@@ -41,10 +41,15 @@
 }
 
 func overloadNode(t *testing.T, n *node, address func(*node) string, count int, send func(net.Conn) error) {
+	flood(t, n.process, address(n), count, send)
+}
+
+// flood lets clients send at once to an address of a process, then checks that.
+func flood(t *testing.T, p *process, address string, count int, send func(net.Conn) error) {
 	var sending sync.WaitGroup
 	for range count {
 		sending.Go(func() {
-			c, err := net.DialTimeout("tcp", address(n), clientPatience)
+			c, err := net.DialTimeout("tcp", address, clientPatience)
 			if err != nil {
 				return
 			}
@@ -55,7 +60,7 @@
 	}
 	sending.Wait()
 	time.Sleep(loadTime)
-	n.check(t)
+	p.check(t)
 }
 
 func callers(n *node) string { return n.callers }
--- a/test/intake/node_test.go
+++ b/test/intake/node_test.go
@@ -1,9 +1,10 @@
 //go:build intake
 
-// Package intake runs egretpitch-node as a separate process against a stand-in of
-// the users' platform, connects clients that keep to no rules, and checks that the
-// process stays within the memory and the file descriptors of its settings and then
-// answers an ordinary request. It measures no times. Run it alone:
+// Package intake runs egretpitch-node, egretpitch-entry and egretpitch-control as
+// separate processes against stand-ins of their platforms, connects clients that keep
+// to no rules, and checks that the process stays within the memory and the file
+// descriptors of its settings and then answers an ordinary request. It measures no
+// times. Run it alone:
 //
 //	go test -tags intake -count=1 ./test/intake
 //
@@ -13,9 +14,7 @@
 
 import (
 	"bufio"
-	"bytes"
 	"cmp"
-	"encoding/hex"
 	"fmt"
 	"net"
 	"net/http"
@@ -24,7 +23,6 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -52,7 +50,7 @@
 	clients     = numberFrom("EGRETPITCH_INTAKE_CLIENTS", 300)
 	memoryMB    = numberFrom("EGRETPITCH_INTAKE_MEMORY_MB", 64)
 	descriptors = numberFrom("EGRETPITCH_INTAKE_DESCRIPTORS", 600)
-	binary      string
+	binaries    string // directory of the programs
 )
 
 func numberFrom(variable string, defaultValue int) int {
@@ -63,29 +61,21 @@
 func TestMain(m *testing.M) { os.Exit(runTests(m)) }
 
 func runTests(m *testing.M) int {
-	path, remove, err := testkit.BuildNode()
+	dir, remove, err := testkit.Build("egretpitch-node", "egretpitch-entry", "egretpitch-control", "egretpitch-standin")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	defer remove()
-	binary = path
+	binaries = dir
 	return m.Run()
 }
 
-// node is a process under test and what was measured of it.
+// node is an egretpitch-node under test.
 type node struct {
+	*process
 	callers, ready, metrics string
 	platform                *standin.Platform
-	pid                     int
-	ended                   chan struct{}
-	exited                  *os.ProcessState // set once ended is closed
-	stop                    chan struct{}
-	sampled                 sync.WaitGroup
-	// peakKB is the most memory and peakFiles the most descriptors that were seen.
-	// Memory is the resident set and what the kernel holds for the connections of
-	// the listeners, of which peakQueuedKB.
-	peakKB, peakQueuedKB, peakFiles int
 }
 
 // start starts a platform and one process, which accepts jobs. Both end with the
@@ -105,9 +95,8 @@
 	t.Cleanup(p.Stop)
 	n := &node{
 		callers: testkit.FreePort(t), ready: testkit.FreePort(t), metrics: testkit.FreePort(t), platform: p,
-		ended: make(chan struct{}), stop: make(chan struct{}),
 	}
-	settings, logPath := filepath.Join(t.TempDir(), "node.conf"), filepath.Join(t.TempDir(), "node.log")
+	settings := filepath.Join(t.TempDir(), "node.conf")
 	lines := []string{
 		"node=front-0", "listen.front=" + n.callers, "listen.ready=" + n.ready, "listen.control=" + n.metrics,
 		"platform.address=" + addresses.Store, "platform.writes_per_s=800", "platform.reads_per_s=2000",
@@ -117,96 +106,15 @@
 	if err := os.WriteFile(settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	out, err := os.Create(logPath)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cmd := exec.Command(binary)
+	cmd := exec.Command(filepath.Join(binaries, "egretpitch-node"))
 	cmd.Env = []string{wire.SettingsVariable + "=" + settings}
-	cmd.Stdout, cmd.Stderr = out, out
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	n.pid = cmd.Process.Pid
-	go func() {
-		_ = cmd.Wait() // it is killed
-		n.exited = cmd.ProcessState
-		_ = out.Close()
-		close(n.ended)
-	}()
-	t.Cleanup(func() {
-		close(n.stop)
-		n.sampled.Wait()
-		_ = cmd.Process.Kill()
-		<-n.ended
-		if t.Failed() {
-			log, _ := os.ReadFile(logPath)
-			t.Logf("end of the log of the process:\n%s", log[max(0, len(log)-4000):])
-		}
-	})
-	n.answerOrdinaryRequest(t)
-	n.sampled.Go(n.sample)
+	n.process = launch(t, cmd)
+	n.listeners = []string{n.callers, n.ready, n.metrics}
+	n.ordinary = func() int { return post(n.callers, "00000000000000aa", job(0)) }
+	n.measure(t)
 	return n
 }
 
-// sample measures the process until the end of the test.
-func (n *node) sample() {
-	ticker := time.NewTicker(samplePeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-n.stop:
-			return
-		case <-n.ended:
-			return
-		case <-ticker.C:
-			status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.pid)) // empty if it has just ended
-			_, rest, _ := strings.Cut(string(status), "VmRSS:")
-			kb, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
-			resident, _ := strconv.Atoi(kb)
-			files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.pid))
-			queued := n.queuedKB()
-			if resident+queued > n.peakKB {
-				n.peakKB, n.peakQueuedKB = resident+queued, queued
-			}
-			n.peakFiles = max(n.peakFiles, len(files))
-		}
-	}
-}
-
-// queuedKB returns how much the kernel holds for the connections of the listeners:
-// received and not read, or written and not sent.
-func (n *node) queuedKB() int {
-	ports := map[string]bool{}
-	for _, address := range []string{n.callers, n.ready, n.metrics} {
-		_, port, _ := net.SplitHostPort(address)
-		number, _ := strconv.Atoi(port)
-		ports[fmt.Sprintf("%04X", number)] = true
-	}
-	table, _ := os.ReadFile("/proc/net/tcp")
-	bytesQueued := 0
-	for lines := bufio.NewScanner(bytes.NewReader(table)); lines.Scan(); {
-		fields := strings.Fields(lines.Text())
-		if len(fields) < 5 || fields[3] == "0A" { // the queue of a listener counts connections
-			continue
-		}
-		_, port, _ := strings.Cut(fields[1], ":")
-		if !ports[port] {
-			continue
-		}
-		sending, received, _ := strings.Cut(fields[4], ":")
-		for _, queue := range []string{sending, received} {
-			size, _ := hex.DecodeString(queue)
-			number := 0
-			for _, b := range size {
-				number = number<<8 | int(b)
-			}
-			bytesQueued += number
-		}
-	}
-	return bytesQueued >> 10
-}
-
 // job is the body of an ordinary request. Its size is in bytes.
 func job(size int) string {
 	body := `{"task_spec":"intake","steps":[{"count":1,"cpu":1000,"mem_mb":64,"estimated_ms":100}]}`
@@ -230,38 +138,3 @@
 	_ = resp.Body.Close()
 	return resp.StatusCode
 }
-
-// answerOrdinaryRequest fails the test unless a job is accepted.
-func (n *node) answerOrdinaryRequest(t *testing.T) {
-	t.Helper()
-	status := 0
-	for deadline := time.Now().Add(answerTimeout); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
-		select {
-		case <-n.ended:
-			t.Fatal("the process has ended")
-		default:
-		}
-		if status = post(n.callers, "00000000000000aa", job(0)); status == http.StatusOK {
-			return
-		}
-	}
-	t.Fatalf("an ordinary request is answered %d", status)
-}
-
-// check fails the test if the process has used more than its host has.
-func (n *node) check(t *testing.T) {
-	t.Helper()
-	n.answerOrdinaryRequest(t)
-	time.Sleep(5 * samplePeriod)
-	close(n.stop)
-	n.sampled.Wait()
-	n.stop = make(chan struct{})
-	t.Logf("%s: %d clients, at most %d KB of %d (%d in the kernel) and %d descriptors of %d",
-		t.Name(), clients, n.peakKB, memoryMB<<10, n.peakQueuedKB, n.peakFiles, descriptors)
-	if n.peakKB > memoryMB<<10 {
-		t.Errorf("%d KB of memory were used, the host has %d", n.peakKB, memoryMB<<10)
-	}
-	if n.peakFiles > descriptors {
-		t.Errorf("%d descriptors were open, the host has %d", n.peakFiles, descriptors)
-	}
-}
