daemon: the administration addresses of entry and control are bounded

The administration address read bodies of any size, headers up to 1 MB, and kept connections without a bound. What the values of a body take when they are decoded is counted before they are decoded, over the tokens of JSON and of a settings tree in it.

--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -202,7 +202,7 @@
 	if _, err := listen(n, "ready", s.ReadyAddress, ready, intake.OperatorBounds()); err != nil {
 		return nil, err
 	}
-	metricsServer, err := listen(n, "metrics", s.MetricsAddress, intake.BufferBodies(metrics, maxAdminBody), intake.OperatorBounds())
+	metricsServer, err := listen(n, "metrics", s.MetricsAddress, intake.BufferBodies(metrics, intake.JobBodies(maxAdminBody)), intake.OperatorBounds())
 	return []node.Server{callersServer, metricsServer}, err
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"math/rand/v2"
@@ -22,7 +23,9 @@
 
 	"github.com/egretpitch/egretpitch/internal/config"
 	"github.com/egretpitch/egretpitch/internal/event"
+	"github.com/egretpitch/egretpitch/internal/intake"
 	"github.com/egretpitch/egretpitch/internal/logging"
+	"github.com/egretpitch/egretpitch/internal/machine"
 	"github.com/egretpitch/egretpitch/internal/operr"
 	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/platform/httpapi"
@@ -38,6 +41,24 @@
 	heapShare = 0.7
 )
 
+const (
+	// maxHeaderBytes is the maximum size of the header of a request to the
+	// administration address. net/http allows headerSlop more, and answers a larger
+	// one.
+	maxHeaderBytes = 64 << 10
+	headerSlop     = 4 << 10
+	// headerTimeout is the time in which a header must arrive there, and idleTimeout
+	// how long a connection may be idle or a client may stop during a body or an
+	// answer.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+// adminLimits returns the limits on clients of the administration address.
+func adminLimits() intake.Limits {
+	return intake.Limits{MaxHeaderBytes: maxHeaderBytes + headerSlop, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
 // drainTimeout is the longest time that a graceful shutdown may take.
 const drainTimeout = 60 * time.Second
 
@@ -58,6 +79,8 @@
 
 	flush                      func()
 	adminListener, rpcListener net.Listener
+	adminServer                *http.Server
+	limiter                    *intake.Limiter
 }
 
 // New creates the logger and platform clients of a process and binds its
@@ -68,6 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
+	memory := cmp.Or(p.Limits.MemoryBytes(), machine.Memory())
 	if p.Limits.MemoryMB > 0 {
 		debug.SetGCPercent(gcPercent)
 		debug.SetMemoryLimit(int64(heapShare * float64(p.Limits.MemoryBytes())))
@@ -81,10 +105,24 @@
 	}
 	d.Admin.HideBanner = true
 	d.Admin.HidePort = true
+	d.limiter = intake.New(intake.Options{
+		Listener: "admin", Bounds: intake.AdminBounds(memory, cmp.Or(p.Limits.FileDescriptors, machine.FileDescriptors())),
+		Limits: adminLimits, Log: log,
+	})
+	d.adminServer = &http.Server{
+		Handler:        intake.BufferBodies(d.Admin, intake.TreeBodies(memory)),
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.Admin.StdLogger,
+	}
+	d.limiter.Configure(d.adminServer)
 	d.Admin.GET("/metrics", echo.WrapHandler(expvar.Handler()))
 	if d.adminListener, err = net.Listen("tcp", p.AdminListen); err != nil {
 		return nil, operr.Wrap(err, "listen on the administration address", p.AdminListen)
 	}
+	if p.Limits.MemoryMB > 0 {
+		if err := d.limiter.BoundBuffers(d.adminListener); err != nil {
+			return nil, operr.Wrap(err, "listen on the administration address", p.AdminListen)
+		}
+	}
 	if d.rpcListener, err = net.Listen("tcp", p.RPCListen); err != nil {
 		return nil, operr.Wrap(err, "listen on the drpc address", p.RPCListen)
 	}
@@ -120,9 +158,8 @@
 	serveCtx, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
 	go func() { _ = drpcserver.New(d.RPC).Serve(serveCtx, d.rpcListener) }()
-	d.Admin.Listener = d.adminListener
-	go func() { _ = d.Admin.Start("") }()
-	defer d.Admin.Close()
+	go func() { _ = d.adminServer.Serve(d.limiter.Wrap(d.adminListener)) }() // ends with Close
+	defer d.adminServer.Close()
 	done := make(chan error, 1)
 	go func() { done <- work(ctx) }()
 	select {
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -205,23 +205,57 @@
 	return cmp.Or(c.conn.limiter.HoldFactor, decodedFactor)
 }
 
+// BodyBounds bound the bodies of an operators' listener.
+type BodyBounds struct {
+	// MaxBytes is the size of the largest body.
+	MaxBytes int64
+	// Tokens are strings of which each may stand for a value that takes ValueBytes
+	// when it is decoded, however few bytes it has.
+	Tokens     []string
+	ValueBytes int64
+	// MaxValues is the number of such values in a body.
+	MaxValues int64
+}
+
+// JobBodies are the bounds of bodies of jobs in JSON: 100 jobs of 200 steps and their
+// own objects.
+func JobBodies(maxBytes int64) BodyBounds {
+	return BodyBounds{MaxBytes: maxBytes, Tokens: []string{"{", "null"}, ValueBytes: 800, MaxValues: 24_000}
+}
+
 const (
-	// maxObjects bounds the JSON objects of a request to an operators' listener: 100
-	// jobs of 200 steps and their own. objectBytes is what one may take when it is
-	// decoded, however few bytes it has.
-	maxObjects  = 24_000
-	objectBytes = 800
+	// treeBytes is what a node of a settings tree may take: its node in the YAML
+	// document and the value decoded from it.
+	treeBytes = 256
+	// adminMemoryPart is the inverse of the part of the memory for the values of one
+	// body, and adminBodyPart that for the body itself.
+	adminMemoryPart = 8
+	adminBodyPart   = 16
+	// maxAdminBody is the size of the largest body where memory allows it: 500 jobs
+	// with commands of 32 KB.
+	maxAdminBody = 16 << 20
 )
 
-// BufferBodies returns a handler for an operators' listener that reads each body of
-// at most limit bytes, in JSON, before it calls h. A body that is not read is
-// answered with its status.
-func BufferBodies(h http.Handler, limit int64) http.Handler {
+// TreeBodies are the bounds of bodies of the administration API of a process with a
+// limit on its memory, in bytes: settings trees, which are YAML in a JSON string, and
+// jobs.
+func TreeBodies(memory int64) BodyBounds {
+	return BodyBounds{
+		MaxBytes:   min(memory/adminBodyPart, maxAdminBody),
+		Tokens:     []string{"{", "[", ",", ":", "-", "?", "null", `\n`, `\u`},
+		ValueBytes: treeBytes,
+		MaxValues:  memory / adminMemoryPart / treeBytes,
+	}
+}
+
+// BufferBodies returns a handler for an operators' listener that reads each body, in
+// JSON, before it calls h. A body that is not read is answered with its status.
+func BufferBodies(h http.Handler, bounds BodyBounds) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength != 0 {
-			body, err := ReadBody(r, limit)
+			body, err := ReadBody(r, bounds.MaxBytes)
 			if err == nil {
-				err = holdObjects(r, body)
+				err = bounds.holdValues(r, body)
 			}
 			if err != nil {
 				w.Header().Set("Retry-After", "1")
@@ -234,14 +268,17 @@
 	})
 }
 
-// holdObjects holds what the objects of a body take.
-func holdObjects(r *http.Request, body []byte) error {
+// holdValues holds what the values of a body take.
+func (b *BodyBounds) holdValues(r *http.Request, body []byte) error {
 	c := clientOf(r)
-	objects := int64(bytes.Count(body, []byte("{")) + bytes.Count(body, []byte("null")))
-	if objects > maxObjects {
+	values := int64(0)
+	for _, token := range b.Tokens {
+		values += int64(bytes.Count(body, []byte(token)))
+	}
+	if values > b.MaxValues {
 		return c.reject(refusedBody, ErrTooLarge)
 	}
-	if c != nil && !c.conn.limiter.take(c, objects*objectBytes) {
+	if c != nil && !c.conn.limiter.take(c, values*b.ValueBytes) {
 		return c.reject(refusedBytes, ErrOverloaded)
 	}
 	return nil
--- a/internal/intake/bounds.go
+++ b/internal/intake/bounds.go
@@ -102,6 +102,21 @@
 	}
 }
 
+// AdminBounds returns the bounds of the administration listener of an entry or a
+// control process with a limit on its memory, in bytes, and on its file descriptors.
+func AdminBounds(memory int64, descriptors int) Bounds {
+	b := CallerBounds(memory, descriptors)
+	b.Connections = min(max(b.Connections/adminConnectionsPart, minAdminConnections), maxAdminConnections)
+	return b
+}
+
+const (
+	// adminConnectionsPart is the inverse of the part of the callers' connections that
+	// operators may hold. An answer may be much larger than connectionBytes.
+	adminConnectionsPart                     = 4
+	minAdminConnections, maxAdminConnections = 32, 1024
+)
+
 // OperatorBounds returns the bounds of a listener for readiness, metrics or
 // administration.
 func OperatorBounds() Bounds { return Bounds{Connections: 32, Bytes: 2 << 20} }
--- a/test/intake/entry_test.go
+++ b/test/intake/entry_test.go
@@ -142,6 +142,7 @@
 // entryListeners are all on which an entry serves HTTP.
 var entryListeners = map[string]func(*entry) string{
 	"callers": func(e *entry) string { return e.callers },
+	"admin":   func(e *entry) string { return e.admin },
 }
 
 func eachOfEntry(t *testing.T, count int, send func(net.Conn) error) {
