--- a/internal/intake/limiter_test.go
+++ b/internal/intake/limiter_test.go
@@ -29,8 +29,19 @@
 
 // serveLimited serves a handler behind a limiter until the test ends.
 func serveLimited(t testing.TB, b Bounds, h http.HandlerFunc) (l *Limiter, address string, s *graceful.Server) {
+	return serveServer(t, b, &http.Server{Handler: h})
+}
+
+// serveHTTP2 serves readBody over HTTP/2 too.
+func serveHTTP2(t testing.TB, b Bounds) (l *Limiter, address string, s *graceful.Server) {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return serveServer(t, b, &http.Server{Handler: http.HandlerFunc(readBody), Protocols: &protocols})
+}
+
+func serveServer(t testing.TB, b Bounds, inner *http.Server) (l *Limiter, address string, s *graceful.Server) {
 	l = New(Options{Listener: t.Name(), Bounds: b, Limits: func() Limits { return Limits{} }, Log: zap.NewNop()})
-	inner := &http.Server{Handler: h}
 	l.Configure(inner)
 	s = graceful.New(inner, 50*time.Millisecond)
 	listener, err := l.Listen("127.0.0.1:0")
