--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -35,7 +35,7 @@
 func TestFlagsOverrideTheFile(t *testing.T) {
 	file := write(t, entryFile)
 	got, err := LoadEntry([]string{"--config", file, "--listen", "127.0.0.1:0",
-		"--control", "127.0.0.1:9", "--platform.hosts=http://127.0.0.1:1", "--log-level", "debug"})
+		"--control", "127.0.0.1:9", "--platform.hosts=http://127.0.0.1:1", "--limits.memory-mb=256", "--log-level", "debug"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -45,6 +45,7 @@
 			RPCListen: "127.0.0.1:7101", AdminListen: "127.0.0.1:7102",
 			Control:  []string{"127.0.0.1:9"},
 			Platform: Platform{Table: "http://127.0.0.1:7000", Hosts: "http://127.0.0.1:1"},
+			Limits:   Limits{MemoryMB: 256},
 			LogLevel: "debug",
 		},
 		Listen: "127.0.0.1:0",
@@ -71,9 +72,10 @@
 	broken := strings.NewReplacer("listen: 127.0.0.1:7100\n", "lissten: 127.0.0.1:7100\n", `"127.0.0.1:7211"`, "entry-2:1",
 		"rack: ikeja-r1\n", "", "region: lagos", "region: [a]", "http://127.0.0.1:7000", "http://table:7000").Replace(entryFile)
 	file := write(t, broken)
-	_, err := LoadEntry([]string{"--config", file, "--admin-listen", "here", "--peer", "x", "--peer", "y"})
+	_, err := LoadEntry([]string{"--config", file, "--admin-listen", "here", "--peer", "x", "--peer", "y", "--limits.memory-mb", "63"})
 	want := []string{
 		`command line: --admin-listen: bad address "here"; allowed`,
+		`command line: --limits.memory-mb: 63 is out of range; allowed: 64 to 4194304`,
 		`command line: --peer: bad address "x"; allowed`,
 		`command line: --peer: bad address "y"; allowed`,
 		file + `:1:1: listen: missing; give`,
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -74,8 +74,11 @@
 				reasons[strings.Trim(a.Value, `"`)] = true
 			}
 		case *ast.Ident:
-			if a.Name == "ReasonInProgress" {
+			switch a.Name {
+			case "ReasonInProgress":
 				reasons["key-in-progress"] = true
+			case "reasonOverloaded":
+				reasons[reasonOverloaded] = true
 			}
 		}
 	}
