entry: unread answers are in the memory budget of callers

An entry kept answers until their callers read them, and a caller that read nothing kept what its request held for 10 minutes, over HTTP/2 for ever: others were then refused. A whole answer above 4 KB is now held in the budget before its slot of the pool is released. An answer that has not been read for 1 s may be ended for the bytes that it holds; over HTTP/2 its request is reset, not the connection. Where memory is limited, an HTTP/2 connection may have 16 to 250 requests in progress instead of 250, since net/http keeps the end of each answer. The path of a request counts as header.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -18,7 +18,9 @@
 
 // request is a parsed request with the contract of its service.
 type request struct {
-	service  *service
+	service *service
+	// caller is the request of the caller.
+	caller   *http.Request
 	message  link.Request
 	key      claim.Key
 	arrived  time.Time
@@ -47,6 +49,7 @@
 	svc.demand.arrived.Add(1)
 	return &request{
 		service: svc,
+		caller:  r,
 		message: link.Request{
 			Method:          r.Method,
 			URI:             r.URL.RequestURI(),
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -14,6 +14,7 @@
 	"github.com/egretpitch/egretpitch/internal/claim"
 	"github.com/egretpitch/egretpitch/internal/ctxtime"
 	"github.com/egretpitch/egretpitch/internal/event"
+	"github.com/egretpitch/egretpitch/internal/intake"
 	"github.com/egretpitch/egretpitch/internal/link"
 	"github.com/egretpitch/egretpitch/internal/outcome"
 )
@@ -100,7 +101,7 @@
 func (e *Entry) replay(c echo.Context, stored *claim.Stored) error {
 	e.setAnswerHeader(c.Response().Header(), stored.Header)
 	c.Response().WriteHeader(stored.Status)
-	_, err := c.Response().Write(stored.Body)
+	_, err := intake.AnswerWriter(c.Response(), c.Request()).Write(stored.Body)
 	return err
 }
 
@@ -123,6 +124,11 @@
 	}
 	answer, refusal := e.forward(ctx, req)
 	if refusal != nil || answer.Whole() {
+		if refusal == nil {
+			// Holds up further requests of the pool while their answers would not
+			// fit into memory.
+			intake.HoldAnswer(req.caller, answer.HeldBytes())
+		}
 		release()
 		return answer, refusal
 	}
@@ -164,7 +170,7 @@
 	e.setAnswerHeader(c.Response().Header(), answer.Header)
 	e.countAnswered(req, time.Now())
 	c.Response().WriteHeader(answer.Status)
-	_, err = io.Copy(c.Response(), body)
+	_, err = io.Copy(intake.AnswerWriter(c.Response(), c.Request()), body)
 	e.settleStream(claimed, answer, err)
 	if err != nil {
 		// The response header is already sent: the connection is aborted so
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -33,9 +33,12 @@
 	// stallTimeout is the longest wait for a part of a body, and for a caller to read
 	// a part of an answer. It is the longest deadline that settings allow.
 	stallTimeout = 10 * time.Minute
-	// maxStreams is the number of requests that an HTTP/2 connection may have in
-	// progress, the default of net/http.
-	maxStreams = 250
+	// minStreams and maxStreams bound the number of requests that an HTTP/2 connection
+	// may have in progress. maxStreams is the default of net/http. streamBytes is what
+	// net/http keeps of an answer that its handler has written and the caller does not
+	// read.
+	minStreams, maxStreams = 16, 250
+	streamBytes            = 16 << 10
 	// frameBytes is the size of the largest HTTP/2 frame, the smallest one that the
 	// protocol allows: the buffer for it is kept with its connection.
 	frameBytes = 16 << 10
@@ -75,7 +78,7 @@
 		IdleTimeout:       idleTimeout,
 		Protocols:         &protocols,
 		HTTP2: &http.HTTP2Config{
-			MaxConcurrentStreams:          maxStreams,
+			MaxConcurrentStreams:          e.streams(),
 			MaxReadFrameSize:              frameBytes,
 			MaxReceiveBufferPerConnection: e.window(),
 			MaxReceiveBufferPerStream:     e.window(),
@@ -92,6 +95,15 @@
 	return &Server{entry: e, http: graceful.New(inner, arrivalTime), limiter: limiter}
 }
 
+// streams returns the number of requests that an HTTP/2 connection may have in
+// progress.
+func (e *Entry) streams() int {
+	if !e.memoryLimited {
+		return maxStreams
+	}
+	return int(min(max(e.bounds.Bytes/int64(e.bounds.Connections)/streamBytes, minStreams), maxStreams))
+}
+
 // window returns the flow control window of an HTTP/2 connection. Where the memory of
 // the process is limited, the windows of all connections fit into the memory for
 // bodies.
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -261,12 +261,7 @@
 // the returned connection has ended.
 func (b *budget) take(c *client, n int64, now time.Duration) (decision, *client) {
 	if b.fits(c, n, false) {
-		b.bytes += n
-		c.bytes += n
-		c.peer.bytes += n
-		if 2*c.peer.bytes > b.Bytes {
-			b.heavyBytes = c.peer
-		}
+		b.add(c, n)
 		return granted, nil
 	}
 	if b.fits(c, n, true) {
@@ -274,7 +269,7 @@
 	}
 	of := func(p *peer) *client {
 		v, unread := b.longestWait(func(v *client) bool {
-			return v != c && v.bytes > 0 && (p == nil || v.peer == p) && v.yieldsBytes()
+			return v != c && v.bytes > 0 && (p == nil || v.peer == p) && v.yieldsBytes(now)
 		})
 		return cmp.Or(v, unread)
 	}
@@ -295,6 +290,16 @@
 	return refused, nil
 }
 
+// add lets a connection hold n bytes more.
+func (b *budget) add(c *client, n int64) {
+	b.bytes += n
+	c.bytes += n
+	c.peer.bytes += n
+	if 2*c.peer.bytes > b.Bytes {
+		b.heavyBytes = c.peer
+	}
+}
+
 // fits reports whether a connection may hold n bytes more, now or once those that
 // were told to end have ended. A request always fits if no other holds anything.
 func (b *budget) fits(c *client, n int64, ended bool) bool {
@@ -351,9 +356,10 @@
 }
 
 // yieldsBytes reports whether a client that waits may be ended for the bytes that it
-// holds. An idle connection holds some only over HTTP/2.
-func (c *client) yieldsBytes() bool {
-	return c.phase == phaseHeader || c.phase == phaseBody || c.phase == phaseIdle
+// holds. An idle connection holds some only over HTTP/2. The requests of a connection
+// in phaseStreams are ended one by one.
+func (c *client) yieldsBytes(now time.Duration) bool {
+	return c.phase != phaseStreams && c.evictable(now)
 }
 
 // overdue returns a client that has waited longer than the limits allow, nil if there
--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -241,11 +241,15 @@
 		return
 	}
 	l.count(why)
+	l.budget.tellToEnd(v)
+	v.failure = errEnded
+	if v.stream != nil {
+		go v.stream.reset() // waits for the goroutine of the connection, which may wait for l.mu
+		return
+	}
 	if v.phase == phaseAnswer {
 		c.discardUnsent()
 	}
-	l.budget.tellToEnd(v)
-	v.failure = errEnded
 	_ = c.Conn.Close()
 }
 
--- a/internal/intake/stream.go
+++ b/internal/intake/stream.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -21,6 +23,9 @@
 type stream struct {
 	client client
 	writer http.ResponseWriter
+	// mu guards done, which is set once the handler has returned.
+	mu   sync.Mutex
+	done bool
 }
 
 // streamKey is the key of a stream in the context of its request.
@@ -58,7 +63,7 @@
 		s.client.conn, s.client.stream = c, s
 		l.openStream(s)
 		defer l.closeStream(s)
-		if !l.take(&s.client, streamBytes+headerBytes(r.Header)) {
+		if !l.take(&s.client, streamBytes+headerBytes(r)) {
 			_ = s.client.reject(refusedBytes, ErrOverloaded)
 			for name, values := range l.refusalHeader(http.StatusServiceUnavailable) {
 				w.Header()[name] = values
@@ -70,10 +75,11 @@
 	})
 }
 
-// headerBytes returns what a header takes, 0 if it is part of streamBytes.
-func headerBytes(h http.Header) int64 {
-	size := 0
-	for name, values := range h {
+// headerBytes returns what the header of a request takes, 0 if it is part of
+// streamBytes.
+func headerBytes(r *http.Request) int64 {
+	size := len(r.RequestURI)
+	for name, values := range r.Header {
 		for _, value := range values {
 			size += len(name) + len(value)
 		}
@@ -94,6 +100,9 @@
 }
 
 func (l *Limiter) closeStream(s *stream) {
+	s.mu.Lock()
+	s.done = true
+	s.mu.Unlock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := s.client.conn
@@ -109,32 +118,82 @@
 	_ = http.NewResponseController(s.writer).SetReadDeadline(time.Unix(1, 0)) // fails only if it is closed
 }
 
+// reset ends the writing of the answer.
+func (s *stream) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.done {
+		_ = http.NewResponseController(s.writer).SetWriteDeadline(time.Unix(1, 0)) // fails only if it is closed
+	}
+}
+
+// answerPart is the size of the parts in which an answer is written over HTTP/2, in
+// bytes. The wait for the client counts for each of them.
+const answerPart = 16 << 10
+
+// answerWriter writes an answer over HTTP/2.
+type answerWriter struct {
+	io.Writer
+	client *client
+}
+
+// AnswerWriter returns a writer of the answer to a request, which is w over HTTP/1.1.
+// Over HTTP/2 it records that the request waits until its client reads.
+func AnswerWriter(w io.Writer, r *http.Request) io.Writer {
+	if c := clientOf(r); c != nil && c.stream != nil {
+		return &answerWriter{w, c}
+	}
+	return w
+}
+
+// Write implements io.Writer.
+func (a *answerWriter) Write(p []byte) (written int, err error) {
+	for len(p) > 0 && err == nil {
+		part := p[:min(len(p), answerPart)]
+		var n int
+		a.client.beginWait(phaseAnswer)
+		n, err = a.Writer.Write(part)
+		a.client.endWait()
+		written += n
+		p = p[n:]
+	}
+	return written, err
+}
+
 // beginRead records that a request over HTTP/2 waits for the rest of its body. Over
 // HTTP/1.1, the connection records it.
 func (c *client) beginRead() {
-	if c == nil || c.stream == nil {
-		return
+	if c != nil && c.stream != nil {
+		c.beginWait(phaseBody)
+	}
+}
+
+// endRead records that the wait of beginRead has ended.
+func (c *client) endRead() {
+	if c != nil && c.stream != nil {
+		c.endWait()
 	}
+}
+
+// beginWait records that a request over HTTP/2 waits for its client.
+func (c *client) beginWait(p phase) {
 	l := c.conn.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c.failure != nil {
-		return // the read ends at once
+		return // it ends at once
 	}
-	l.budget.wait(c, phaseBody, l.now)
+	l.budget.wait(c, p, l.now)
 	c.conn.waitingStreams++
 	c.conn.updatePhase()
 }
 
-// endRead records that the wait of beginRead has ended.
-func (c *client) endRead() {
-	if c == nil || c.stream == nil {
-		return
-	}
+// endWait records that the wait of beginWait has ended.
+func (c *client) endWait() {
 	l := c.conn.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.phase != phaseBody {
+	if c.phase == phaseServing {
 		return
 	}
 	l.budget.serve(c)
--- a/internal/link/answer.go
+++ b/internal/link/answer.go
@@ -16,6 +16,15 @@
 // Close implements io.Closer.
 func (*heldBody) Close() error { return nil }
 
+// HeldBytes returns the size of a whole body, which is buffered in memory, and 0 for
+// a stream.
+func (a *Answer) HeldBytes() int64 {
+	if body, ok := a.Body.(*heldBody); ok {
+		return body.Size()
+	}
+	return 0
+}
+
 // readBody returns the answer. Its body is buffered if it has at most
 // HeldAnswerBytes, and otherwise a stream that keeps the connection until it
 // ends.
--- a/test/intake/entry_test.go
+++ b/test/intake/entry_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -211,6 +212,34 @@
 	floodEntry(t, clients, func(c net.Conn) error { return write(c, whole, len(whole)) })
 }
 
+// Guards against what the kernel receives for a process with little processor time.
+func TestEntryBodiesToASuspendedProcess(t *testing.T) {
+	e := startEntry(t)
+	_ = syscall.Kill(e.pid, syscall.SIGSTOP) // the cleanup kills it in any case
+	time.AfterFunc(loadTime, func() { _ = syscall.Kill(e.pid, syscall.SIGCONT) })
+	flood(t, e.process, e.callers, 4*clients, func(c net.Conn) error { return write(c, entryShortBody, declared) })
+}
+
+// Guards against answers that are kept while nobody reads them. The answer of the
+// stand-in repeats the path.
+func TestEntryAnswersThatNobodyReads(t *testing.T) {
+	request := fmt.Appendf(nil, "GET /orders/%s HTTP/1.1\r\nHost: h\r\n\r\n", filler[:60_000])
+	floodEntry(t, 4*clients, func(c net.Conn) error {
+		_ = c.(*net.TCPConn).SetReadBuffer(4096)
+		return write(c, bytes.Repeat(request, 10), 64_000)
+	})
+}
+
+// Guards against connections that are not given back when their peers reset them.
+func TestEntryPeersThatReset(t *testing.T) {
+	floodEntry(t, 4*clients, func(c net.Conn) error {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		err := write(c, entryShortBody, declared)
+		_ = c.Close()
+		return err
+	})
+}
+
 // Guards against connections without a bound.
 func TestEntryIdleConnections(t *testing.T) {
 	eachOfEntry(t, 4*clients, func(c net.Conn) error {
--- a/test/intake/http2_test.go
+++ b/test/intake/http2_test.go
@@ -111,6 +111,37 @@
 	floodEntry(t, 2*http2Clients, func(c net.Conn) error { return requestsOn(t, c, 240, 10, 9, []byte("123456789")) })
 }
 
+// Guards against requests whose answers fill no window of their client, and which hold
+// their headers until it leaves.
+func TestEntryHTTP2AnswersThatNobodyReads(t *testing.T) {
+	for _, size := range []int{10, 55_000} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			var out, block bytes.Buffer
+			out.WriteString(http2.ClientPreface)
+			framer := http2.NewFramer(&out, nil)
+			_ = framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0}) // a Buffer returns no error
+			encoder := hpack.NewEncoder(&block)
+			for i := range 240 {
+				for _, f := range []string{":method GET", ":scheme http", ":path /orders/" + strings.Repeat("x", size), ":authority h"} {
+					name, value, _ := strings.Cut(f, " ")
+					_ = encoder.WriteField(hpack.HeaderField{Name: name, Value: value, Sensitive: true})
+				}
+				id := uint32(2*i + 1)
+				first := block.Next(16 << 10)
+				_ = framer.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: first, EndStream: true, EndHeaders: block.Len() == 0})
+				for block.Len() > 0 {
+					part := block.Next(16 << 10)
+					_ = framer.WriteContinuation(id, block.Len() == 0, part)
+				}
+			}
+			floodEntry(t, 2*http2Clients, func(c net.Conn) error {
+				go func() { _, _ = io.Copy(io.Discard, c) }() // ends with the connection
+				return write(c, out.Bytes(), 64_000)
+			})
+		})
+	}
+}
+
 // http2Headers returns the beginning of an HTTP/2 connection with a header of a size
 // that does not end.
 func http2Headers(size int) []byte {
