entry: a failure to bound the kernel's buffers ends the start

Server.Serve set the buffers, and its error was lost in the goroutine that calls it: the entry would have run without callers. They are set when the entry begins to listen, before anything is served.

--- a/cmd/egretpitch-entry/main.go
+++ b/cmd/egretpitch-entry/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 
 	"go.uber.org/zap"
@@ -34,10 +33,6 @@
 	if err != nil {
 		return err
 	}
-	callers, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return err
-	}
 	boot, err := membership.BootID()
 	if err != nil {
 		return err
@@ -49,6 +44,10 @@
 	})
 	d.RegisterReady(e.Ready)
 	server := e.NewServer()
+	callers, err := server.Listen(c.Listen)
+	if err != nil {
+		return err
+	}
 	work := func(ctx context.Context) error {
 		go func() { _ = server.Serve(callers) }()
 		return e.Run(ctx)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -132,14 +132,19 @@
 	return http.Header{outcome.Header: {outcome.NotRun.String()}, ReasonHeader: {reason}}
 }
 
+// Listen listens for callers on a TCP address (IP:port). Where the memory of the
+// process is limited, so are the kernel's buffers of the connections.
+func (s *Server) Listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err == nil && s.entry.memoryLimited {
+		err = s.limiter.BoundBuffers(l)
+	}
+	return l, operr.Wrap(err, "entry: listen for callers", address)
+}
+
 // Serve accepts callers' connections on the listener until Shutdown is called,
 // and then returns nil.
 func (s *Server) Serve(l net.Listener) error {
-	if s.entry.memoryLimited {
-		if err := s.limiter.BoundBuffers(l); err != nil {
-			return err
-		}
-	}
 	if err := s.http.Serve(callerListener{s.limiter.Wrap(l)}); !errors.Is(err, http.ErrServerClosed) {
 		return operr.Wrap(err, "entry: serve callers", l.Addr().String())
 	}
