--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"net/http"
 	"time"
@@ -27,7 +28,7 @@
 	// decodedFactor is how many times its size a body takes until its job is
 	// stored: the body, the job, and its rows.
 	decodedFactor = 3
-	// bodyTimeFactor is how many idle time-outs a body may take as a whole. With the
+	// bodyTimeFactor is how many time-outs for a part of it a body may take as a whole. With the
 	// defaults that is 60 s, or 4.4 KB/s for the largest body.
 	bodyTimeFactor = 4
 )
@@ -50,20 +51,20 @@
 // is answered. After an error the rest of the body is not read, except after
 // ErrTooLarge.
 func ReadBody(r *http.Request, limit int64) ([]byte, error) {
-	c, _ := r.Context().Value(connKey{}).(*conn)
+	c := clientOf(r)
 	if r.ContentLength > limit {
 		return nil, c.reject(refusedBody, ErrTooLarge)
 	}
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	body := bodyReader{conn: c, most: limit + 1, declared: r.ContentLength}
+	body := bodyReader{client: c, most: limit + 1, declared: r.ContentLength}
 	err := body.read(r.Body)
 	if err == nil && int64(len(body.data)) > limit {
 		err = c.reject(refusedBody, ErrTooLarge)
 	}
 	if err == nil {
-		err = body.hold(decodedFactor * int64(len(body.data)))
+		err = body.hold(c.holdFactor() * int64(len(body.data)))
 	}
 	if err != nil {
 		c.drop(body.held, err)
@@ -74,7 +75,7 @@
 
 // bodyReader reads a body into a buffer that grows with what has arrived.
 type bodyReader struct {
-	conn           *conn
+	client         *client
 	data           []byte
 	held           int64
 	most, declared int64
@@ -82,23 +83,25 @@
 
 // read reads until the end of a body, or until it is longer than most allows.
 func (b *bodyReader) read(from io.Reader) error {
-	began := b.conn.time()
+	began := b.client.time()
 	for int64(len(b.data)) < b.most {
 		if len(b.data) == cap(b.data) {
 			if err := b.grow(); err != nil {
 				return err
 			}
 		}
+		b.client.beginRead()
 		n, err := from.Read(b.data[len(b.data):cap(b.data)])
+		b.client.endRead()
 		b.data = b.data[:len(b.data)+n]
 		if err == io.EOF {
 			return nil
 		}
 		if err != nil {
-			return b.conn.cause(err)
+			return b.client.cause(err)
 		}
-		if b.conn.late(began) {
-			return b.conn.reject(refusedSlow, ErrSlow)
+		if b.client.late(began) {
+			return b.client.reject(refusedSlow, ErrSlow)
 		}
 	}
 	return nil
@@ -121,52 +124,53 @@
 	return nil
 }
 
-// hold raises what the connection holds for the body to a number of bytes.
+// hold raises what the client holds for the body to a number of bytes.
 func (b *bodyReader) hold(size int64) error {
-	if b.conn == nil || size <= b.held {
+	if b.client == nil || size <= b.held {
 		return nil
 	}
-	if !b.conn.limiter.take(b.conn, size-b.held) {
-		return b.conn.reject(refusedBytes, ErrOverloaded)
+	if !b.client.conn.limiter.take(b.client, size-b.held) {
+		return b.client.reject(refusedBytes, ErrOverloaded)
 	}
 	b.held = size
 	return nil
 }
 
 // reject counts a refused request and returns the error.
-func (c *conn) reject(why reason, err error) error {
+func (c *client) reject(why reason, err error) error {
 	if c != nil {
-		c.limiter.mu.Lock()
-		c.limiter.count(why)
-		c.limiter.mu.Unlock()
+		l := c.conn.limiter
+		l.mu.Lock()
+		l.count(why)
+		l.mu.Unlock()
 	}
 	return err
 }
 
-// drop gives back what a connection holds for a refused body. The rest of the body
-// is not read.
-func (c *conn) drop(held int64, err error) {
+// drop gives back what a client holds for a refused body. The rest of the body is not
+// read.
+func (c *client) drop(held int64, err error) {
 	if c == nil {
 		return
 	}
-	l := c.limiter
+	l := c.conn.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c.failure == nil && !errors.Is(err, ErrTooLarge) {
 		c.failure = err
 	}
-	l.budget.release(&c.client, held)
-	l.budget.settle(&c.client)
+	l.budget.release(c, held)
+	l.budget.settle(c)
 	l.changed.Broadcast()
 }
 
 // cause returns why a read failed.
-func (c *conn) cause(err error) error {
+func (c *client) cause(err error) error {
 	if c == nil {
 		return err
 	}
-	c.limiter.mu.Lock()
-	defer c.limiter.mu.Unlock()
+	c.conn.limiter.mu.Lock()
+	defer c.conn.limiter.mu.Unlock()
 	if c.failure != nil {
 		return c.failure
 	}
@@ -174,37 +178,84 @@
 }
 
 // time returns the limiter's time.
-func (c *conn) time() time.Duration {
+func (c *client) time() time.Duration {
 	if c == nil {
 		return 0
 	}
-	c.limiter.mu.Lock()
-	defer c.limiter.mu.Unlock()
-	return c.limiter.now
+	l := c.conn.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.now
 }
 
 // late reports whether a body that began to arrive at a time takes too long.
-func (c *conn) late(began time.Duration) bool {
-	return c != nil && c.time()-began > bodyTimeFactor*c.limiter.limits().IdleTimeout
+func (c *client) late(began time.Duration) bool {
+	if c == nil {
+		return false
+	}
+	l := c.conn.limiter
+	return c.time()-began > bodyTimeFactor*l.stallTimeout(l.limits())
+}
+
+// holdFactor returns how many times its size a body takes.
+func (c *client) holdFactor() int64 {
+	if c == nil {
+		return decodedFactor
+	}
+	return cmp.Or(c.conn.limiter.HoldFactor, decodedFactor)
+}
+
+// BodyBounds bound the bodies of an operators' listener.
+type BodyBounds struct {
+	// MaxBytes is the size of the largest body.
+	MaxBytes int64
+	// Tokens are strings of which each may stand for a value that takes ValueBytes
+	// when it is decoded, however few bytes it has.
+	Tokens     []string
+	ValueBytes int64
+	// MaxValues is the number of such values in a body.
+	MaxValues int64
+}
+
+// JobBodies are the bounds of bodies of jobs in JSON: 100 jobs of 200 steps and their
+// own objects.
+func JobBodies(maxBytes int64) BodyBounds {
+	return BodyBounds{MaxBytes: maxBytes, Tokens: []string{"{", "null"}, ValueBytes: 800, MaxValues: 24_000}
 }
 
 const (
-	// maxObjects bounds the JSON objects of a request to an operators' listener: 100
-	// jobs of 200 steps and their own. objectBytes is what one may take when it is
-	// decoded, however few bytes it has.
-	maxObjects  = 24_000
-	objectBytes = 800
+	// treeBytes is what a node of a settings tree may take: its node in the YAML
+	// document and the value decoded from it.
+	treeBytes = 256
+	// adminMemoryPart is the inverse of the part of the memory for the values of one
+	// body, and adminBodyPart that for the body itself.
+	adminMemoryPart = 8
+	adminBodyPart   = 16
+	// maxAdminBody is the size of the largest body where memory allows it: 500 jobs
+	// with commands of 32 KB.
+	maxAdminBody = 16 << 20
 )
 
-// BufferBodies returns a handler for an operators' listener that reads each body of
-// at most limit bytes, in JSON, before it calls h. A body that is not read is
-// answered with its status.
-func BufferBodies(h http.Handler, limit int64) http.Handler {
+// TreeBodies are the bounds of bodies of the administration API of a process with a
+// limit on its memory, in bytes: settings trees, which are YAML in a JSON string, and
+// jobs.
+func TreeBodies(memory int64) BodyBounds {
+	return BodyBounds{
+		MaxBytes:   min(memory/adminBodyPart, maxAdminBody),
+		Tokens:     []string{"{", "[", ",", ":", "-", "?", "null", `\n`, `\u`},
+		ValueBytes: treeBytes,
+		MaxValues:  memory / adminMemoryPart / treeBytes,
+	}
+}
+
+// BufferBodies returns a handler for an operators' listener that reads each body, in
+// JSON, before it calls h. A body that is not read is answered with its status.
+func BufferBodies(h http.Handler, bounds BodyBounds) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength != 0 {
-			body, err := ReadBody(r, limit)
+			body, err := ReadBody(r, bounds.MaxBytes)
 			if err == nil {
-				err = holdObjects(r, body)
+				err = bounds.holdValues(r, body)
 			}
 			if err != nil {
 				w.Header().Set("Retry-After", "1")
@@ -217,14 +268,17 @@
 	})
 }
 
-// holdObjects holds what the objects of a body take.
-func holdObjects(r *http.Request, body []byte) error {
-	c, _ := r.Context().Value(connKey{}).(*conn)
-	objects := int64(bytes.Count(body, []byte("{")) + bytes.Count(body, []byte("null")))
-	if objects > maxObjects {
+// holdValues holds what the values of a body take.
+func (b *BodyBounds) holdValues(r *http.Request, body []byte) error {
+	c := clientOf(r)
+	values := int64(0)
+	for _, token := range b.Tokens {
+		values += int64(bytes.Count(body, []byte(token)))
+	}
+	if values > b.MaxValues {
 		return c.reject(refusedBody, ErrTooLarge)
 	}
-	if c != nil && !c.limiter.take(c, objects*objectBytes) {
+	if c != nil && !c.conn.limiter.take(c, values*b.ValueBytes) {
 		return c.reject(refusedBytes, ErrOverloaded)
 	}
 	return nil
