--- a/internal/fleetplan/demand.go
+++ b/internal/fleetplan/demand.go
@@ -20,22 +20,6 @@
 	// minSurgeInterval is the minimum time between the starts of two surges of
 	// one pool. Surges at a shorter interval are not forecast.
 	minSurgeInterval = 4 * time.Second
-	// riseShare is the share of a usual surge above which the arrival rate counts as
-	// the beginning of one, and maxRise is how long the pool is then sized for a usual
-	// surge. Demand rises for seconds, and hosts take two more to arrive, so a pool that
-	// follows its rate is short of hosts all that time.
-	riseShare = 0.1
-	maxRise   = 4500 * time.Millisecond
-	// burstMargin is the factor above the highest rate of earlier rises without a surge
-	// from which the rate counts as a rise again. Bursts that no surge follows would
-	// otherwise move hosts to the pool and back for each of them.
-	burstMargin = 1.5
-	// minRiseJobs is the number of jobs within rateWindow from which their rate is
-	// taken for a rise: a single large job is none.
-	minRiseJobs = 4
-	// firstSurge is the size for which a pool is sized when its demand first rises,
-	// relative to its initial one: a surge takes more than its pool holds.
-	firstSurge = 1.4
 )
 
 // demand is the recent demand of one pool.
@@ -44,20 +28,7 @@
 	// which is the number of cores that keeps up with it.
 	rate    float64
 	surging bool
-	// rising is set while the rate is above riseShare of a usual surge, and risingAt
-	// is when it rose above that.
-	rising   bool
-	risingAt time.Duration
-	// riseRate is the highest rate since risingAt, and riseSurged is set if the pool
-	// has surged since.
-	riseRate   float64
-	riseSurged bool
-	// burstRate is the highest rate of the rises without a surge since the last surge.
-	burstRate float64
-	// baseRate is the lowest rate since the last rise with a surge has ended or, before,
-	// since the Planner has known all arrivals that it uses, after knownFrom.
-	baseRate  float64
-	knownFrom time.Duration
+	rise    rise
 	// initialHosts is how many hosts the pool had at the first plan; it is
 	// valid once initialKnown is set.
 	initialKnown bool
@@ -87,7 +58,7 @@
 func (p *Planner) observe(pool *Pool, until, now time.Duration) {
 	d := p.demands[pool.Name]
 	if d == nil {
-		d = &demand{idleSince: map[string]time.Duration{}, knownFrom: now + ArrivalMemory}
+		d = &demand{idleSince: map[string]time.Duration{}, rise: rise{knownFrom: now + ArrivalMemory}}
 		p.demands[pool.Name] = d
 	}
 	latest, _ := rateOver(pool.Arrivals, until, rateWindow/2)
@@ -95,7 +66,8 @@
 	d.rate = max(latest, longer)
 	p.trackSurge(d, pool, now)
 	if until > now-maxFeedDelay { // otherwise the feed may pause while the demand goes on
-		p.trackRise(d, pool, jobs, now)
+		usual := float64(p.usualSize(d, pool.Name, now-maxRise)) * pool.workerCores()
+		d.rise.observe(d.rate, usual, jobs, d.surging, now)
 	}
 	if len(pool.Workers) == 0 {
 		return
@@ -142,45 +114,6 @@
 	}
 }
 
-// usualSize returns the number of workers for a surge of a pool, from the surges that
-// began before a time. Before the first one it is firstSurge of the initial size.
-func (p *Planner) usualSize(d *demand, pool string, before time.Duration) int {
-	if size := p.forecast.typicalSize(pool, before); size > 0 {
-		return size
-	}
-	return int(math.Ceil(firstSurge * float64(d.initialHosts)))
-}
-
-// trackRise notes when the pool's demand begins to rise to a surge, from the number of
-// jobs in rateWindow.
-func (p *Planner) trackRise(d *demand, pool *Pool, jobs int, now time.Duration) {
-	usual := float64(p.usualSize(d, pool.Name, now-maxRise)) * pool.workerCores()
-	if d.surging {
-		d.riseSurged, d.burstRate = true, 0
-	}
-	if now < d.knownFrom { // a successor does not know how the demand was before
-		d.baseRate = max(d.baseRate, d.rate)
-		return
-	}
-	low := d.rate < riseShare/2*usual
-	over := d.rising && now-d.risingAt >= maxRise
-	switch {
-	case d.rising && !d.riseSurged && (low || over):
-		d.rising, d.burstRate = false, max(d.burstRate, d.riseRate)
-	case d.rising && (low || (over && !d.surging && d.rate < d.riseRate/2)):
-		d.rising, d.baseRate = false, d.rate
-	case !d.rising:
-		d.baseRate = min(d.baseRate, d.rate)
-	}
-	threshold := max(riseShare*usual, burstMargin*max(d.burstRate, d.baseRate))
-	if usual > 0 && d.rate > threshold && !d.rising && jobs >= minRiseJobs {
-		d.rising, d.risingAt, d.riseRate, d.riseSurged = true, now, 0, d.surging
-	}
-	if d.rising {
-		d.riseRate = max(d.riseRate, d.rate)
-	}
-}
-
 // workerCores returns the mean number of cores of the pool's workers, 0 if it
 // has none.
 func (pool *Pool) workerCores() float64 {
--- a/internal/fleetplan/move.go
+++ b/internal/fleetplan/move.go
@@ -327,8 +327,8 @@
 		}
 		need = max(need, min(have, keep))
 	}
-	if d.rising && v.Now-d.risingAt < maxRise {
-		s.Usual = v.usualSize(d, pool.Name, d.risingAt-maxRise)
+	if d.rise.begins(v.Now) {
+		s.Usual = v.usualSize(d, pool.Name, d.rise.at-maxRise)
 		need = max(need, s.Usual)
 	}
 	need = max(need, minWorkers)
