--- a/cmd/egretpitch-node/main.go
+++ b/cmd/egretpitch-node/main.go
@@ -24,21 +24,17 @@
 	"github.com/egretpitch/egretpitch/internal/graceful"
 	"github.com/egretpitch/egretpitch/internal/intake"
 	"github.com/egretpitch/egretpitch/internal/logging"
+	"github.com/egretpitch/egretpitch/internal/machine"
 	"github.com/egretpitch/egretpitch/internal/node"
 	"github.com/egretpitch/egretpitch/internal/scheduler"
 	"github.com/egretpitch/egretpitch/platform"
 )
 
 const (
-	// gcPercent is the garbage collector's target percentage. It is below the
-	// default of 100, for a smaller heap at the cost of processor time.
-	gcPercent = 60
-	// ownerGCPercent is that of the owner of the control work. The heap of that
-	// one process may be larger, while its processor time limits the estate.
+	// ownerGCPercent is the garbage collector's target percentage at the owner of the
+	// control work, elsewhere machine.GCPercent. The heap of that one process may be
+	// larger, while its processor time limits the estate.
 	ownerGCPercent = 300
-	// heapShare is the part of the memory limit from which the collector runs as
-	// often as it takes. The rest is for buffers of the kernel.
-	heapShare = 0.7
 	// lingerShare is the part of the shutdown grace during which callers are
 	// still served while the balancer notices that the process is not ready.
 	lingerShare = 0.45
@@ -100,9 +96,9 @@
 }
 
 func run(opts options, s *platform.Settings, signals <-chan os.Signal) error {
-	debug.SetGCPercent(gcPercent)
+	debug.SetGCPercent(machine.GCPercent)
 	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
+		machine.LimitHeap(s.MemoryBytes)
 	}
 	log, flush, err := logging.New(os.Stdout, opts.LogLevel, s.Node)
 	if err != nil {
@@ -155,7 +151,7 @@
 		Name: s.Node, Address: s.CallersAddress,
 		TakeoverBackoff: time.Duration(max(takeoverCores-s.ProcessorShare, 0) * float64(takeoverBackoffPerCore)),
 		OwnershipChanged: func(owner bool) {
-			percent := gcPercent
+			percent := machine.GCPercent
 			if owner {
 				percent = ownerGCPercent
 			}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -31,16 +30,6 @@
 	"github.com/egretpitch/egretpitch/internal/platform/httpapi"
 )
 
-const (
-	// gcPercent is the garbage collector's target percentage in a process whose
-	// memory is limited. It is below the default of 100, for a smaller heap at the
-	// cost of processor time.
-	gcPercent = 60
-	// heapShare is the part of that memory from which the collector runs as often as
-	// it takes. The rest is for buffers of the kernel.
-	heapShare = 0.7
-)
-
 const (
 	// maxHeaderBytes is the maximum size of the header of a request to the
 	// administration address. net/http allows headerSlop more, and answers a larger
@@ -93,8 +82,7 @@
 	}
 	memory := cmp.Or(p.Limits.MemoryBytes(), machine.Memory())
 	if p.Limits.MemoryMB > 0 {
-		debug.SetGCPercent(gcPercent)
-		debug.SetMemoryLimit(int64(heapShare * float64(p.Limits.MemoryBytes())))
+		machine.LimitHeap(p.Limits.MemoryBytes())
 	}
 	d := &Daemon{
 		Log: log, flush: flush, Admin: echo.New(), RPC: drpcmux.New(), Incarnation: rand.Uint64(),
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -1,11 +1,29 @@
-// Package machine reads the resources that the machine gives a process.
+// Package machine reads the resources that the machine gives a process, and keeps the
+// process within its memory.
 package machine
 
 import (
 	"math"
+	"runtime/debug"
 	"syscall"
 )
 
+const (
+	// GCPercent is the garbage collector's target percentage in a process whose memory
+	// is limited. It is below the default of 100, for a smaller heap at the cost of
+	// processor time.
+	GCPercent = 60
+	// heapShare is the part of that memory from which the collector runs as often as it
+	// takes. The rest is for buffers of the kernel.
+	heapShare = 0.7
+)
+
+// LimitHeap sets the garbage collector for a process with the given memory in bytes.
+func LimitHeap(memory int64) {
+	debug.SetGCPercent(GCPercent)
+	debug.SetMemoryLimit(int64(heapShare * float64(memory)))
+}
+
 // defaultMemory is assumed where the memory of the machine cannot be read.
 const defaultMemory = 1 << 30
 
