intake: a test of HTTP/2 bodies waits until each body has arrived

Cause, in the test: the buffer of a body has its full size from 32 KB on, which the test took for the arrival of all 50,000 bytes. If the rest of the first body arrives after the second one, the second has waited longest, and is ended as it should be.

The test now counts what is read of the bodies as well. Its assertions and bounds are unchanged.

--- a/internal/intake/limiter_test.go
+++ b/internal/intake/limiter_test.go
@@ -33,11 +33,11 @@
 }
 
 // serveHTTP2 serves readBody over HTTP/2 too.
-func serveHTTP2(t testing.TB, b Bounds) (l *Limiter, address string, s *graceful.Server) {
+func serveHTTP2(t testing.TB, b Bounds, h http.HandlerFunc) (l *Limiter, address string, s *graceful.Server) {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return serveServer(t, b, &http.Server{Handler: http.HandlerFunc(readBody), Protocols: &protocols})
+	return serveServer(t, b, &http.Server{Handler: h, Protocols: &protocols})
 }
 
 func serveServer(t testing.TB, b Bounds, inner *http.Server) (l *Limiter, address string, s *graceful.Server) {
--- a/internal/intake/stream_test.go
+++ b/internal/intake/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -42,10 +43,26 @@
 	return answered
 }
 
+// countedBody counts the bytes that are read of a body.
+type countedBody struct {
+	io.ReadCloser
+	read *atomic.Int64
+}
+
+func (b countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.read.Add(int64(n))
+	return n, err
+}
+
 // Guards against a budget that does not see the bodies of an HTTP/2 connection, and
 // against ending all requests of a connection for one of them.
 func TestIncompleteBodyOfAStreamGivesWay(t *testing.T) {
-	l, address, _ := serveHTTP2(t, Bounds{Connections: 10, Bytes: 380 << 10})
+	var read atomic.Int64
+	l, address, _ := serveHTTP2(t, Bounds{Connections: 10, Bytes: 380 << 10}, func(w http.ResponseWriter, r *http.Request) {
+		r.Body = countedBody{r.Body, &read}
+		readBody(w, r)
+	})
 	client := http2Client(t)
 	waiting := func() (streams int) {
 		for c := l.budget.first; c != nil; c = c.next {
@@ -56,9 +73,9 @@
 		return streams
 	}
 	first := openBody(t, client, address, 50_000)
-	l.waitFor(t, "the first body is awaited", func() bool { return waiting() == 1 })
+	l.waitFor(t, "the first body is awaited", func() bool { return read.Load() == 50_000 && waiting() == 1 })
 	second := openBody(t, client, address, 50_000)
-	l.waitFor(t, "the second body is awaited", func() bool { return waiting() == 2 })
+	l.waitFor(t, "the second body is awaited", func() bool { return read.Load() == 100_000 && waiting() == 2 })
 	third := openBody(t, client, address, 50_000)
 	if got := <-first; got != http.StatusServiceUnavailable {
 		t.Errorf("the body that has waited longest is answered %d", got)
@@ -75,7 +92,7 @@
 
 // Guards against connections that are kept because their requests are never complete.
 func TestConnectionOfIncompleteStreamsGivesWay(t *testing.T) {
-	l, address, _ := serveHTTP2(t, Bounds{Connections: 2, Bytes: 10 << 20})
+	l, address, _ := serveHTTP2(t, Bounds{Connections: 2, Bytes: 10 << 20}, readBody)
 	oldest := openBody(t, http2Client(t), address, 100)
 	l.waitFor(t, "the requests of the connection wait", func() bool {
 		return l.budget.first != nil && l.budget.last.phase == phaseStreams
@@ -95,7 +112,7 @@
 // Guards against a single request that does not fit beside what its own connection
 // holds.
 func TestSingleStreamFits(t *testing.T) {
-	l, address, _ := serveHTTP2(t, Bounds{Connections: 10, Bytes: 1})
+	l, address, _ := serveHTTP2(t, Bounds{Connections: 10, Bytes: 1}, readBody)
 	resp, err := http2Client(t).Post("http://"+address+"/", "", io.LimitReader(zeros{}, 64<<10))
 	if err != nil {
 		t.Fatal(err)
