review: case 10 becomes leases that lapse after connections have gone silent

After all open connections to workers go silent, each call that gets no answer costs one of the silent connections; the first new one comes after the lease. The tasks of a step that last lapse together, against max_unavailable.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -250,63 +250,63 @@
 	return verdict{kills > 0, why}, nil
 }
 
-// kinds lets workers of one kind crash and start again at once under the ids that they
-// had, as workers of another kind, while tasks wait that need the former kind.
-func kinds(o *world, trouble bool) (verdict, error) {
-	const rounds, waiting = 12, 60
+// silent makes all open connections to the platform and its workers silent, once,
+// while new ones work, and counts the tasks that last whose leases lapse later.
+func silent(o *world, trouble bool) (verdict, error) {
+	const tasks, mayMiss, usual, after = 5, 1, 5 * time.Second, 14 * time.Second
 	if err := deploy(o, 9); err != nil {
 		return verdict{}, err
 	}
-	s := spec{MS: 1500, CPU: 16000, MemMB: 1000, Needs: "a"}
-	for range rounds {
-		for range 4 {
-			if !o.submit(prefix, newJobID(), jobOf(waiting/4, s, map[string]any{"requirements": s.Needs})) {
-				return verdict{}, errors.New("a job was not accepted")
-			}
-		}
-		time.Sleep(500 * time.Millisecond)
-		if trouble {
-			o.changeKind()
-		}
-		time.Sleep(5 * time.Second)
+	job := newJobID()
+	body := jobOf(tasks, spec{MS: 500, Lasts: true, CPU: 5200, MemMB: 9700}, map[string]any{"long_running": true, "anti_affinity": 1, "max_unavailable": mayMiss})
+	if !o.submit(prefix, job, body) {
+		return verdict{}, errors.New("the job was not accepted")
+	}
+	if !waitFor(5*time.Second, func() bool { return len(o.atWork(job)) == tasks }) {
+		return verdict{}, errors.New("the tasks don't start")
+	}
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go o.usualTraffic(stop, stopped)
+	time.Sleep(usual)
+	silentAt := time.Now()
+	if trouble {
+		o.silence()
 	}
-	n := o.wrongKind.Load()
-	return verdict{n > 0, fmt.Sprintf("%d tasks that need a worker of kind a were started on workers of kind b", n)}, nil
+	time.Sleep(after)
+	close(stop)
+	<-stopped
+	lapsed := o.lapsedAfter(job, silentAt.Add(contactTime))
+	return verdict{lapsed > mayMiss, fmt.Sprintf("the leases of %d of %d tasks that last lapsed more than %v after the connections went silent; the workers were up and reachable",
+		lapsed, tasks, contactTime)}, nil
 }
 
-// changeKind crashes a worker of kind a that runs something. It starts again under its
-// id as a worker of kind b. The worker that changed before is of kind a again.
-func (o *world) changeKind() {
-	o.mu.Lock()
-	var back, next *machine
-	for _, m := range o.machines {
-		switch {
-		case m.worker == nil:
-		case m.kind == "b":
-			back = m
-		case next == nil && m.worker.busy():
-			next = m
-		}
-	}
-	o.mu.Unlock()
-	for m, kind := range map[*machine]string{back: "a", next: "b"} {
-		if m == nil {
-			continue
-		}
-		id := m.worker.id
-		o.crash(m)
-		m.kind = kind
-		time.Sleep(50 * time.Millisecond)
-		if err := o.boot(m, id); err != nil {
-			o.note("a worker does not start again: %v", err)
+// contactTime is contact_ms of the settings.
+const contactTime = 3 * time.Second
+
+// usualTraffic hands in some sixteen jobs a second until stop is closed.
+func (o *world) usualTraffic(stop, stopped chan struct{}) {
+	defer close(stopped)
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(60 * time.Millisecond):
 		}
+		o.submitAt(i, prefix, newJobID(), jobOf(6, spec{MS: 800, CPU: 3500, MemMB: 3600}, nil))
 	}
 }
 
-func (w *worker) busy() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return len(w.runs) > 0
+// lapsedAfter counts the tasks of a job whose leases have lapsed after a time.
+func (o *world) lapsedAfter(job string, after time.Time) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := 0
+	for task, at := range o.lapses {
+		if strings.HasPrefix(task, job+".") && at.After(after) {
+			n++
+		}
+	}
+	return n
 }
 
 // manyRows lets a client hand in many jobs with large bodies at once, and an ordinary
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -33,7 +33,7 @@
 	"crashes":  crashes,
 	"rebooted": rebooted,
 	"large":    largeJobs,
-	"kinds":    kinds,
+	"silent":   silent,
 	"rows":     manyRows,
 }
 
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -30,8 +30,6 @@
 	CPU   int   `json:"cpu"`
 	MemMB int   `json:"mem_mb"`
 	Saves bool  `json:"saves"`
-	// Needs is the label that the worker must have.
-	Needs string `json:"needs"`
 }
 
 // runID names a run.
@@ -116,7 +114,8 @@
 	o.mu.Lock()
 	m.worker = w
 	o.mu.Unlock()
-	go func() { _ = w.server.Serve(l) }() // ends with crash
+	q := o.quietListener(l)
+	go func() { _ = w.server.Serve(q) }() // ends with crash
 	w.register()
 	go w.live()
 	o.note("worker %s (%s, kind %s, rack %s) starts on %s", id, m.pool, m.kind, m.rack, m.name)
@@ -312,10 +311,6 @@
 	w.runs[id] = r
 	w.world.runBegan(id, w)
 	w.world.note("%s run %d starts on %s", o.Task, o.Run, w.id)
-	if s.Needs != "" && s.Needs != w.kind {
-		w.world.wrongKind.Add(1)
-		w.world.note("%s needs a worker of kind %s, and %s is of kind %s", o.Task, s.Needs, w.id, w.kind)
-	}
 	return ""
 }
 
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -35,12 +35,14 @@
 	// starts and ends hold what workers began and how it ended, by task.
 	starts map[string][]started
 	ends   map[string][]string
+	// lapses holds when the lease of each task last lapsed.
+	lapses map[string]time.Time
 	// listed is signalled after each answer with the list of machines.
 	listed chan struct{}
+	// listeners are those of the platform and its workers.
+	listeners []*quietListener
 	// workers counts the workers that were started.
 	workers atomic.Int64
-	// wrongKind counts the starts on workers without the label that the task needs.
-	wrongKind atomic.Int64
 }
 
 // started is a run that a worker has begun.
@@ -64,25 +66,49 @@
 		return nil, err
 	}
 	o := &world{
-		began: time.Now(), store: newStore(), dir: dir, logDir: logDir, starts: map[string][]started{}, ends: map[string][]string{},
+		began: time.Now(), store: newStore(), dir: dir, logDir: logDir, starts: map[string][]started{}, ends: map[string][]string{}, lapses: map[string]time.Time{},
 		listed: make(chan struct{}, 1),
 	}
-	if o.storeAddr, err = serveOn("127.0.0.1:0", o.store.handler()); err != nil {
+	if o.storeAddr, err = o.serve(o.store.handler()); err != nil {
 		return nil, err
 	}
-	o.cloudAddr, err = serveOn("127.0.0.1:0", o.cloud())
+	o.cloudAddr, err = o.serve(o.cloud())
 	return o, err
 }
 
-func serveOn(address string, h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", address)
+// serve serves a handler on a free port and returns the address.
+func (o *world) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
-	go func() { _ = (&http.Server{Handler: h}).Serve(l) }() // ends with the process
+	q := o.quietListener(l)
+	go func() { _ = (&http.Server{Handler: h}).Serve(q) }() // ends with the process
 	return l.Addr().String(), nil
 }
 
+// quietListener returns a listener of the platform whose connections silence makes
+// silent.
+func (o *world) quietListener(l net.Listener) net.Listener {
+	q := newQuietListener(l)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.listeners = append(o.listeners, q)
+	return q
+}
+
+// silence makes all open connections to the platform and its workers silent.
+func (o *world) silence() {
+	o.mu.Lock()
+	listeners := append([]*quietListener{}, o.listeners...)
+	o.mu.Unlock()
+	n := 0
+	for _, l := range listeners {
+		n += l.silence()
+	}
+	o.note("%d open connections to the store, the fleet service and the workers go silent", n)
+}
+
 // note adds a line to the record.
 func (o *world) note(format string, args ...any) {
 	line := fmt.Sprintf("%8.3f  %s", time.Since(o.began).Seconds(), fmt.Sprintf(format, args...))
@@ -101,6 +127,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.ends[id.task] = append(o.ends[id.task], how)
+	if how == "lapsed" {
+		o.lapses[id.task] = time.Now()
+	}
 }
 
 // endsOf counts the ends of the tasks of a job by how they ended.
