scheduler: a start that no worker carried out is no crash

Cause: the end of a worker counted as an uncertain crash under every run that the engine had there, also under starts in flight, starts that waited to be sent and starts that had found no connection. One 421 ends the incarnation; three such crashes that only one job can have caused give the job up, and the starts of a job find three ended workers within 12 ms.

Ruled out: starts that a worker had begun.

Change: the crash stays open for a start that has no answer yet, or that the next incarnation under the same id may carry out. It counts if the answer stays away or the next incarnation does not have the run, and not if the start is refused, not sent, or listed by the next incarnation. A start for which there is no connection is refused at once, its task starts elsewhere, and a probe asks the worker. Open crashes hold further starts of the task back from the third on, so that a task that crashes its workers before they answer gains no starts.

TestTaskIsNotGivenUpForWorkersThatCrashedBeforeItsStart stays red: there the starts get no answer at all.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -5,10 +5,12 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/egretpitch/egretpitch/internal/event"
 	"github.com/egretpitch/egretpitch/internal/fleetplan"
+	"github.com/egretpitch/egretpitch/internal/platform"
 	"github.com/egretpitch/egretpitch/internal/workload"
 )
 
@@ -46,6 +48,26 @@
 	alone     bool
 }
 
+// openCrash is the end of a worker to which a start was sent, as long as it is open
+// whether the worker has carried it out.
+type openCrash struct {
+	workerID string
+	alone    bool
+}
+
+// workerEnd says how a worker has ended.
+type workerEnd int
+
+const (
+	// endPresumed means that the worker is silent and may still live.
+	endPresumed workerEnd = iota
+	// endCertain means that the worker has ended.
+	endCertain
+	// endReplaced means that the worker has ended, and that its next incarnation may
+	// carry out the starts that it was sent.
+	endReplaced
+)
+
 // crashUnit returns the tasks that start together with the task: itself, or all
 // members of its gang.
 func (t *task) crashUnit() []*task {
@@ -125,11 +147,14 @@
 
 // countCrash records the unplanned end of a worker with the tasks that ran there.
 // A worker that is only silent may still live: its end is presumed. Runs that had
-// been listed for a while are no cause; two such crashes keep a task apart.
-func (e *Engine) countCrash(w *worker, presumed bool, now time.Duration) {
+// been listed for a while are no cause; two such crashes keep a task apart. The crash
+// stays open for a start that has no answer yet or that the next incarnation may
+// carry out.
+func (e *Engine) countCrash(w *worker, end workerEnd, now time.Duration) {
 	if w.endsAsPlanned() || w.crashCounted {
 		return
 	}
+	presumed := end == endPresumed
 	w.crashCounted = !presumed
 	under, causes, alone := w.crashSuspects()
 	for _, r := range under {
@@ -138,11 +163,16 @@
 		switch {
 		case !cause && (presumed || r.task.step.LongRunning):
 			continue
+		case presumed && !r.begun() && !r.answered:
+			continue // neither the crash nor the run is certain
 		case cause && presumed:
 			weight = workload.CrashPresumed
 			e.presumed[w.ID] = append(e.presumed[w.ID], presumedCrash{startedMS: w.StartedMS, at: now, task: r.task, run: r.number, alone: alone})
 		case cause && r.begun() && w.leaseRuns(now):
 			weight = workload.CrashCertain
+		case cause && !r.begun() && (!r.answered || end == endReplaced):
+			r.openCrash = &openCrash{workerID: w.ID, alone: alone}
+			continue
 		case cause:
 			weight = workload.CrashUncertain
 		}
@@ -150,6 +180,39 @@
 	}
 }
 
+// leaveOpenCrash handles the end of a run whose crash is open. It counts if it stays
+// unknown whether the start was carried out, and waits for the answer to the start if
+// there is none yet.
+func (e *Engine) leaveOpenCrash(r *run, now time.Duration) {
+	switch {
+	case r.openCrash == nil:
+	case r.answered:
+		e.recordOpenCrash(r, now)
+	default:
+		r.task.openCrashes++
+	}
+}
+
+// settleOpenCrash handles the answer to the start of a run that was given up with its
+// worker. A start that was refused or not sent was never under the crash.
+func (e *Engine) settleOpenCrash(r *run, a platform.OrderAnswer, err error, now time.Duration) {
+	if r.openCrash == nil {
+		return
+	}
+	r.task.openCrashes--
+	if errors.Is(err, platform.ErrUnavailable) || (err == nil && a.Outcome != platform.OrderDone) {
+		r.openCrash = nil
+		return
+	}
+	e.recordOpenCrash(r, now)
+}
+
+func (e *Engine) recordOpenCrash(r *run, now time.Duration) {
+	c := r.openCrash
+	r.openCrash = nil
+	e.recordCrash(r.task, crash{r.number, workload.CrashUncertain}, c.alone, c.workerID, now)
+}
+
 // fateTimeout is how long after its lease a worker that never answers again counts
 // as cut off. After that its crash is no longer presumed.
 const fateTimeout = 6 * time.Second
--- a/internal/scheduler/crash_simulation_test.go
+++ b/internal/scheduler/crash_simulation_test.go
@@ -120,9 +120,13 @@
 
 func (c *crashSimulation) listHosts() {
 	c.after(hostListInterval, c.listHosts)
-	if !c.hostLists {
-		return
+	if c.hostLists {
+		c.listHostsOnce()
 	}
+}
+
+// listHostsOnce reads a host list.
+func (c *crashSimulation) listHostsOnce() {
 	hosts := map[string]estate.Host{}
 	for _, f := range sorted(c.workers) {
 		name := c.hostOf[f.ID]
--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -30,7 +30,7 @@
 func (e *Engine) incarnationEnded(w *worker, reason string, now time.Duration) {
 	event.WorkerLost.Log(e.opts.Log, zap.String("worker", w.ID), zap.Int64("incarnation", w.StartedMS), zap.String("pool", w.Pool), zap.String("reason", reason), zap.Int("runs", len(w.runs)),
 		zap.Duration("silent", now-w.lastContact))
-	e.countCrash(w, false, now)
+	e.countCrash(w, endCertain, now)
 	e.settlePresumed(w.ID, !w.endsAsPlanned(), now)
 	for _, r := range w.runs {
 		e.loseRun(r, reason, now)
@@ -48,7 +48,7 @@
 // that it did not list may still reach the next incarnation, until that has
 // answered a poll with its own token.
 func (e *Engine) replaceIncarnation(w *worker, startedMS int64, now time.Duration) *worker {
-	e.countCrash(w, false, now) // with the runs that the next incarnation takes over
+	e.countCrash(w, endReplaced, now)
 	var open []*run
 	for _, r := range w.runs {
 		if !r.listed {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/egretpitch/egretpitch/internal/event"
@@ -63,10 +64,16 @@
 func (e *Engine) Started(o *StartOrder, a platform.OrderAnswer, err error, now time.Duration) {
 	r := o.run
 	w := r.worker
+	r.answered = true
 	if w.runs[runKey{r.task.id(), r.number}] != r {
-		return // settled meanwhile
+		e.settleOpenCrash(r, a, err, now) // given up meanwhile
+		return
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, platform.ErrUnavailable):
+		e.notDelivered(r, err, now)
+		return
+	case err != nil:
 		e.stats.UncertainStarts++
 		event.StartUnanswered.Log(e.opts.Log, zap.Stringer("task", r.task.id()), zap.Int("run", r.number), zap.String("worker", w.ID), zap.Error(err))
 		if r.phase == runSent {
@@ -78,7 +85,7 @@
 	}
 	if r.sentToPrevious() {
 		if a.Outcome != platform.OrderDone { // either incarnation may have carried it out
-			e.refused(r, a, now)
+			e.refused(r, a, nil, now)
 		}
 		return
 	}
@@ -96,17 +103,29 @@
 	case platform.OrderFenced:
 		e.superseded = true
 	case platform.OrderWrongIncarnation:
-		r.withdraw() // no incarnation has carried it out
+		e.refused(r, a, nil, now)
 		e.incarnationEnded(w, "another worker answers at its address", now)
 		return
 	}
-	e.refused(r, a, now)
+	e.refused(r, a, nil, now)
+}
+
+// notDelivered handles a start that was not sent, because no connection to the
+// worker could be set up. A probe shows whether the worker has ended.
+func (e *Engine) notDelivered(r *run, err error, now time.Duration) {
+	w := r.worker
+	w.pauseAfterUnanswered(now)
+	e.refused(r, platform.OrderAnswer{Outcome: platform.OrderNotSent}, err, now)
+	if !w.probing {
+		e.poll(w, true, now)
+	}
 }
 
-// refused handles a start that the worker refused or that was not sent.
-func (e *Engine) refused(r *run, a platform.OrderAnswer, now time.Duration) {
+// refused handles a start that the worker refused or that was not sent, for the
+// given error if there is one.
+func (e *Engine) refused(r *run, a platform.OrderAnswer, err error, now time.Duration) {
 	w, t := r.worker, r.task
-	event.StartRefused.Log(e.opts.Log, zap.Stringer("task", t.id()), zap.Int("run", r.number), zap.String("worker", w.ID), zap.Stringer("outcome", a.Outcome))
+	event.StartRefused.Log(e.opts.Log, zap.Stringer("task", t.id()), zap.Int("run", r.number), zap.String("worker", w.ID), zap.Stringer("outcome", a.Outcome), zap.Error(err))
 	switch a.Outcome {
 	case platform.OrderNoCapacity:
 		e.stats.RefusedNoRoom++
@@ -122,6 +141,7 @@
 	case platform.OrderInvalid:
 		t.notBefore = now + refusalPause
 	}
+	r.openCrash = nil // no incarnation has carried the start out
 	e.endRun(r, now)
 }
 
@@ -151,6 +171,7 @@
 	r.worker.pool.needsPass = true
 	s.job.liveRuns--
 	e.reportCancelledRunsEnd(r, now)
+	e.leaveOpenCrash(r, now)
 	if t.startable() {
 		s.idle++
 		e.enqueue(s)
@@ -204,6 +225,7 @@
 	}
 	r.confirmedAt = max(r.confirmedAt, now)
 	r.listed = true
+	r.openCrash = nil // it runs on the incarnation that lists it
 	if r.phase == runConfirmed {
 		r.task.listedAt = now
 	}
@@ -283,6 +305,7 @@
 			w.succeeded(now)
 		}
 		e.learnFromEnd(r, end.End, now)
+		r.openCrash = nil // it has run on the incarnation that lists its end
 		e.endRun(r, now)
 	}
 	return changed
--- a/internal/scheduler/runstate.go
+++ b/internal/scheduler/runstate.go
@@ -33,6 +33,11 @@
 	// -1 if it never did.
 	sentAt, confirmedAt time.Duration
 	deadlineMS          int64
+	// answered is set once the start was answered, or failed.
+	answered bool
+	// openCrash is set while it is open whether the end of a worker counts as a crash
+	// under the run.
+	openCrash *openCrash
 	// stop is the state of its stop orders, and stopReason why it is stopped.
 	stop       stopState
 	stopReason string
--- a/internal/scheduler/suspect.go
+++ b/internal/scheduler/suspect.go
@@ -112,13 +112,20 @@
 }
 
 // waitsForRecord reports whether the task must not start yet: a crash is not
-// recorded, or too many workers fell silent under it whose fate is unknown.
+// recorded, or too many workers ended under it that may not count, or fell silent
+// and may still live.
 func (e *Engine) waitsForRecord(t *task) bool {
-	crashes := t.unitCrashes()
+	crashes, open := t.unitCrashes(), 0
+	unit := t.crashUnit()
+	for _, u := range unit {
+		open = max(open, u.openCrashes)
+	}
+	if open > 0 && len(crashes)+open >= maxCrashes {
+		return true
+	}
 	if len(crashes) == 0 {
 		return false
 	}
-	unit := t.crashUnit()
 	if slices.ContainsFunc(unit, func(u *task) bool { return t.step.job.durable < u.crashSeq }) {
 		return true
 	}
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -79,6 +79,9 @@
 	// task.
 	crashes  []crash
 	crashSeq uint64
+	// openCrashes counts the runs that were given up with their worker before their
+	// starts were answered.
+	openCrashes int
 	// failedOn holds the ids of the workers on which runs failed or stalled.
 	failedOn []string
 }
--- a/internal/scheduler/workerlease.go
+++ b/internal/scheduler/workerlease.go
@@ -13,7 +13,7 @@
 		case e.promptSentAt < w.silentAt && now <= w.leaseEnd()+e.opts.MaxLease:
 			e.probeAnother(w, now)
 		default:
-			e.countCrash(w, true, now)
+			e.countCrash(w, endPresumed, now)
 			for _, r := range w.runs {
 				if !r.sentToPrevious() || r.listed || now > r.sentAt+maxOrderDelay+e.opts.MaxLease {
 					e.loseRun(r, "lease expired", now)
