scheduler: crashes under one task do not end the healthy long-running tasks of its job

Cause: the bound on crashes, made for tasks that crash their workers, gave the whole job up whatever its other tasks did, and the end of a job stops all of its runs without regard to MaxUnavailable.

Change: a job is not given up for crashes while long-running tasks of it are at work on other workers, may be according to the recovery, or have survived a start. Its suspect starts again after a pause that grows from 0.5 s to 4 s, counted from its last start, so that it runs again within the time that long-running tasks have; from the third crash on it starts on a worker without other runs, if there is one within 1.5 s. Batch tasks, gangs and copies of the same job are treated alike. Jobs of which nothing is at work, and batch jobs, are given up as before.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -115,6 +115,7 @@
 	InterferenceKnown    = New(955, zapcore.InfoLevel, "images slow each other")
 	ServingNearTarget    = New(956, zapcore.InfoLevel, "serving task near its target")
 	StartedBesideKnown   = New(957, zapcore.InfoLevel, "task started beside a known neighbour")
+	RestartPaused        = New(958, zapcore.WarnLevel, "next start of a task delayed")
 	TeamWaits            = New(980, zapcore.InfoLevel, "team waits for its quota")
 	TeamWaitEnded        = New(981, zapcore.InfoLevel, "team no longer waits for its quota")
 	RecoveryEnded        = New(933, zapcore.InfoLevel, "recovery ended")
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -177,6 +177,7 @@
 			weight = workload.CrashUncertain
 		}
 		e.recordCrash(r.task, crash{r.number, weight}, cause && alone, w.ID, now)
+		e.pauseRestart(r, now)
 	}
 }
 
@@ -211,6 +212,7 @@
 	c := r.openCrash
 	r.openCrash = nil
 	e.recordCrash(r.task, crash{r.number, workload.CrashUncertain}, c.alone, c.workerID, now)
+	e.pauseRestart(r, now)
 }
 
 // fateTimeout is how long after its lease a worker that never answers again counts
@@ -275,7 +277,7 @@
 	event.CrashCounted.Log(e.opts.Log, zap.Stringer("task", t.id()), zap.Int("run", c.run), zap.String("worker", workerID),
 		zap.Stringer("weight", c.weight), zap.Bool("alone", alone), zap.Int("crashes", len(t.crashes)))
 	e.storeCrashes(t, now)
-	if t.isGivenUp(c, alone) {
+	if t.isGivenUp(c, alone) && e.mayBeGivenUp(t.step.job, workerID) {
 		e.stats.TasksGivenUp++
 		event.TaskGivenUp.Log(e.opts.Log, zap.Stringer("task", t.id()), zap.Int("crashes", len(t.crashes)),
 			zap.Int("certain", countCrashes(t.crashes, workload.CrashCertain)), zap.String("reason", "its workers crash"))
@@ -335,10 +337,14 @@
 	}
 }
 
-// clearCrashes forgets the crashes of a long-running task that is at work.
-func (e *Engine) clearCrashes(r *run, now time.Duration) {
+// survivedStart forgets the crashes of a long-running task that has survived its start.
+func (e *Engine) survivedStart(r *run, now time.Duration) {
 	t := r.task
-	if len(t.crashes) > 0 && t.step.LongRunning && r.proven() {
+	if !t.step.LongRunning || !r.proven() {
+		return
+	}
+	t.step.job.survived = true
+	if len(t.crashes) > 0 {
 		t.crashes = nil
 		e.storeCrashes(t, now)
 	}
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -231,7 +231,8 @@
 		for _, r := range f.runs() {
 			task := r.task
 			task.Index = r.run
-			if f.up && runs[task] < c.records[task.Job].spec.Steps[task.Step].Count && c.now-r.startedAt > 100*time.Millisecond {
+			step := &c.records[task.Job].spec.Steps[task.Step]
+			if f.up && step.Gang && runs[task] < step.Count && c.now-r.startedAt > 100*time.Millisecond {
 				f.end(r, platform.EndBroken, c.now)
 			}
 		}
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -116,7 +116,7 @@
 		return "quota of its team"
 	case !t.step.fitsOn(w):
 		return "capacity held for long-running tasks"
-	case !t.separate(w, now):
+	case !e.separate(t, w, now):
 		return "kept for a suspect"
 	}
 	if reason := w.unusable(now); reason != "" {
@@ -141,7 +141,7 @@
 		return nil
 	}
 	if s.Gang {
-		return e.separateGang(s, open, t.separated(open, now), now)
+		return e.separateGang(s, open, e.separated(t, open, now), now)
 	}
 	w, _, _ := e.chooseWorker(t, open, now)
 	if w == nil {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -37,6 +37,8 @@
 	// started is set once a worker has confirmed, listed or ended a run, also
 	// under a previous owner.
 	started bool
+	// survived is set once a long-running task of the job has survived its start.
+	survived bool
 	// seq numbers the newest change and durable the newest recorded one.
 	seq, durable uint64
 	urgent       bool
--- a/internal/scheduler/outage.go
+++ b/internal/scheduler/outage.go
@@ -114,7 +114,7 @@
 		for _, w := range p.workers[:min(len(p.workers), maxOutageWorkers)] {
 			passedOver[w.ID] = e.passedOver(t, w, now)
 		}
-		fields = append(fields, zap.Int("workers", len(p.workers)), zap.Any("passed_over", passedOver))
+		fields = append(fields, zap.Duration("paused", max(0, t.notBefore-now, t.step.gangRetry-now)), zap.Int("workers", len(p.workers)), zap.Any("passed_over", passedOver))
 	}
 	event.TaskWithoutRun.Log(e.opts.Log, fields...)
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -203,7 +203,7 @@
 		if !s.fitsOn(w) {
 			continue
 		}
-		if !t.separate(w, now) && !s.apartForLong(now) {
+		if !e.separate(t, w, now) && !s.apartForLong(now) {
 			apart = true
 			continue
 		}
@@ -311,7 +311,7 @@
 	if s.LongRunning && !e.fitsQuota(s, len(s.tasks), now, open, lastResort) {
 		return
 	}
-	separated := s.tasks[0].separated(open, now)
+	separated := e.separated(s.tasks[0], open, now)
 	chosen := e.separateGang(s, open, separated, now)
 	if chosen == nil && len(separated) < len(open) {
 		anywhere := e.gangWorkers(s, e.withTicket(s, open, now))
@@ -346,7 +346,7 @@
 	if chosen == nil && len(fast) < len(separated) {
 		chosen = e.gangWorkers(s, e.withTicket(s, separated, now))
 	}
-	if chosen == nil && s.tasks[0].suspect() {
+	if chosen == nil && s.tasks[0].suspect() && !e.exclusive(s.tasks[0]) {
 		chosen = e.gangWorkers(s, e.withTicket(s, s.tasks[0].besideNoSuspect(open), now))
 	}
 	return chosen
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -241,7 +241,7 @@
 	}
 	r.percent = s.Percent
 	r.load = s.Load
-	e.clearCrashes(r, now)
+	e.survivedStart(r, now)
 }
 
 // processEnds handles the ends that a worker lists, in their order.
--- a/internal/scheduler/suspect.go
+++ b/internal/scheduler/suspect.go
@@ -58,8 +58,8 @@
 // heldForSuspects reports whether the worker is to become free for a suspect.
 func (w *worker) heldForSuspects(now time.Duration) bool { return now < w.heldUntil }
 
-// testedElsewhere reports whether a worker other than w runs suspects of the job.
-// All of a job fails with one of its tasks: one worker at a time is enough.
+// testedElsewhere reports whether a worker other than w runs suspects of the job:
+// one worker at a time is enough to find out whether it crashes.
 func (j *job) testedElsewhere(w *worker) bool {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
@@ -78,9 +78,12 @@
 
 // separate reports whether the worker may take the task without bringing a
 // suspect together with other tasks that have just started, so that a crash of
-// the worker has one cause.
-func (t *task) separate(w *worker, now time.Duration) bool {
+// the worker has one cause. A task that starts alone needs an empty worker.
+func (e *Engine) separate(t *task, w *worker, now time.Duration) bool {
 	j := t.step.job
+	if e.exclusive(t) {
+		return len(w.runs) == 0 && !j.testedElsewhere(w)
+	}
 	if tested := w.testedJob(); tested != nil {
 		return tested == j
 	}
@@ -120,7 +123,7 @@
 	for _, u := range unit {
 		open = max(open, u.openCrashes)
 	}
-	if open > 0 && len(crashes)+open >= maxCrashes {
+	if open > 0 && len(crashes)+open >= maxCrashes && e.mayBeGivenUp(t.step.job, "") {
 		return true
 	}
 	if len(crashes) == 0 {
@@ -129,7 +132,7 @@
 	if slices.ContainsFunc(unit, func(u *task) bool { return t.step.job.durable < u.crashSeq }) {
 		return true
 	}
-	return len(crashes) >= maxCrashes && slices.ContainsFunc(unit, e.hasPresumed)
+	return len(crashes) >= maxCrashes && e.mayBeGivenUp(t.step.job, "") && slices.ContainsFunc(unit, e.hasPresumed)
 }
 
 // hasPresumed reports whether a crash under the task is still presumed.
@@ -149,12 +152,12 @@
 		return
 	}
 	var best *worker
-	held := 0
+	held, exclusive := 0, e.exclusive(t)
 	for _, w := range open {
 		if w.heldForSuspects(now) {
 			held++
 		}
-		if !t.step.hasLabel(w) || w.testedJob() != nil || w.heldAt == now {
+		if !t.step.hasLabel(w) || w.testedJob() != nil || w.heldAt == now || (exclusive && len(w.longRunning) > 0) {
 			continue
 		}
 		if free := w.Capacity.Sub(w.longRunningRequests()); !t.step.Requests().Fits(free) {
@@ -188,8 +191,8 @@
 
 // separated returns the workers that may take the task without bringing a suspect
 // together with others.
-func (t *task) separated(open []*worker, now time.Duration) []*worker {
-	return slices.DeleteFunc(slices.Clone(open), func(w *worker) bool { return !t.separate(w, now) })
+func (e *Engine) separated(t *task, open []*worker, now time.Duration) []*worker {
+	return slices.DeleteFunc(slices.Clone(open), func(w *worker) bool { return !e.separate(t, w, now) })
 }
 
 // besideNoSuspect returns the workers that run no suspect of another job: a
