--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -74,9 +74,11 @@
 	acknowledgedFailures int
 	// crashes counts the workers that crashed under it.
 	crashes int
-	// lastWorker is where it ran last, and idleSince when that run ended.
-	lastWorker string
-	idleSince  time.Time
+	// lastWorker is where it ran last, startedAt when that run began, and idleSince when
+	// it ended. stoppedAtWork is set if it had survived its start and was stopped.
+	lastWorker           string
+	startedAt, idleSince time.Time
+	stoppedAtWork        bool
 }
 
 func newChecker() *checker {
@@ -130,6 +132,7 @@
 	case standin.RunStarted:
 		c.checkStart(j, t, o)
 		t.running[key], t.lastWorker = true, o.Worker
+		t.startedAt, t.stoppedAtWork = o.At, false
 	case standin.RunLost:
 		delete(t.running, key)
 		t.idleSince = o.At
@@ -141,6 +144,7 @@
 		delete(t.running, key)
 		t.idleSince = o.At
 		t.done = t.done || o.End == platform.EndDone
+		t.stoppedAtWork = o.End == platform.EndStopped && o.At.Sub(t.startedAt) > surviveTime
 	case standin.EndAcknowledged:
 		switch {
 		case o.End == platform.EndDone && t.successAcknowledged.IsZero():
@@ -199,6 +203,11 @@
 		if !j.poison && !j.givenUp {
 			c.addViolation("LOST: job %s is reported as failed, but none of its tasks is made to fail or has lost two workers", id)
 		}
+		for task, t := range j.tasks {
+			if j.longRunning && !j.cancelSent && t.stoppedAtWork {
+				c.addViolation("AVAIL: job %s is reported as failed, and task %v was stopped while it was at work", id, task)
+			}
+		}
 	case "cancelled":
 		if !j.cancelSent {
 			c.addViolation("LOST: job %s is reported as cancelled, but no cancellation was sent", id)
--- a/test/soak/longrunning_test.go
+++ b/test/soak/longrunning_test.go
@@ -17,6 +17,8 @@
 	idleLimit = 6 * time.Second
 	lossTime  = 3 * time.Second
 	calmTime  = 4 * time.Second
+	// surviveTime is how long a long-running task has run that is at work.
+	surviveTime = 2 * time.Second
 )
 
 // longBody returns the body of a submission with long-running tasks.
