intake: a caller that closes its connection reads the refusal of its large body

Cause: net/http waits half a second before it closes a connection with unread bytes, so that the answer is read before the reset, but not if the request asked to close the connection. Shown by a trace of Close on a scratch copy: no CloseWrite, closed 1 ms after the refusal; the client's error is "write: connection reset by peer".

Ruled out: a limit of the entry that ended the connection. Its log has the refusal alone.

Change: a connection whose body was refused as too large waits for its client like one that the limits have ended: it ends its side, reads up to 256 KB and waits for 200 ms at most. After those 256 KB it waits for the rest of that time instead of closing at once.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -142,6 +142,7 @@
 		l := c.conn.limiter
 		l.mu.Lock()
 		l.count(why)
+		c.conn.bodyRefused = c.conn.bodyRefused || (why == refusedBody && c.stream == nil)
 		l.mu.Unlock()
 	}
 	return err
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -56,6 +56,8 @@
 	// streams is the number of requests in progress, of which waitingStreams wait
 	// for the rest of their bodies.
 	streams, waitingStreams int
+	// bodyRefused is set while the client may still send a body that is too large.
+	bodyRefused bool
 	// released is set once the connection was taken out of the budget.
 	released bool
 }
@@ -240,7 +242,7 @@
 	case http.StateActive:
 		l.budget.serve(&c.client)
 	case http.StateIdle:
-		c.header = 0
+		c.header, c.bodyRefused = 0, false
 		if c.client.bytes > 0 {
 			l.budget.release(&c.client, c.client.bytes)
 		}
@@ -293,12 +295,24 @@
 	}
 }
 
+// awaitClient waits until the client has ended the connection, for refusalTime at most.
+// What it still sends beyond refusalBytes stays unread.
+func (c *conn) awaitClient() {
+	until := time.Now().Add(refusalTime)
+	if c.Conn.SetReadDeadline(until) != nil {
+		return
+	}
+	if n, _ := io.CopyN(io.Discard, c.Conn, refusalBytes); n == refusalBytes {
+		time.Sleep(time.Until(until))
+	}
+}
+
 // Close implements net.Conn. A client whose request was refused gets some time to
 // read the answer, since unread bytes would reset the connection.
 func (c *conn) Close() error {
 	l := c.limiter
 	l.mu.Lock()
-	refused := c.client.failure != nil && !c.released
+	refused := (c.client.failure != nil || c.bodyRefused) && !c.released
 	if !c.released {
 		l.budget.release(&c.client, c.client.bytes)
 		l.budget.settle(&c.client)
@@ -306,8 +320,8 @@
 		l.changed.Broadcast()
 	}
 	l.mu.Unlock()
-	if refused && c.CloseWrite() == nil && c.Conn.SetReadDeadline(time.Now().Add(refusalTime)) == nil {
-		_, _ = io.CopyN(io.Discard, c.Conn, refusalBytes) // until the client ends it
+	if refused && c.CloseWrite() == nil {
+		c.awaitClient()
 	}
 	l.mu.Lock()
 	if !c.released {
