--- a/internal/scheduler/crash_open_test.go
+++ b/internal/scheduler/crash_open_test.go
@@ -70,6 +70,23 @@
 	}
 }
 
+// A worker ends while a poll waits there, and connections to it are refused from then
+// on.
+func TestWorkerThatRefusesConnectionsGetsNoFurtherStarts(t *testing.T) {
+	c := newLongRunningSimulation(t, 1)
+	c.downtime, c.hostLists = time.Hour, false
+	c.answerForEnded(2*orderDelay, errors.WithMessage(platform.ErrUnavailable, "connection refused"))
+	c.submit(c.owner, longRunningJob(1, 1, 1))
+	c.play(1300 * time.Millisecond) // a long poll has just begun
+	c.crashWorker(c.workers["w1"])
+	before := c.owner.Stats().Starts
+	c.submit(c.owner, jobOf(2, 1, 2))
+	c.play(2 * time.Second)
+	if got := c.owner.Stats().Starts - before; got != 1 {
+		t.Errorf("%d starts in 2 s, want 1", got)
+	}
+}
+
 // A worker restarts under its id, and its next incarnation carries the start out.
 func TestRunOfTheNextIncarnationDoesNotCountItsWorkersCrash(t *testing.T) {
 	c := newCrashSimulation(t, 1)
--- a/internal/scheduler/giveup.go
+++ b/internal/scheduler/giveup.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// minRestartPause is the least time between a start under which the second worker
-	// in a row has crashed and the next start, for tasks that are never given up. It
-	// doubles with each further crash, up to maxRestartPause: a long-running task has to
-	// start again some seconds after its last run.
+	// minRestartPause is the least time from a start under which the second worker in a
+	// row has crashed to the next one, if the job is not given up. It doubles with each
+	// further crash, up to maxRestartPause: a long-running task has to start again some
+	// seconds after its last run.
 	minRestartPause = 500 * time.Millisecond
 	maxRestartPause = 4 * time.Second
 )
@@ -43,8 +43,8 @@
 	return slices.ContainsFunc(t.runs, func(r *run) bool { return r.begun() && r.phase != runStopping && r.worker.ID != id })
 }
 
-// exclusive reports whether the task starts only on a worker without other runs, as
-// so many workers have crashed under it that its job would be given up if it might.
+// exclusive reports whether the task starts only on a worker without other runs: so
+// many workers have crashed under it that its job would be given up, were it permitted.
 func (e *Engine) exclusive(t *task) bool {
 	return t.step.hasSuspects && len(t.unitCrashes()) >= maxCrashes && !e.mayBeGivenUp(t.step.job, "")
 }
