--- a/internal/scheduler/suspect.go
+++ b/internal/scheduler/suspect.go
@@ -78,7 +78,7 @@
 
 // separate reports whether the worker may take the task without bringing a
 // suspect together with other tasks that have just started, so that a crash of
-// the worker has one cause. A task that starts alone needs an empty worker.
+// the worker has one cause. An exclusive task needs an empty worker.
 func (e *Engine) separate(t *task, w *worker, now time.Duration) bool {
 	j := t.step.job
 	if e.exclusive(t) {
