--- a/internal/scheduler/crash_longrunning_test.go
+++ b/internal/scheduler/crash_longrunning_test.go
@@ -39,6 +39,19 @@
 	return job
 }
 
+// submitAndLoseWorkers submits a job of five tasks and, when they are at work, crashes
+// the worker of the first one. Each worker that starts it crashes from then on, until
+// the given number have.
+func (c *crashSimulation) submitAndLoseWorkers(crashes int) (*workload.Job, workload.TaskID) {
+	job := spreadJob(1, 5)
+	task := workload.TaskID{Job: job.ID}
+	c.submit(c.owner, job)
+	c.play(3 * time.Second)
+	c.crashUnder(task, 0)
+	c.crashes = func(other workload.TaskID) bool { return other == task && c.crashed[task] < crashes }
+	return job, task
+}
+
 // checkUndisturbed fails the test unless the job goes on and the tasks of its first
 // step, from the given one on, have been started as often as permitted at most.
 func (c *crashSimulation) checkUndisturbed(t *testing.T, job *workload.Job, from, starts int) {
@@ -64,13 +77,8 @@
 					t.Parallel()
 					c := newLongRunningSimulation(t, 9)
 					c.newIDs, c.delay = newIDs, after
-					job := spreadJob(1, 5)
-					task := workload.TaskID{Job: job.ID}
-					c.submit(c.owner, job)
-					c.play(3 * time.Second)
-					c.crashUnder(task, 0)
+					job, task := c.submitAndLoseWorkers(5)
 					last := c.crashed[task]
-					c.crashes = func(other workload.TaskID) bool { return other == task && c.crashed[task] < 5 }
 					for end := c.now + 40*time.Second; c.now < end; c.play(testTick) {
 						if changes && c.crashed[task] > last {
 							last = c.crashed[task]
@@ -99,17 +107,12 @@
 	return false
 }
 
-// Three workers crash under a task within some seconds.
+// Six workers in a row crash under a task.
 func TestLongRunningTaskWhoseWorkersCrashedStartsAgainInTime(t *testing.T) {
 	for _, hostLists := range []bool{true, false} {
 		c := newLongRunningSimulation(t, 9)
 		c.newIDs, c.hostLists = true, hostLists
-		job := spreadJob(1, 5)
-		task := workload.TaskID{Job: job.ID}
-		c.submit(c.owner, job)
-		c.play(3 * time.Second)
-		c.crashUnder(task, 0)
-		c.crashes = func(other workload.TaskID) bool { return other == task && c.crashed[task] < 6 }
+		job, task := c.submitAndLoseWorkers(6)
 		longest, since := time.Duration(0), c.now
 		for end := c.now + 60*time.Second; c.now < end; c.play(testTick) {
 			if c.hasRunOf(task) {
