review: add case 13, a job given up after two unread ends

Claimed: a run that has ended by itself, unread, counts as a certain crash when its worker crashes later, and a job is shown as failed after two of these (rule LOST).

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -21,6 +21,8 @@
 	nodes   []*node
 	trouble bool
 	queue   map[string]any
+	// links puts a link that can be cut before each machine.
+	links bool
 }
 
 const (
@@ -29,7 +31,7 @@
 )
 
 func main() {
-	cases := map[string]func(*world) int{"advice": advisedJobs, "requirements": requiredLabel}
+	cases := map[string]func(*world) int{"advice": advisedJobs, "requirements": requiredLabel, "unread": unreadEnds}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE RECORD")
 		os.Exit(couldNotRun)
@@ -51,6 +53,7 @@
 	defer os.RemoveAll(folder)
 	w := &world{trouble: os.Getenv("TROUBLE") != "0", platformStandin: &platformStandin{
 		record: r, store: &store{standin.NewRows()}, tickets: map[string]ticket{}, starts: map[string]int{}, done: map[string]int{},
+		failed: map[string]int{}, crashes: map[string]int{},
 	}}
 	r.line("with the disruption: %v", w.trouble)
 	defer w.stop()
@@ -68,6 +71,14 @@
 func (w *world) start(nodes, spare int, folder string) bool {
 	for i := range 9 + spare {
 		m := &machine{platformStandin: w.platformStandin, name: fmt.Sprintf("m-%02d", i), pool: servingPool, rack: fmt.Sprintf("r%d", 1+i/4), cpu: 64000, mem: 131072, address: "127.0.0.1:0"}
+		if w.links {
+			k, err := newLink()
+			if err != nil {
+				w.record.line("link: %v", err)
+				return false
+			}
+			m.link = k
+		}
 		if i >= 9 {
 			m.pool, m.rack = standbyPool, fmt.Sprintf("r%d", 4+(i-9)/4)
 		} else if err := m.boot(); err != nil {
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -49,6 +49,8 @@
 	name, pool, rack string
 	cpu, mem         int
 	address          string
+	// link is the path to the machine, nil if clients reach it directly.
+	link *link
 
 	mu       sync.Mutex
 	server   *http.Server
@@ -81,6 +83,9 @@
 	tickets map[string]ticket // by ticket
 	starts  map[string]int
 	done    map[string]int
+	failed  map[string]int
+	// crashes counts the workers that have crashed under a task.
+	crashes map[string]int
 	next    int
 }
 
@@ -93,7 +98,11 @@
 
 // boot begins the next life of the machine's worker.
 func (m *machine) boot() error {
-	l, err := net.Listen("tcp", m.address)
+	address := m.address
+	if m.link != nil {
+		address = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
@@ -102,6 +111,10 @@
 	m.lives++
 	m.id = fmt.Sprintf("i-%s-%d", m.name, m.lives)
 	m.address, m.up, m.booted = l.Addr().String(), true, time.Now()
+	if m.link != nil {
+		m.link.lead(m.address)
+		m.address = m.link.listener.Addr().String()
+	}
 	m.token, m.leaseMS, m.lastEnd, m.ends, m.sequence = 0, 0, 0, nil, 0
 	m.running, m.highest = map[runKey]*run{}, map[string]int{}
 	mux := http.NewServeMux()
@@ -130,7 +143,13 @@
 func (m *machine) crash() {
 	m.mu.Lock()
 	m.up = false
+	m.tick(time.Now())
 	s, id, runs := m.server, m.id, len(m.running)
+	m.platformStandin.mu.Lock()
+	for key := range m.running {
+		m.crashes[key.task]++
+	}
+	m.platformStandin.mu.Unlock()
 	m.running = map[runKey]*run{}
 	m.mu.Unlock()
 	_ = s.Close()
@@ -198,11 +217,14 @@
 	delete(m.running, r.runKey)
 	m.lastEnd++
 	m.ends = append(m.ends, end{m.lastEnd, r.runKey, how})
-	if how == "done" {
-		m.platformStandin.mu.Lock()
+	m.platformStandin.mu.Lock()
+	switch how {
+	case "done":
 		m.done[r.runKey.task]++
-		m.platformStandin.mu.Unlock()
+	case "failed":
+		m.failed[r.runKey.task]++
 	}
+	m.platformStandin.mu.Unlock()
 	m.record.line("run %s %d on %s ends %s", r.runKey.task, r.run, m.id, how)
 }
 
